--- /dev/null
+++ b/sycamorespan/src/Core/error.h
@@ -0,0 +1,24 @@
+#ifndef SYCAMORESPAN_CORE_ERROR_H
+#define SYCAMORESPAN_CORE_ERROR_H
+
+#include <stdexcept>
+
+namespace sycamorespan {
+
+/** \brief Base of every exception of the library. */
+class error : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/** \brief Input from outside that can't be decoded. */
+class decode_error : public error
+{
+public:
+    using error::error;
+};
+
+} // namespace sycamorespan
+
+#endif
--- /dev/null
+++ b/sycamorespan/src/Core/overloaded.h
@@ -0,0 +1,18 @@
+#ifndef SYCAMORESPAN_CORE_OVERLOADED_H
+#define SYCAMORESPAN_CORE_OVERLOADED_H
+
+namespace sycamorespan {
+
+/** \brief Visitor for std::visit made of one lambda for each alternative. */
+template<typename... Visitors>
+struct overloaded : Visitors...
+{
+    using Visitors::operator()...;
+};
+
+template<typename... Visitors>
+overloaded(Visitors...) -> overloaded<Visitors...>;
+
+} // namespace sycamorespan
+
+#endif
