Add the Net module: WebSocket and HTTP on a libev loop

The daemons need sockets for the operators' port, the platform stand-in and the connections among agents and proxies, and nothing in the tree did I/O yet.

web_codec wraps websocketpp (iostream transport) without I/O in the one translation unit that is compiled as C++17; web_connection owns one socket on libev with bounded messages, write buffer, handshake, silence and closing; web_endpoint and web_client stand on it.

--- /dev/null
+++ b/sycamorespan/src/Net/http_message.h
@@ -0,0 +1,38 @@
+#ifndef SYCAMORESPAN_NET_HTTP_MESSAGE_H
+#define SYCAMORESPAN_NET_HTTP_MESSAGE_H
+
+#include <string>
+
+namespace sycamorespan {
+
+/** \brief A request that an HTTP server received, or one for an HTTP client to send. */
+struct http_request
+{
+    std::string method;
+    /** Path and query, as in the request line. */
+    std::string path;
+    std::string body;
+};
+
+/** \brief The answer to an http_request. */
+struct http_response
+{
+    int status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+};
+
+inline bool operator==(const http_request &left, const http_request &right)
+{
+    return left.method == right.method && left.path == right.path && left.body == right.body;
+}
+
+inline bool operator==(const http_response &left, const http_response &right)
+{
+    return left.status == right.status && left.contentType == right.contentType
+           && left.body == right.body;
+}
+
+} // namespace sycamorespan
+
+#endif
--- /dev/null
+++ b/sycamorespan/src/Net/internal/web_connection.cpp
@@ -0,0 +1,307 @@
+#include "sycamorespan/src/Net/internal/web_connection.h"
+
+#include "sycamorespan/src/Net/clock.h"
+#include "sycamorespan/src/Net/internal/tcp_socket.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+
+namespace sycamorespan::internal {
+
+namespace {
+
+constexpr std::size_t readBufferBytes = 64 << 10;
+
+bool wouldBlock()
+{
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+}
+
+} // namespace
+
+web_connection::web_connection(ev::loop_ref loop, unique_fd fd, parameters settings)
+    : m_readable(loop)
+    , m_writable(loop)
+    , m_timer(loop)
+    , m_fd(std::move(fd))
+    , m_settings(std::move(settings))
+    , m_codec(m_settings.role, m_settings.remote.str(), m_settings.limits.maxMessageBytes,
+              codecEvents())
+    , m_lastReceived(monotonicNow())
+{
+    m_readable.set<web_connection, &web_connection::handleReadable>(this);
+    m_writable.set<web_connection, &web_connection::handleWritable>(this);
+    m_timer.set<web_connection, &web_connection::handleTimer>(this);
+}
+
+void web_connection::start()
+{
+    process([this] {
+        m_readable.set(m_fd.get(), ev::READ);
+        m_writable.set(m_fd.get(), ev::WRITE);
+        if (m_settings.role == web_role::client) {
+            enter(phase::connecting, m_settings.limits.handshakeTimeout);
+            m_writable.start();
+            return;
+        }
+        enter(phase::handshake, m_settings.limits.handshakeTimeout);
+        m_readable.start();
+        m_codec.start();
+    });
+}
+
+bool web_connection::send(std::string_view message)
+{
+    bool sent = false;
+    process([&] { sent = isOpen() && m_codec.send(message); });
+    if (sent)
+        ++counters().messagesSent;
+    return sent && !m_aborted;
+}
+
+void web_connection::close(std::string_view reason)
+{
+    process([&] {
+        if (!isOpen()) {
+            m_aborted = true;
+            return;
+        }
+        m_codec.close(reason);
+        enter(phase::closing, m_settings.limits.closeTimeout);
+    });
+}
+
+void web_connection::respond(const http_response &response)
+{
+    process([&] {
+        if (m_phase == phase::request)
+            m_codec.respond(response);
+    });
+}
+
+bool web_connection::isOpen() const
+{
+    return m_phase == phase::open && !m_aborted && m_codec.isOpen();
+}
+
+void web_connection::abort()
+{
+    process([this] { m_aborted = true; });
+}
+
+void web_connection::detach()
+{
+    m_settings.handlers = std::make_shared<web_handlers>();
+    m_settings.ended = {};
+    abort();
+}
+
+template<typename Function>
+void web_connection::process(Function function)
+{
+    const auto self = shared_from_this();
+    if (m_phase == phase::ended)
+        return;
+    ++m_depth;
+    try {
+        function();
+    } catch (const std::exception &) {
+        ++counters().handlerErrors;
+        m_aborted = true;
+    }
+    --m_depth;
+    if (m_depth == 0)
+        settle();
+}
+
+void web_connection::settle()
+{
+    if (!m_aborted)
+        flush();
+    if (m_aborted) {
+        end();
+        return;
+    }
+    if (m_phase == phase::connecting || unsentBytes() > 0)
+        m_writable.start();
+    else
+        m_writable.stop();
+    if (m_finished && unsentBytes() == 0)
+        finishWriting();
+}
+
+web_codec_events web_connection::codecEvents()
+{
+    web_codec_events events;
+    events.write = [this](std::string_view bytes) {
+        if (unsentBytes() + bytes.size() > m_settings.limits.maxWriteBufferBytes) {
+            ++counters().writeOverflows;
+            m_aborted = true;
+            return;
+        }
+        m_output.erase(0, std::exchange(m_outputSent, 0));
+        m_output.append(bytes);
+    };
+    events.finished = [this] {
+        m_finished = true;
+        enter(phase::closing, m_settings.limits.closeTimeout);
+    };
+    events.opened = [this] { handleOpened(); };
+    events.message = [this](std::string_view message) { handleMessage(message); };
+    events.request = [this](const http_request &request) { handleRequest(request); };
+    return events;
+}
+
+void web_connection::handleOpened()
+{
+    m_wasOpened = true;
+    const auto &limits = m_settings.limits;
+    enter(phase::open, std::min(limits.pingInterval, limits.idleTimeout));
+    const auto handlers = m_settings.handlers;
+    if (handlers->opened)
+        handlers->opened(web_session(m_settings.id, weak_from_this()));
+}
+
+void web_connection::handleMessage(std::string_view message)
+{
+    ++counters().messagesReceived;
+    const auto handlers = m_settings.handlers;
+    if (handlers->message && !m_aborted)
+        handlers->message(web_session(m_settings.id, weak_from_this()), message);
+}
+
+void web_connection::handleRequest(const http_request &request)
+{
+    ++counters().requests;
+    enter(phase::request, m_settings.limits.requestTimeout);
+    const auto handlers = m_settings.handlers;
+    if (!handlers->request) {
+        respond({404, "text/plain", "no such resource\n"});
+        return;
+    }
+    try {
+        handlers->request(request, http_responder(weak_from_this()));
+    } catch (const std::exception &failure) {
+        ++counters().handlerErrors;
+        respond({500, "text/plain", failure.what()});
+    }
+}
+
+void web_connection::handleReadable(ev::io &, int)
+{
+    process([this] { receive(); });
+}
+
+void web_connection::handleWritable(ev::io &, int)
+{
+    process([this] {
+        if (m_phase == phase::connecting)
+            finishConnecting();
+    });
+}
+
+void web_connection::handleTimer(ev::timer &, int)
+{
+    process([this] {
+        if (m_phase == phase::open) {
+            checkIdle();
+            return;
+        }
+        if (m_phase != phase::closing)
+            ++counters().timeouts;
+        m_aborted = true;
+    });
+}
+
+void web_connection::finishConnecting()
+{
+    if (connectError(m_fd) != 0) {
+        m_aborted = true;
+        return;
+    }
+    enter(phase::handshake, m_settings.limits.handshakeTimeout);
+    m_readable.start();
+    m_codec.start();
+}
+
+void web_connection::receive()
+{
+    std::array<char, readBufferBytes> buffer; // NOLINT: filled by recv
+    const auto size = ::recv(m_fd.get(), buffer.data(), buffer.size(), 0);
+    if (size < 0 && wouldBlock())
+        return;
+    if (size <= 0) {
+        m_aborted = true;
+        return;
+    }
+    m_lastReceived = monotonicNow();
+    counters().bytesReceived += static_cast<std::uint64_t>(size);
+    const std::string_view bytes(buffer.data(), static_cast<std::size_t>(size));
+    const bool isWebSocket = m_phase == phase::handshake || m_phase == phase::open;
+    // Bytes that nobody wants any more follow a protocol error.
+    if (m_codec.receive(bytes) < bytes.size() && isWebSocket && m_phase != phase::request)
+        enter(phase::closing, m_settings.limits.closeTimeout);
+}
+
+void web_connection::flush()
+{
+    while (m_phase != phase::connecting && unsentBytes() > 0) {
+        const auto *first = m_output.data() + m_outputSent;
+        const auto size = ::send(m_fd.get(), first, unsentBytes(), MSG_NOSIGNAL);
+        if (size < 0) {
+            m_aborted = !wouldBlock();
+            return;
+        }
+        counters().bytesSent += static_cast<std::uint64_t>(size);
+        m_outputSent += static_cast<std::size_t>(size);
+    }
+}
+
+void web_connection::finishWriting()
+{
+    // The other side's end of stream, or the timer, ends the connection: a close() now could reset
+    // it before the last bytes are read there.
+    m_finished = false;
+    ::shutdown(m_fd.get(), SHUT_WR);
+}
+
+void web_connection::checkIdle()
+{
+    const auto silence = monotonicNow() - m_lastReceived;
+    if (silence >= m_settings.limits.idleTimeout) {
+        ++counters().timeouts;
+        m_aborted = true;
+    } else if (silence >= m_settings.limits.pingInterval) {
+        m_codec.ping();
+    }
+}
+
+void web_connection::enter(phase next, duration timeout)
+{
+    m_phase = next;
+    m_timer.stop();
+    m_timer.start(toSeconds(timeout), toSeconds(timeout));
+}
+
+void web_connection::end()
+{
+    m_phase = phase::ended;
+    m_readable.stop();
+    m_writable.stop();
+    m_timer.stop();
+    m_fd.reset();
+    const auto handlers = m_settings.handlers;
+    const auto ended = std::exchange(m_settings.ended, {});
+    try {
+        if (m_wasOpened && handlers->closed)
+            handlers->closed(web_session(m_settings.id, weak_from_this()));
+    } catch (const std::exception &) {
+        ++counters().handlerErrors;
+    }
+    if (ended)
+        ended(m_settings.id);
+}
+
+} // namespace sycamorespan::internal
--- /dev/null
+++ b/sycamorespan/src/Net/internal/web_connection.h
@@ -0,0 +1,99 @@
+#ifndef SYCAMORESPAN_NET_INTERNAL_WEB_CONNECTION_H
+#define SYCAMORESPAN_NET_INTERNAL_WEB_CONNECTION_H
+
+#include "sycamorespan/src/Net/internal/unique_fd.h"
+#include "sycamorespan/src/Net/internal/web_codec.h"
+#include "sycamorespan/src/Net/web_session.h"
+
+#include <ev++.h>
+
+#include <string>
+
+namespace sycamorespan::internal {
+
+/** \brief One TCP connection that speaks WebSocket or HTTP, on a libev loop.
+ *
+ * The socket and its buffers are bounded in size and time by web_limits.
+ */
+class web_connection : public std::enable_shared_from_this<web_connection>
+{
+public:
+    /** \brief What a connection is made of. */
+    struct parameters
+    {
+        std::uint64_t id = 0;
+        web_role role = web_role::server;
+        socket_address remote;
+        web_limits limits;
+        std::shared_ptr<const web_handlers> handlers;
+        std::shared_ptr<web_counters> counters;
+        /** Called once, last. */
+        std::function<void(std::uint64_t id)> ended;
+    };
+
+    /** \param loop      event loop
+     * \param fd         connected for a server, connecting for a client
+     * \param settings   identity, bounds, receivers
+     */
+    web_connection(ev::loop_ref loop, unique_fd fd, parameters settings);
+
+    /** \brief Begins; called once, after construction by make_shared. */
+    void start();
+
+    bool send(std::string_view message);
+    void close(std::string_view reason);
+    void respond(const http_response &response);
+    bool isOpen() const;
+    const socket_address &remote() const { return m_settings.remote; }
+
+    /** \brief Ends the connection at once, without closing handshake. */
+    void abort();
+
+    /** \brief Forgets the receivers, then ends the connection at once. */
+    void detach();
+
+private:
+    enum class phase { connecting, handshake, open, request, closing, ended };
+
+    /** Runs \a function, then does what it made necessary: writing, closing. */
+    template<typename Function>
+    void process(Function function);
+    void settle();
+    web_counters &counters() { return *m_settings.counters; }
+    std::size_t unsentBytes() const { return m_output.size() - m_outputSent; }
+
+    web_codec_events codecEvents();
+    void handleOpened();
+    void handleMessage(std::string_view message);
+    void handleRequest(const http_request &request);
+    void handleWritable(ev::io &, int);
+    void handleReadable(ev::io &, int);
+    void handleTimer(ev::timer &, int);
+
+    void finishConnecting();
+    void receive();
+    void flush();
+    void finishWriting();
+    void checkIdle();
+    void enter(phase next, duration timeout);
+    void end();
+
+    ev::io m_readable;
+    ev::io m_writable;
+    ev::timer m_timer;
+    unique_fd m_fd;
+    parameters m_settings;
+    web_codec m_codec;
+    phase m_phase = phase::handshake;
+    std::string m_output;
+    std::size_t m_outputSent = 0;
+    time_point m_lastReceived;
+    int m_depth = 0;
+    bool m_wasOpened = false;
+    bool m_finished = false;
+    bool m_aborted = false;
+};
+
+} // namespace sycamorespan::internal
+
+#endif
--- /dev/null
+++ b/sycamorespan/src/Net/web_endpoint.h
@@ -0,0 +1,66 @@
+#ifndef SYCAMORESPAN_NET_WEB_ENDPOINT_H
+#define SYCAMORESPAN_NET_WEB_ENDPOINT_H
+
+#include "sycamorespan/src/Net/internal/unique_fd.h"
+#include "sycamorespan/src/Net/web_session.h"
+
+#include <ev++.h>
+
+#include <map>
+
+namespace sycamorespan {
+
+/** \brief Server for WebSockets with binary messages and for plain HTTP/1.1 on one port.
+ *
+ * An HTTP connection carries one request. Handlers run on the loop's thread.
+ * \sa web_client
+ */
+class web_endpoint
+{
+public:
+    /** \param loop     event loop
+     * \param address   where to listen; port 0 lets the system choose
+     * \param limits    bounds on each connection
+     * \param handlers  receivers of what happens
+     * \throws error when the address can't be listened on
+     */
+    web_endpoint(ev::loop_ref loop, const socket_address &address, const web_limits &limits,
+                 web_handlers handlers);
+    ~web_endpoint();
+    web_endpoint(const web_endpoint &) = delete;
+    web_endpoint &operator=(const web_endpoint &) = delete;
+
+    /** \returns the address it listens on. */
+    socket_address address() const;
+
+    /** \brief Stops accepting; open connections stay. */
+    void stopAccepting();
+
+    /** \brief Closes every WebSocket with its closing handshake. */
+    void closeSessions(std::string_view reason);
+
+    /** \returns how many connections are open now. */
+    std::size_t connectionCount() const { return m_connections.size(); }
+
+    const web_counters &counters() const { return *m_counters; }
+
+private:
+    void handleAcceptable(ev::io &, int);
+    void handleResume(ev::timer &, int);
+    void add(internal::unique_fd fd, socket_address remote);
+    void pauseAccepting();
+
+    ev::loop_ref m_loop;
+    ev::io m_acceptable;
+    ev::timer m_resume;
+    internal::unique_fd m_listener;
+    web_limits m_limits;
+    std::shared_ptr<const web_handlers> m_handlers;
+    std::shared_ptr<web_counters> m_counters;
+    std::uint64_t m_nextId = 1;
+    std::map<std::uint64_t, std::shared_ptr<internal::web_connection>> m_connections;
+};
+
+} // namespace sycamorespan
+
+#endif
