--- /dev/null
+++ b/sycamorespan/src/Net/tcp_listener.cpp
@@ -0,0 +1,79 @@
+#include "sycamorespan/src/Net/tcp_listener.h"
+
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "sycamorespan/Core"
+
+namespace sycamorespan {
+namespace {
+
+constexpr int acceptBacklog = 1024;
+
+error systemError(const std::string &what)
+{
+    return error(what + ": " + std::strerror(errno));
+}
+
+file_descriptor bindSocket(const endpoint &address)
+{
+    file_descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket)
+        throw systemError("socket");
+    const int enabled = 1;
+    ::setsockopt(socket.get(), SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    if (::inet_pton(AF_INET, address.address.c_str(), &name.sin_addr) != 1)
+        throw error("'" + address.address + "' is not an IP number");
+    if (::bind(socket.get(), reinterpret_cast<const sockaddr *>(&name), sizeof name) != 0)
+        throw systemError("bind " + address.str());
+    if (::listen(socket.get(), acceptBacklog) != 0)
+        throw systemError("listen " + address.str());
+    return socket;
+}
+
+} // namespace
+
+tcp_listener::tcp_listener(ev::loop_ref loop, const endpoint &address, accept_handler onAccept)
+    : m_socket(bindSocket(address))
+    , m_onAccept(std::move(onAccept))
+    , m_watcher(loop)
+{
+    m_watcher.set<tcp_listener, &tcp_listener::acceptPending>(this);
+    m_watcher.start(m_socket.get(), ev::READ);
+}
+
+void tcp_listener::close()
+{
+    m_watcher.stop();
+    m_socket = file_descriptor();
+}
+
+std::uint16_t tcp_listener::port() const
+{
+    sockaddr_in name{};
+    socklen_t length = sizeof name;
+    ::getsockname(m_socket.get(), reinterpret_cast<sockaddr *>(&name), &length);
+    return ntohs(name.sin_port);
+}
+
+void tcp_listener::acceptPending(ev::io &, int)
+{
+    while (m_socket) {
+        file_descriptor accepted(
+                ::accept4(m_socket.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (!accepted)
+            return;
+        const int enabled = 1;
+        ::setsockopt(accepted.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+        m_onAccept(std::move(accepted));
+    }
+}
+
+} // namespace sycamorespan
