--- /dev/null
+++ b/sycamorespan/src/Protocol/backend_messages.h
@@ -0,0 +1,83 @@
+#ifndef SYCAMORESPAN_PROTOCOL_BACKEND_MESSAGES_H
+#define SYCAMORESPAN_PROTOCOL_BACKEND_MESSAGES_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sycamorespan {
+
+/** \brief One column of a result. */
+struct column_description
+{
+    std::string name;
+    std::uint32_t tableId = 0;
+    std::int16_t columnNumber = 0;
+    std::uint32_t typeId = 25;
+    std::int16_t typeSize = -1;
+    std::int32_t typeModifier = -1;
+    /** 0 text, 1 binary. */
+    std::int16_t format = 0;
+
+    bool operator==(const column_description &) const = default;
+};
+
+/** \brief The fields of an error or notice that the system sends or passes on. */
+struct error_report
+{
+    std::string severity = "ERROR";
+    std::string sqlstate;
+    std::string message;
+    std::string detail;
+    std::string hint;
+
+    bool operator==(const error_report &) const = default;
+};
+
+/** \brief State of the session's transaction, as ReadyForQuery reports it. */
+enum class transaction_status : char { idle = 'I', active = 'T', failed = 'E' };
+
+using row_values = std::vector<std::optional<std::string_view>>;
+
+/** \brief Encoders of backend messages: each appends one message to a buffer. */
+class backend_writer
+{
+public:
+    const std::string &bytes() const noexcept { return m_bytes; }
+    std::string release() noexcept { return std::move(m_bytes); }
+
+    void authenticationOk();
+    void authenticationCleartextPassword();
+    void parameterStatus(std::string_view name, std::string_view value);
+    void backendKeyData(std::int32_t processId, std::int32_t secret);
+    void readyForQuery(transaction_status status);
+    void rowDescription(const std::vector<column_description> &columns);
+    void parameterDescription(const std::vector<std::uint32_t> &types);
+    void dataRow(const row_values &values);
+    void commandComplete(std::string_view tag);
+    void emptyQueryResponse();
+    void errorResponse(const error_report &report);
+    void noticeResponse(const error_report &report);
+    void parseComplete();
+    void bindComplete();
+    void closeComplete();
+    void noData();
+    void portalSuspended();
+
+private:
+    std::size_t begin(char type);
+    void end(std::size_t lengthOffset);
+    void empty(char type);
+    void putInt16(std::int16_t value);
+    void putInt32(std::int32_t value);
+    void putString(std::string_view value);
+    void putReport(char type, const error_report &report);
+
+    std::string m_bytes;
+};
+
+} // namespace sycamorespan
+
+#endif
