--- a/sycamorespan/src/Net/internal/web_connection.cpp
+++ b/sycamorespan/src/Net/internal/web_connection.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-web_connection::web_connection(ev::loop_ref loop, unique_fd fd, parameters settings)
+web_connection::web_connection(ev::loop_ref loop, file_descriptor fd, parameters settings)
     : m_readable(loop)
     , m_writable(loop)
     , m_timer(loop)
@@ -291,7 +291,7 @@
     m_readable.stop();
     m_writable.stop();
     m_timer.stop();
-    m_fd.reset();
+    m_fd = file_descriptor();
     const auto handlers = m_settings.handlers;
     const auto ended = std::exchange(m_settings.ended, {});
     try {
--- a/sycamorespan/src/Net/internal/web_connection.h
+++ b/sycamorespan/src/Net/internal/web_connection.h
@@ -1,7 +1,7 @@
 #ifndef SYCAMORESPAN_NET_INTERNAL_WEB_CONNECTION_H
 #define SYCAMORESPAN_NET_INTERNAL_WEB_CONNECTION_H
 
-#include "sycamorespan/src/Net/internal/unique_fd.h"
+#include "sycamorespan/src/Net/file_descriptor.h"
 #include "sycamorespan/src/Net/internal/web_codec.h"
 #include "sycamorespan/src/Net/web_session.h"
 
@@ -23,7 +23,7 @@
     {
         std::uint64_t id = 0;
         web_role role = web_role::server;
-        socket_address remote;
+        endpoint remote;
         web_limits limits;
         std::shared_ptr<const web_handlers> handlers;
         std::shared_ptr<web_counters> counters;
@@ -35,7 +35,7 @@
      * \param fd         connected for a server, connecting for a client
      * \param settings   identity, bounds, receivers
      */
-    web_connection(ev::loop_ref loop, unique_fd fd, parameters settings);
+    web_connection(ev::loop_ref loop, file_descriptor fd, parameters settings);
 
     /** \brief Begins; called once, after construction by make_shared. */
     void start();
@@ -44,7 +44,7 @@
     void close(std::string_view reason);
     void respond(const http_response &response);
     bool isOpen() const;
-    const socket_address &remote() const { return m_settings.remote; }
+    const endpoint &remote() const { return m_settings.remote; }
 
     /** \brief Ends the connection at once, without closing handshake. */
     void abort();
@@ -81,7 +81,7 @@
     ev::io m_readable;
     ev::io m_writable;
     ev::timer m_timer;
-    unique_fd m_fd;
+    file_descriptor m_fd;
     parameters m_settings;
     web_codec m_codec;
     phase m_phase = phase::handshake;
--- a/sycamorespan/src/Net/web_client.cpp
+++ b/sycamorespan/src/Net/web_client.cpp
@@ -40,7 +40,7 @@
     drop();
 }
 
-void web_client::connect(const socket_address &address)
+void web_client::connect(const endpoint &address)
 {
     drop();
     try {
--- a/sycamorespan/src/Net/web_client.h
+++ b/sycamorespan/src/Net/web_client.h
@@ -32,7 +32,7 @@
     web_client &operator=(const web_client &) = delete;
 
     /** \brief Begins to connect; a connection that there was is dropped first, without a report. */
-    void connect(const socket_address &address);
+    void connect(const endpoint &address);
 
     /** \brief Sends one binary message.
      * \returns false when the connection isn't open
--- a/sycamorespan/src/Net/web_endpoint.cpp
+++ b/sycamorespan/src/Net/web_endpoint.cpp
@@ -4,7 +4,6 @@
 #include "sycamorespan/src/Net/internal/web_connection.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <iterator>
 #include <vector>
 
@@ -12,9 +11,6 @@
 
 namespace {
 
-/** Wait after accept() failed for want of file descriptors or memory. */
-constexpr duration acceptPause = 100ms;
-
 std::vector<std::shared_ptr<internal::web_connection>>
 snapshot(const std::map<std::uint64_t, std::shared_ptr<internal::web_connection>> &connections)
 {
@@ -26,20 +22,15 @@
 
 } // namespace
 
-web_endpoint::web_endpoint(ev::loop_ref loop, const socket_address &address,
-                           const web_limits &limits, web_handlers handlers)
+web_endpoint::web_endpoint(ev::loop_ref loop, const endpoint &address, const web_limits &limits,
+                           web_handlers handlers)
     : m_loop(loop)
-    , m_acceptable(loop)
-    , m_resume(loop)
-    , m_listener(internal::listenOn(address))
+    , m_address(address)
     , m_limits(limits)
     , m_handlers(std::make_shared<web_handlers>(std::move(handlers)))
     , m_counters(std::make_shared<web_counters>())
-{
-    m_acceptable.set<web_endpoint, &web_endpoint::handleAcceptable>(this);
-    m_resume.set<web_endpoint, &web_endpoint::handleResume>(this);
-    m_acceptable.start(m_listener.get(), ev::READ);
-}
+    , m_listener(loop, address, [this](file_descriptor socket) { add(std::move(socket)); })
+{ }
 
 web_endpoint::~web_endpoint()
 {
@@ -48,16 +39,9 @@
             [](const auto &connection) -> auto & { return *connection; });
 }
 
-socket_address web_endpoint::address() const
-{
-    return internal::localAddress(m_listener);
-}
-
 void web_endpoint::stopAccepting()
 {
-    m_acceptable.stop();
-    m_resume.stop();
-    m_listener.reset();
+    m_listener.close();
 }
 
 void web_endpoint::closeSessions(std::string_view reason)
@@ -68,32 +52,17 @@
     }
 }
 
-void web_endpoint::handleAcceptable(ev::io &, int)
+void web_endpoint::add(file_descriptor socket)
 {
-    auto accepted = internal::acceptFrom(m_listener);
-    if (!accepted) {
-        if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
-            pauseAccepting();
-        return;
-    }
     if (m_connections.size() >= m_limits.maxConnections) {
         ++m_counters->connectionsRefused;
         return;
     }
-    add(std::move(accepted->fd), std::move(accepted->remote));
-}
-
-void web_endpoint::handleResume(ev::timer &, int)
-{
-    m_acceptable.start();
-}
-
-void web_endpoint::add(internal::unique_fd fd, socket_address remote)
-{
+    auto remote = internal::remoteEndpoint(socket);
     ++m_counters->connections;
     const auto id = m_nextId++;
     auto connection = std::make_shared<internal::web_connection>(
-            m_loop, std::move(fd),
+            m_loop, std::move(socket),
             internal::web_connection::parameters{
                     id, internal::web_role::server, std::move(remote), m_limits, m_handlers,
                     m_counters, [this](std::uint64_t ended) { m_connections.erase(ended); }});
@@ -101,10 +70,4 @@
     connection->start();
 }
 
-void web_endpoint::pauseAccepting()
-{
-    m_acceptable.stop();
-    m_resume.start(toSeconds(acceptPause));
-}
-
 } // namespace sycamorespan
--- a/sycamorespan/src/Net/web_endpoint.h
+++ b/sycamorespan/src/Net/web_endpoint.h
@@ -1,7 +1,7 @@
 #ifndef SYCAMORESPAN_NET_WEB_ENDPOINT_H
 #define SYCAMORESPAN_NET_WEB_ENDPOINT_H
 
-#include "sycamorespan/src/Net/internal/unique_fd.h"
+#include "sycamorespan/src/Net/tcp_listener.h"
 #include "sycamorespan/src/Net/web_session.h"
 
 #include <ev++.h>
@@ -24,14 +24,14 @@
      * \param handlers  receivers of what happens
      * \throws error when the address can't be listened on
      */
-    web_endpoint(ev::loop_ref loop, const socket_address &address, const web_limits &limits,
+    web_endpoint(ev::loop_ref loop, const endpoint &address, const web_limits &limits,
                  web_handlers handlers);
     ~web_endpoint();
     web_endpoint(const web_endpoint &) = delete;
     web_endpoint &operator=(const web_endpoint &) = delete;
 
     /** \returns the address it listens on. */
-    socket_address address() const;
+    endpoint address() const { return {m_address.address, m_listener.port()}; }
 
     /** \brief Stops accepting; open connections stay. */
     void stopAccepting();
@@ -45,20 +45,16 @@
     const web_counters &counters() const { return *m_counters; }
 
 private:
-    void handleAcceptable(ev::io &, int);
-    void handleResume(ev::timer &, int);
-    void add(internal::unique_fd fd, socket_address remote);
-    void pauseAccepting();
+    void add(file_descriptor socket);
 
     ev::loop_ref m_loop;
-    ev::io m_acceptable;
-    ev::timer m_resume;
-    internal::unique_fd m_listener;
+    endpoint m_address;
     web_limits m_limits;
     std::shared_ptr<const web_handlers> m_handlers;
     std::shared_ptr<web_counters> m_counters;
     std::uint64_t m_nextId = 1;
     std::map<std::uint64_t, std::shared_ptr<internal::web_connection>> m_connections;
+    tcp_listener m_listener;
 };
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Net/web_session.cpp
+++ b/sycamorespan/src/Net/web_session.cpp
@@ -29,10 +29,10 @@
     return connection && connection->isOpen();
 }
 
-socket_address web_session::remote() const
+endpoint web_session::remote() const
 {
     const auto connection = m_connection.lock();
-    return connection ? connection->remote() : socket_address{};
+    return connection ? connection->remote() : endpoint{};
 }
 
 http_responder::http_responder(std::weak_ptr<internal::web_connection> connection)
--- a/sycamorespan/src/Net/web_session.h
+++ b/sycamorespan/src/Net/web_session.h
@@ -2,8 +2,8 @@
 #define SYCAMORESPAN_NET_WEB_SESSION_H
 
 #include "sycamorespan/src/Core/time_types.h"
+#include "sycamorespan/src/Net/endpoint.h"
 #include "sycamorespan/src/Net/http_message.h"
-#include "sycamorespan/src/Net/socket_address.h"
 
 #include <compare>
 #include <cstddef>
@@ -80,7 +80,7 @@
     bool isOpen() const;
 
     /** \returns the other side's address; empty when the connection is gone. */
-    socket_address remote() const;
+    endpoint remote() const;
 
     /** \returns a number that no other connection of the same endpoint has. */
     std::uint64_t id() const { return m_id; }
