Add the HTTP client and the platform's clients

Agents reach the table service, the object store and the instance list through libcurl's multi interface on the libev loop. Outcomes are answered, refused (certainly not done) or unknown (may have taken effect): a failure counts as "not sent" only if libcurl wrote no byte of the request, and 4xx and 503 are the service's own refusals; all else is unknown.

Ruled out: connection reuse. libcurl repeats a request by itself when a reused connection turns out dead, which would run a compare-and-set twice.

--- /dev/null
+++ b/sycamorespan/src/Net/http_client.cpp
@@ -0,0 +1,245 @@
+#include "sycamorespan/src/Net/http_client.h"
+
+#include "sycamorespan/src/Core/error.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamorespan {
+
+namespace {
+
+constexpr std::size_t maxResponseBytes = std::size_t{64} << 20;
+
+/** libcurl's state for the whole process. */
+class curl_library
+{
+public:
+    static void initialise() { static const curl_library library; }
+
+private:
+    curl_library()
+    {
+        if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK)
+            throw error("cannot initialise libcurl");
+    }
+};
+
+std::size_t appendBody(char *bytes, std::size_t size, std::size_t count, void *body)
+{
+    auto &text = *static_cast<std::string *>(body);
+    if (text.size() + size * count > maxResponseBytes)
+        return 0;
+    text.append(bytes, size * count);
+    return size * count;
+}
+
+long toMilliseconds(duration value)
+{
+    return static_cast<long>(std::chrono::ceil<std::chrono::milliseconds>(value).count());
+}
+
+} // namespace
+
+struct http_client::multi_handle
+{
+    CURLM *handle = curl_multi_init();
+
+    multi_handle() = default;
+    multi_handle(const multi_handle &) = delete;
+    multi_handle &operator=(const multi_handle &) = delete;
+    ~multi_handle() { curl_multi_cleanup(handle); }
+};
+
+struct http_client::pending_request
+{
+    CURLM *multi;
+    CURL *easy;
+    curl_slist *headers = nullptr;
+    std::string requestBody;
+    std::string responseBody;
+    char reason[CURL_ERROR_SIZE] = "";
+    outcome_handler onOutcome;
+
+    pending_request(CURLM *multiHandle, std::string body, outcome_handler handler)
+        : multi(multiHandle)
+        , easy(curl_easy_init())
+        , requestBody(std::move(body))
+        , onOutcome(std::move(handler))
+    { }
+    pending_request(const pending_request &) = delete;
+    pending_request &operator=(const pending_request &) = delete;
+    ~pending_request()
+    {
+        curl_multi_remove_handle(multi, easy);
+        curl_easy_cleanup(easy);
+        curl_slist_free_all(headers);
+    }
+
+    void prepare(const std::string &url, const std::string &method, duration timeout);
+    http_outcome outcome(CURLcode code) const;
+};
+
+void http_client::pending_request::prepare(const std::string &url, const std::string &method,
+                                           duration timeout)
+{
+    headers = curl_slist_append(headers, "Content-Type: application/json");
+    headers = curl_slist_append(headers, "Expect:");
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMilliseconds(timeout));
+    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, reason);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &responseBody);
+    if (method != "GET") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(requestBody.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, requestBody.data());
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method.c_str());
+}
+
+http_outcome http_client::pending_request::outcome(CURLcode code) const
+{
+    if (code == CURLE_OK) {
+        long status = 0;
+        char *contentType = nullptr;
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        curl_easy_getinfo(easy, CURLINFO_CONTENT_TYPE, &contentType);
+        return http_response{static_cast<int>(status), contentType ? contentType : "",
+                             responseBody};
+    }
+    long sentBytes = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentBytes);
+    const std::string text = reason[0] != '\0' ? reason : curl_easy_strerror(code);
+    if (sentBytes == 0)
+        return http_not_sent{text};
+    return http_unanswered{text};
+}
+
+struct http_client::socket_watcher
+{
+    socket_watcher(http_client &owner, int socket)
+        : client(owner)
+        , watcher(owner.m_loop)
+        , fd(socket)
+    {
+        watcher.set<socket_watcher, &socket_watcher::handleReady>(this);
+    }
+
+    void watch(int events)
+    {
+        watcher.stop();
+        watcher.start(fd, events);
+    }
+
+    void handleReady(ev::io &, int events)
+    {
+        const int readable = (events & ev::READ) != 0 ? CURL_CSELECT_IN : 0;
+        const int writable = (events & ev::WRITE) != 0 ? CURL_CSELECT_OUT : 0;
+        client.advance(fd, readable | writable);
+    }
+
+    http_client &client;
+    ev::io watcher;
+    int fd;
+};
+
+/** What libcurl calls to have sockets and time watched. */
+struct http_client::callbacks
+{
+    static int watchSocket(CURL *, curl_socket_t socket, int what, void *client, void *)
+    {
+        auto &sockets = static_cast<http_client *>(client)->m_sockets;
+        if (what == CURL_POLL_REMOVE) {
+            sockets.erase(socket);
+            return 0;
+        }
+        auto &watcher = sockets[socket];
+        if (!watcher)
+            watcher = std::make_unique<socket_watcher>(*static_cast<http_client *>(client), socket);
+        const int readable = (what & CURL_POLL_IN) != 0 ? ev::READ : 0;
+        const int writable = (what & CURL_POLL_OUT) != 0 ? ev::WRITE : 0;
+        watcher->watch(readable | writable);
+        return 0;
+    }
+
+    static int watchTime(CURLM *, long milliseconds, void *client)
+    {
+        auto &timer = static_cast<http_client *>(client)->m_timer;
+        timer.stop();
+        if (milliseconds >= 0)
+            timer.start(toSeconds(std::chrono::milliseconds(milliseconds)));
+        return 0;
+    }
+};
+
+http_client::http_client(ev::loop_ref loop, std::string baseUrl, duration timeout)
+    : m_loop(loop)
+    , m_timer(loop)
+    , m_baseUrl(std::move(baseUrl))
+    , m_timeout(timeout)
+{
+    curl_library::initialise();
+    m_multi = std::make_unique<multi_handle>();
+    m_timer.set<http_client, &http_client::handleTimer>(this);
+    curl_multi_setopt(m_multi->handle, CURLMOPT_SOCKETFUNCTION, &callbacks::watchSocket);
+    curl_multi_setopt(m_multi->handle, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi->handle, CURLMOPT_TIMERFUNCTION, &callbacks::watchTime);
+    curl_multi_setopt(m_multi->handle, CURLMOPT_TIMERDATA, this);
+}
+
+http_client::~http_client()
+{
+    m_requests.clear();
+}
+
+void http_client::send(const http_request &request, outcome_handler onOutcome)
+{
+    auto pending =
+            std::make_unique<pending_request>(m_multi->handle, request.body, std::move(onOutcome));
+    pending->prepare(m_baseUrl + request.path, request.method, m_timeout);
+    CURL *easy = pending->easy;
+    m_requests.emplace(easy, std::move(pending));
+    curl_multi_add_handle(m_multi->handle, easy);
+}
+
+void http_client::handleTimer(ev::timer &, int)
+{
+    advance(CURL_SOCKET_TIMEOUT, 0);
+}
+
+void http_client::advance(int socket, int events)
+{
+    int running = 0;
+    curl_multi_socket_action(m_multi->handle, socket, events, &running);
+    reportFinished();
+}
+
+void http_client::reportFinished()
+{
+    const std::weak_ptr<const bool> alive = m_alive;
+    int remaining = 0;
+    while (!alive.expired()) {
+        const CURLMsg *message = curl_multi_info_read(m_multi->handle, &remaining);
+        if (!message)
+            return;
+        if (message->msg != CURLMSG_DONE)
+            continue;
+        const auto code = message->data.result;
+        auto finished = m_requests.extract(message->easy_handle);
+        const auto outcome = finished.mapped()->outcome(code);
+        const auto onOutcome = std::move(finished.mapped()->onOutcome);
+        finished = {};
+        onOutcome(outcome);
+    }
+}
+
+} // namespace sycamorespan
--- /dev/null
+++ b/sycamorespan/src/Net/object_store_client.cpp
@@ -0,0 +1,55 @@
+#include "sycamorespan/src/Net/object_store_client.h"
+
+#include "sycamorespan/src/Net/internal/platform_answer.h"
+
+#include <utility>
+
+namespace sycamorespan {
+
+namespace {
+
+bool isMissing(const http_outcome &outcome)
+{
+    const auto *response = std::get_if<http_response>(&outcome);
+    return response != nullptr && response->status == internal::httpNotFound;
+}
+
+object_store_client::get_outcome getOutcome(const http_outcome &outcome)
+{
+    if (isMissing(outcome))
+        return stored_object{};
+    return internal::toPlatformOutcome<stored_object>(
+            outcome, [](const http_response &response) { return stored_object{response.body}; });
+}
+
+object_store_client::put_outcome putOutcome(const http_outcome &outcome)
+{
+    return internal::toPlatformOutcome<object_stored>(
+            outcome, [](const http_response &) { return object_stored{}; });
+}
+
+} // namespace
+
+object_store_client::object_store_client(http_client &client)
+    : m_client(client)
+{ }
+
+void object_store_client::get(const std::string &name,
+                              std::function<void(const get_outcome &)> onOutcome)
+{
+    m_client.send({"GET", "/v1/objects/" + name, ""},
+                  [handler = std::move(onOutcome)](const http_outcome &outcome) {
+                      handler(getOutcome(outcome));
+                  });
+}
+
+void object_store_client::put(const std::string &name, const std::string &bytes,
+                              std::function<void(const put_outcome &)> onOutcome)
+{
+    m_client.send({"PUT", "/v1/objects/" + name, bytes},
+                  [handler = std::move(onOutcome)](const http_outcome &outcome) {
+                      handler(putOutcome(outcome));
+                  });
+}
+
+} // namespace sycamorespan
--- /dev/null
+++ b/test/net_platform_clients.cpp
@@ -0,0 +1,198 @@
+#include "sycamorespan/Core"
+#include "sycamorespan/Net"
+
+#include "sycamorespan/src/Net/internal/tcp_socket.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+
+namespace sycamorespan {
+namespace {
+
+constexpr duration testBound = 10s;
+constexpr duration requestTimeout = 200ms;
+
+/** A server that answers, drops or holds requests, and a client of it. */
+class net_platform_clients : public testing::Test
+{
+protected:
+    enum class reaction { answer, drop, hold };
+
+    template<typename Outcome>
+    Outcome outcomeOf(const std::optional<Outcome> &result)
+    {
+        loop_timer poll(loop, [] {});
+        poll.startRepeating(5ms);
+        const auto end = monotonicNow() + testBound;
+        while (!result && monotonicNow() < end)
+            loop.run(ev::ONCE);
+        return result.value();
+    }
+
+    http_outcome send(http_client &client, const http_request &request)
+    {
+        std::optional<http_outcome> result;
+        client.send(request, [&](const http_outcome &outcome) { result = outcome; });
+        return outcomeOf(result);
+    }
+
+    table_service_client::outcome run(const table_transaction &transaction)
+    {
+        http_client http(loop, url(), requestTimeout);
+        table_service_client client(http);
+        std::optional<table_service_client::outcome> result;
+        client.run(transaction, [&](const auto &outcome) { result = outcome; });
+        return outcomeOf(result);
+    }
+
+    object_store_client::get_outcome getObject(const std::string &name)
+    {
+        http_client http(loop, url(), requestTimeout);
+        object_store_client client(http);
+        std::optional<object_store_client::get_outcome> result;
+        client.get(name, [&](const auto &outcome) { result = outcome; });
+        return outcomeOf(result);
+    }
+
+    std::string url() const { return "http://" + server.address().str(); }
+
+    web_handlers handlers()
+    {
+        web_handlers result;
+        result.request = [this](const http_request &request, const http_responder &respond) {
+            received = request;
+            if (next == reaction::answer)
+                respond(response);
+            if (next == reaction::drop)
+                respond.drop();
+        };
+        return result;
+    }
+
+    ev::dynamic_loop loop;
+    reaction next = reaction::answer;
+    http_response response;
+    http_request received;
+    web_endpoint server{loop, {"127.0.0.1", 0}, {}, handlers()};
+};
+
+TEST_F(net_platform_clients, deliversRequestAndResponse)
+{
+    http_client client(loop, url(), requestTimeout);
+    response = {201, "text/plain", std::string(300000, 'a')};
+    const http_request request{"PUT", "/a?b=c", std::string(3000000, 'b')};
+    EXPECT_EQ(send(client, request), http_outcome(response));
+    EXPECT_EQ(received, request);
+}
+
+TEST_F(net_platform_clients, reportsNotSentOnlyWhenNothingListens)
+{
+    endpoint nowhere;
+    {
+        web_endpoint closed(loop, {"127.0.0.1", 0}, {}, {});
+        nowhere = closed.address();
+    }
+    http_client client(loop, "http://" + nowhere.str(), requestTimeout);
+    EXPECT_TRUE(std::holds_alternative<http_not_sent>(send(client, {"GET", "/", ""})));
+}
+
+TEST_F(net_platform_clients, reportsUnansweredAfterADropAndAfterSilence)
+{
+    http_client client(loop, url(), requestTimeout);
+    next = reaction::drop;
+    EXPECT_TRUE(std::holds_alternative<http_unanswered>(send(client, {"POST", "/", "a"})));
+    next = reaction::hold;
+    const auto start = monotonicNow();
+    EXPECT_TRUE(std::holds_alternative<http_unanswered>(send(client, {"POST", "/", "a"})));
+    EXPECT_GE(monotonicNow() - start, requestTimeout);
+    EXPECT_EQ(server.counters().requests, 2);
+}
+
+TEST_F(net_platform_clients, callsNothingAfterItsEnd)
+{
+    next = reaction::hold;
+    bool called = false;
+    {
+        http_client client(loop, url(), requestTimeout);
+        client.send({"GET", "/", ""}, [&](const auto &) { called = true; });
+        loop.run(ev::ONCE);
+    }
+    loop_timer end(loop, [this] { loop.break_loop(ev::ALL); });
+    end.startOnce(2 * requestTimeout);
+    loop.run();
+    EXPECT_FALSE(called);
+}
+
+TEST_F(net_platform_clients, mayBeDestroyedByItsOwnHandler)
+{
+    auto client = std::make_unique<http_client>(loop, url(), requestTimeout);
+    int calls = 0;
+    const auto handler = [&](const auto &) {
+        ++calls;
+        client.reset();
+        loop.break_loop(ev::ALL);
+    };
+    client->send({"GET", "/", ""}, handler);
+    client->send({"GET", "/", ""}, handler);
+    loop.run();
+    EXPECT_EQ(calls, 1);
+}
+
+TEST_F(net_platform_clients, readsATransactionsResult)
+{
+    const table_result result{true, 9, {{{{"k", "v", 9}}}, {}}};
+    const table_transaction transaction{{{"k", 4}},
+                                        {table_put{"k", "v"}, table_delete{"l"}},
+                                        {table_list{"p"}, table_get{"k"}}};
+    response.body = nlohmann::json(result).dump();
+    EXPECT_EQ(run(transaction), table_service_client::outcome(result));
+    EXPECT_EQ(received.path, "/v1/transactions");
+    EXPECT_EQ(nlohmann::json::parse(received.body).get<table_transaction>(), transaction);
+}
+
+TEST_F(net_platform_clients, distinguishesRefusedFromUnknown)
+{
+    for (const int status : {400, 404, 503}) {
+        response.status = status;
+        EXPECT_TRUE(std::holds_alternative<platform_refused>(run({}))) << status;
+    }
+    for (const int status : {302, 500, 502, 504}) {
+        response.status = status;
+        EXPECT_TRUE(std::holds_alternative<platform_unknown>(run({}))) << status;
+    }
+    response.status = 200;
+    for (const auto *body : {"", "{", "{}", "[]", R"({"succeeded":1})"}) {
+        response.body = body;
+        EXPECT_TRUE(std::holds_alternative<platform_unknown>(run({}))) << body;
+    }
+    next = reaction::drop;
+    EXPECT_TRUE(std::holds_alternative<platform_unknown>(run({})));
+}
+
+TEST_F(net_platform_clients, readsObjects)
+{
+    response.body = std::string("\0\xff", 2);
+    EXPECT_EQ(getObject("o"), object_store_client::get_outcome(stored_object{response.body}));
+    EXPECT_EQ(received.path, "/v1/objects/o");
+    response.status = 404;
+    EXPECT_EQ(getObject("o"), object_store_client::get_outcome(stored_object{}));
+}
+
+TEST_F(net_platform_clients, readsTheInstanceList)
+{
+    const listed_instance entry{instance_id("i1"), data_centre_id("regina"),
+                                endpoint{"127.0.0.1", 7101}, instance_state::leaving};
+    response.body = R"({"instances":[{"instance":"i1","data_centre":"regina",
+                        "address":"127.0.0.1:7101","state":"leaving"}]})";
+    http_client http(loop, url(), requestTimeout);
+    instance_list_client client(http);
+    std::optional<instance_list_client::outcome> result;
+    client.get([&](const auto &outcome) { result = outcome; });
+    EXPECT_EQ(outcomeOf(result), instance_list_client::outcome(instance_list{{entry}}));
+}
+
+} // namespace
+} // namespace sycamorespan
