--- /dev/null
+++ b/sycamorespan/src/Net/admin_server.cpp
@@ -0,0 +1,69 @@
+#include "sycamorespan/src/Net/admin_server.h"
+
+#include <nlohmann/json.hpp>
+#include <prometheus/text_serializer.h>
+
+#include <utility>
+
+namespace sycamorespan {
+
+namespace {
+
+constexpr int notFound = 404;
+constexpr int methodNotAllowed = 405;
+constexpr int serviceUnavailable = 503;
+constexpr const char *prometheusText = "text/plain; version=0.0.4; charset=utf-8";
+constexpr int jsonIndent = 2;
+
+web_limits adminLimits()
+{
+    web_limits limits;
+    limits.maxMessageBytes = std::size_t{64} << 10;
+    limits.maxWriteBufferBytes = std::size_t{64} << 20;
+    limits.maxConnections = 64;
+    limits.requestTimeout = 10s;
+    return limits;
+}
+
+} // namespace
+
+admin_server::admin_server(ev::loop_ref loop, const endpoint &address, admin_sources sources)
+    : m_sources(std::move(sources))
+    , m_endpoint(loop, address, adminLimits(),
+                 {{}, {}, {}, [this](const http_request &request, const http_responder &respond) {
+                      respond(answer(request));
+                  }})
+{ }
+
+http_response admin_server::answer(const http_request &request) const
+{
+    if (request.method != "GET")
+        return {methodNotAllowed, "text/plain", "only GET\n"};
+    if (request.path == "/metrics")
+        return metrics();
+    if (request.path == "/state")
+        return state();
+    if (request.path == "/healthz")
+        return health();
+    return {notFound, "text/plain", "there are /metrics, /state and /healthz\n"};
+}
+
+http_response admin_server::metrics() const
+{
+    return {200, prometheusText,
+            prometheus::TextSerializer().Serialize(m_sources.metrics->Collect())};
+}
+
+http_response admin_server::state() const
+{
+    return {200, "application/json", m_sources.state().dump(jsonIndent) + "\n"};
+}
+
+http_response admin_server::health() const
+{
+    if (m_sources.isHealthy())
+        return {200, "text/plain", "ok\n"};
+    return {serviceUnavailable, "text/plain", "unhealthy\n"};
+}
+
+} // namespace sycamorespan
