--- /dev/null
+++ b/sycamorespan/src/Schema/limits.cpp
@@ -0,0 +1,88 @@
+#include "sycamorespan/src/Schema/limits.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string>
+
+#include <arpa/inet.h>
+
+namespace sycamorespan::schema {
+
+namespace {
+
+bool isPort(std::string_view text)
+{
+    std::uint16_t port = 0;
+    const auto *end = text.data() + text.size();
+    const auto [parsedUntil, failure] = std::from_chars(text.data(), end, port);
+    return failure == std::errc() && parsedUntil == end;
+}
+
+bool isHost(std::string_view text)
+{
+    in6_addr address{};
+    if (text.starts_with('[') && text.ends_with(']')) {
+        const std::string inner(text.substr(1, text.size() - 2));
+        return inet_pton(AF_INET6, inner.c_str(), &address) == 1;
+    }
+    return inet_pton(AF_INET, std::string(text).c_str(), &address) == 1;
+}
+
+constexpr char32_t firstSurrogate = 0xd800;
+constexpr char32_t lastSurrogate = 0xdfff;
+constexpr char32_t lastCodePoint = 0x10ffff;
+constexpr unsigned continuationBits = 6;
+
+struct utf8_lead
+{
+    std::uint8_t mask; // of the bits that mark the lead byte
+    std::uint8_t mark;
+    std::size_t continuations;
+    char32_t smallest; // a smaller code point has a shorter form
+};
+
+constexpr std::array utf8Leads{utf8_lead{0x80, 0x00, 0, 0}, utf8_lead{0xe0, 0xc0, 1, 0x80},
+                               utf8_lead{0xf0, 0xe0, 2, 0x800}, utf8_lead{0xf8, 0xf0, 3, 0x10000}};
+
+/** \returns the length of the character at the start of \a text, 0 if it is malformed. */
+std::size_t utf8Length(std::string_view text)
+{
+    const auto first = static_cast<std::uint8_t>(text.front());
+    const auto *const lead = std::ranges::find_if(
+            utf8Leads, [first](const utf8_lead &one) { return (first & one.mask) == one.mark; });
+    if (lead == utf8Leads.end() || lead->continuations >= text.size())
+        return 0;
+    char32_t codePoint = first & static_cast<std::uint8_t>(~lead->mask);
+    for (const char byte : text.substr(1, lead->continuations)) {
+        if ((static_cast<std::uint8_t>(byte) & 0xc0U) != 0x80U)
+            return 0;
+        codePoint = (codePoint << continuationBits) | (static_cast<std::uint8_t>(byte) & 0x3fU);
+    }
+    const bool isSurrogate = codePoint >= firstSurrogate && codePoint <= lastSurrogate;
+    const bool isValid = codePoint >= lead->smallest && codePoint <= lastCodePoint && !isSurrogate;
+    return isValid ? lead->continuations + 1 : 0;
+}
+
+} // namespace
+
+bool isUtf8(std::string_view text) noexcept
+{
+    while (!text.empty()) {
+        const auto length = utf8Length(text);
+        if (length == 0)
+            return false;
+        text.remove_prefix(length);
+    }
+    return true;
+}
+
+bool isSocketAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || text.find('\0') != std::string_view::npos)
+        return false;
+    return isHost(text.substr(0, colon)) && isPort(text.substr(colon + 1));
+}
+
+} // namespace sycamorespan::schema
