--- a/sycamorespan/src/Schema/limits.cpp
+++ b/sycamorespan/src/Schema/limits.cpp
@@ -85,4 +85,15 @@
     return isHost(text.substr(0, colon)) && isPort(text.substr(colon + 1));
 }
 
+bool isHttpUrl(std::string_view text)
+{
+    constexpr std::array<std::string_view, 2> schemes{"http://", "https://"};
+    const auto isGraphic = [](char byte) { return byte > ' ' && byte < '\x7f'; };
+    return std::ranges::all_of(text, isGraphic)
+           && std::ranges::any_of(schemes, [text](std::string_view scheme) {
+                  return text.starts_with(scheme) && text.size() > scheme.size()
+                         && text[scheme.size()] != '/';
+              });
+}
+
 } // namespace sycamorespan::schema
--- a/sycamorespan/src/Schema/limits.h
+++ b/sycamorespan/src/Schema/limits.h
@@ -18,6 +18,10 @@
 struct socket_address_limits
 { };
 
+/** \brief A string that starts with http:// or https:// and names a host. */
+struct url_limits
+{ };
+
 /** \brief An integer without sign, bounds included. */
 struct unsigned_limits
 {
@@ -81,6 +85,9 @@
  * brackets. */
 bool isSocketAddress(std::string_view text);
 
+/** \returns whether \a text starts with http:// or https:// and names a host, without blanks. */
+bool isHttpUrl(std::string_view text);
+
 } // namespace sycamorespan::schema
 
 #endif
--- a/sycamorespan/src/Schema/schema_codec.h
+++ b/sycamorespan/src/Schema/schema_codec.h
@@ -94,6 +94,15 @@
         place.fail("must be an address of the form IP:port");
 }
 
+inline void decodeValue(const nlohmann::json &source, const url_limits &, const decode_place &place,
+                        std::string &target)
+{
+    if (source.is_string() && isHttpUrl(source.get_ref<const std::string &>()))
+        target = source.get<std::string>();
+    else
+        place.fail("must be a URL that starts with http:// or https://");
+}
+
 inline void decodeValue(const nlohmann::json &source, const unsigned_limits &limits,
                         const decode_place &place, std::uint64_t &target)
 {
@@ -220,8 +229,15 @@
 }
 
 template<typename Value, typename Limits>
-void decodeValue(const nlohmann::json &source, const Limits &limits, const decode_place &place,
-                 std::optional<Value> &target)
+void decodeMember(const nlohmann::json &source, const Limits &limits, const decode_place &place,
+                  Value &target)
+{
+    decodeValue(source, limits, place, target);
+}
+
+template<typename Value, typename Limits>
+void decodeMember(const nlohmann::json &source, const Limits &limits, const decode_place &place,
+                  std::optional<Value> &target)
 {
     decodeValue(source, limits, place, target.emplace());
 }
@@ -233,7 +249,7 @@
     const decode_place fieldPlace{memberPath(place.path, field.name), place.errors};
     const auto found = source.find(field.name);
     if (found != source.end())
-        decodeValue(*found, field.limits, fieldPlace, target.*field.member);
+        decodeMember(*found, field.limits, fieldPlace, target.*field.member);
     else if (field.need == presence::required)
         fieldPlace.fail("is missing");
 }
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -215,6 +215,8 @@
         form = definition.get("format")
         if form == "socket_address":
             return CppType("std::string", "socket_address_limits{}", "IP:port")
+        if form == "url":
+            return CppType("std::string", "url_limits{}", "http:// or https:// URL")
         require(form is None or form in IDENTIFIER_FORMATS,
                 f"{self._path}: {place} has the unknown format {form}")
         minimum = definition.get("minLength", 0)
