Take the log settings from the schema

Logging had its own level and format types beside the generated ones; they are gone, and with them the test of their parsing, which test_settings_files covers for the generated types.

--- a/sycamorespan/src/Logging/logger.cpp
+++ b/sycamorespan/src/Logging/logger.cpp
@@ -42,6 +42,23 @@
     return text.str();
 }
 
+std::string toText(log_level level)
+{
+    switch (level) {
+    case log_level::trace:
+        return "trace";
+    case log_level::debug:
+        return "debug";
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "unknown";
+}
+
 /** \returns the line's fields, from the time to the caller's own. */
 fields allFields(const record_view &record)
 {
@@ -50,7 +67,7 @@
     const auto event = boost::log::extract<std::string>(messageAttribute, record);
     const auto details = boost::log::extract<fields>(fieldsAttribute, record);
     fields result{{"time", utcNow()},
-                  {"level", std::string(toText(level.get()))},
+                  {"level", toText(level.get())},
                   {"component", component.get()},
                   {"event", event.get()}};
     std::ranges::copy(details.get(), std::back_inserter(result));
@@ -113,23 +130,23 @@
     m_source.push_record(std::move(record));
 }
 
-void setUpLogging(const log_settings &settings, std::ostream &stream)
+void setUpLogging(const settings::log_settings &logSettings, std::ostream &stream)
 {
     using backend = boost::log::sinks::text_ostream_backend;
     auto output = boost::make_shared<backend>();
     output->add_stream(boost::shared_ptr<std::ostream>(&stream, [](auto *) {}));
     output->auto_flush(true);
     auto sink = boost::make_shared<boost::log::sinks::synchronous_sink<backend>>(output);
-    const auto format = settings.format;
+    const auto format = logSettings.format;
     sink->set_formatter([format](const record_view &record, auto &line) {
-        if (format == log_format::json)
+        if (format == settings::log_format::json)
             writeJson(allFields(record), line.stream());
         else
             writeText(allFields(record), line.stream());
     });
     const auto core = boost::log::core::get();
     core->remove_all_sinks();
-    core->set_filter([least = settings.level](const auto &attributes) {
+    core->set_filter([least = logSettings.level](const auto &attributes) {
         const auto level = boost::log::extract<log_level>(severityAttribute, attributes);
         return level && level.get() >= least;
     });
--- a/sycamorespan/src/Logging/logger.h
+++ b/sycamorespan/src/Logging/logger.h
@@ -1,7 +1,7 @@
 #ifndef SYCAMORESPAN_LOGGING_LOGGER_H
 #define SYCAMORESPAN_LOGGING_LOGGER_H
 
-#include "sycamorespan/src/Logging/log_settings.h"
+#include "sycamorespan/src/Settings/generated/common_types.h"
 
 #include <boost/log/sources/severity_logger.hpp>
 
@@ -12,6 +12,9 @@
 
 namespace sycamorespan {
 
+/** \brief Weight of a log line, ascending. */
+using settings::log_level;
+
 /** \brief Named value of a log line. A caller's key never is one. */
 struct log_field
 {
@@ -42,7 +45,7 @@
 };
 
 /** \brief Makes the process log to \a stream, which must outlive it. Replaces an earlier set-up. */
-void setUpLogging(const log_settings &settings, std::ostream &stream);
+void setUpLogging(const settings::log_settings &logSettings, std::ostream &stream);
 
 } // namespace sycamorespan
 
--- a/sycamorespan/src/Net/web_client.h
+++ b/sycamorespan/src/Net/web_client.h
@@ -45,6 +45,9 @@
     /** \returns whether messages can be sent. */
     bool isOpen() const;
 
+    /** \returns a handle to the present connection. */
+    web_session session() const { return {m_lastId, m_connection}; }
+
     /** \returns whether a connection is open, being made or being closed. */
     bool isActive() const { return m_connection != nullptr; }
 
--- a/test/logging.cpp
+++ b/test/logging.cpp
@@ -9,11 +9,11 @@
 namespace sycamorespan {
 namespace {
 
-std::string lineOf(const log_settings &settings, log_level level,
+std::string lineOf(const settings::log_settings &logSettings, log_level level,
                    const std::vector<log_field> &fields)
 {
     std::ostringstream stream;
-    setUpLogging(settings, stream);
+    setUpLogging(logSettings, stream);
     logger log("test");
     log.write(level, "peer connected", fields);
     setUpLogging({}, std::cerr);
@@ -31,8 +31,8 @@
 
 TEST(logging, writesFieldsAsJson)
 {
-    const auto line =
-            lineOf({log_level::info, log_format::json}, log_level::error, {{"reason", "\xff\"\n"}});
+    const auto line = lineOf({log_level::info, settings::log_format::json}, log_level::error,
+                             {{"reason", "\xff\"\n"}});
     const auto parsed = nlohmann::json::parse(line);
     EXPECT_EQ(parsed.at("level"), "error");
     EXPECT_EQ(parsed.at("component"), "test");
@@ -42,18 +42,21 @@
 
 TEST(logging, leavesOutLighterLines)
 {
-    EXPECT_EQ(lineOf({log_level::warning, log_format::text}, log_level::info, {}), "");
-    EXPECT_NE(lineOf({log_level::debug, log_format::text}, log_level::debug, {}), "");
+    EXPECT_EQ(lineOf({log_level::warning, settings::log_format::text}, log_level::info, {}), "");
+    EXPECT_NE(lineOf({log_level::debug, settings::log_format::text}, log_level::debug, {}), "");
 }
 
-TEST(logging, readsItsNames)
+TEST(logging, namesEveryLevel)
 {
-    for (const auto level :
-         {log_level::debug, log_level::info, log_level::warning, log_level::error})
-        EXPECT_EQ(parseLogLevel(toText(level)), level);
-    EXPECT_EQ(parseLogFormat("json"), log_format::json);
-    EXPECT_THROW(parseLogLevel("loud"), decode_error);
-    EXPECT_THROW(parseLogFormat("xml"), decode_error);
+    const std::vector<std::pair<log_level, std::string>> names{{log_level::trace, "trace"},
+                                                               {log_level::debug, "debug"},
+                                                               {log_level::info, "info"},
+                                                               {log_level::warning, "warning"},
+                                                               {log_level::error, "error"}};
+    for (const auto &[level, name] : names) {
+        const auto line = lineOf({log_level::trace, settings::log_format::text}, level, {});
+        EXPECT_NE(line.find(" level=" + name + " "), std::string::npos) << line;
+    }
 }
 
 } // namespace
