Add sycamorespan-agent with its links, peers and configuration

The control process of an instance, on one libev loop: link_server_task owns the port for proxies, agents and tools, peer_task the connections with other agents, configuration_task reads the row and takes each higher version from the platform or from a peer, proxy_link_task hands it to the proxies. Each body must be a valid document of its version, and the platform's must match the hash in its name.

First try: messages went only over connections that an agent made itself, and an agent that others reach but that reaches no platform missed a change (5 s bound passed). Connections now carry messages in both directions.

--- /dev/null
+++ b/programs/agent/agent.cpp
@@ -0,0 +1,225 @@
+#include "programs/agent/agent.h"
+
+#include "sycamorespan/Core"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace sycamorespan::agent {
+
+namespace {
+
+constexpr duration instanceListInterval = 2s;
+constexpr duration drainTick = 20ms;
+constexpr duration drainTimeout = 2s;
+
+/** \returns a name for this run that is greater than that of any run before. */
+std::string newBoot()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+std::set<endpoint> endpoints(const std::vector<std::string> &addresses)
+{
+    std::set<endpoint> result;
+    std::ranges::transform(addresses, std::inserter(result, result.end()),
+                           [](const std::string &address) { return parseEndpoint(address); });
+    return result;
+}
+
+nlohmann::json describe(const messages::hello &process)
+{
+    return {{"instance", process.instance.str()},
+            {"data_centre", process.dataCentre.str()},
+            {"boot", process.boot},
+            {"address", process.address}};
+}
+
+} // namespace
+
+agent::agent(ev::loop_ref loop, const settings::agent_settings &agentSettings, random_source random)
+    : m_loop(loop)
+    , m_settings(agentSettings)
+    , m_boot(newBoot())
+    , m_seedPeers(endpoints(agentSettings.peers))
+    , m_log("agent")
+    , m_platform(loop, agentSettings.platform, agentSettings.timing.requestTimeout)
+    , m_table(m_platform)
+    , m_objects(m_platform)
+    , m_instanceList(m_platform)
+    , m_peers(loop, agentSettings.timing.heartbeatInterval,
+              {[this] { return hello(); }, [this] { return heartbeat(); }}, outboundHandlers(),
+              random)
+    , m_server(
+              loop, parseEndpoint(agentSettings.listen), [this] { return hello(); },
+              inboundHandlers())
+    , m_configuration(
+              loop, m_table, m_objects, agentSettings.timing.configurationPoll,
+              [this](const configuration_snapshot &snapshot) { handleConfiguration(snapshot); },
+              random)
+    , m_instances(
+              loop, m_instanceList, instanceListInterval,
+              [this](const instance_list &list) { handleInstances(list); }, random)
+    , m_admin(loop, parseEndpoint(agentSettings.admin),
+              {std::make_shared<agent_metrics>([this] { return readings(); }),
+               [this] { return state(); },
+               [this] { return m_state == messages::process_state::live; }})
+    , m_drainTimer(loop, [this] { handleDrainTick(); })
+{
+    m_peers.setPeers(m_seedPeers);
+    m_log.write(log_level::info, "started",
+                {{"instance", m_settings.instance.str()}, {"listen", m_settings.listen}});
+}
+
+void agent::drain()
+{
+    if (m_state == messages::process_state::draining)
+        return;
+    m_state = messages::process_state::draining;
+    m_log.write(log_level::info, "draining");
+    m_peers.broadcast(heartbeat());
+    m_server.stop();
+    m_drainStart = monotonicNow();
+    m_drainTimer.startRepeating(drainTick);
+}
+
+void agent::logState()
+{
+    m_log.write(log_level::info, "state", {{"state", state().dump()}});
+}
+
+messages::hello agent::hello() const
+{
+    const auto &current = m_configuration.current();
+    return {m_settings.instance, m_settings.dataCentre,         m_boot,
+            m_settings.listen,   messages::process_role::agent, current ? current->version : 0};
+}
+
+messages::heartbeat agent::heartbeat()
+{
+    const auto &current = m_configuration.current();
+    return {m_settings.instance,
+            m_settings.dataCentre,
+            m_boot,
+            ++m_heartbeatSequence,
+            m_state,
+            current ? current->version : 0};
+}
+
+link_handlers agent::outboundHandlers()
+{
+    return {[this](const process_link &link) { learnVersion(link); },
+            [this](const process_link &link, const messages::message &message) {
+                handleReceived(link, message);
+            },
+            [](const process_link &) {}};
+}
+
+link_handlers agent::inboundHandlers()
+{
+    return {[this](const process_link &link) { handleConnected(link); },
+            [this](const process_link &link, const messages::message &message) {
+                handleReceived(link, message);
+            },
+            [this](const process_link &link) { handleDisconnected(link); }};
+}
+
+void agent::learnVersion(const process_link &link)
+{
+    m_configuration.learnVersion(link, link.remote().configurationVersion);
+}
+
+void agent::handleConnected(const process_link &link)
+{
+    if (link.remote().role == messages::process_role::proxy)
+        m_proxies.connected(link);
+    if (link.remote().role == messages::process_role::agent) {
+        m_peers.addInbound(link);
+        learnVersion(link);
+    }
+}
+
+void agent::handleReceived(const process_link &link, const messages::message &message)
+{
+    std::visit(overloaded{
+                       [&](const messages::heartbeat &beat) {
+                           m_configuration.learnVersion(link, beat.configurationVersion);
+                       },
+                       [&](const messages::configuration_announce &announce) {
+                           m_configuration.learnVersion(link, announce.version);
+                       },
+                       [&](const messages::configuration_request &request) {
+                           m_configuration.received(link, request);
+                       },
+                       [&](const messages::configuration_body &body) {
+                           m_configuration.received(link, body);
+                       },
+                       [&](const messages::state_request &) {
+                           link.send(messages::state_reply{state().dump()});
+                       },
+                       [&](const messages::drain_request &) { drain(); },
+                       [](const auto &) {},
+               },
+               message);
+}
+
+void agent::handleDisconnected(const process_link &link)
+{
+    if (link.remote().role == messages::process_role::proxy)
+        m_proxies.disconnected(link);
+    if (link.remote().role == messages::process_role::agent)
+        m_peers.removeInbound(link);
+}
+
+void agent::handleConfiguration(const configuration_snapshot &snapshot)
+{
+    m_proxies.setConfiguration({snapshot.version, snapshot.body});
+    m_peers.broadcast(messages::configuration_announce{snapshot.version, snapshot.object});
+}
+
+void agent::handleInstances(const instance_list &list)
+{
+    auto peers = m_seedPeers;
+    std::ranges::for_each(list.instances, [&](const listed_instance &entry) {
+        if (entry.instance != m_settings.instance)
+            peers.insert(entry.address);
+    });
+    m_peers.setPeers(peers);
+}
+
+void agent::handleDrainTick()
+{
+    const bool isLate = monotonicNow() - m_drainStart >= drainTimeout;
+    if (m_server.connectionCount() > 0 && !isLate)
+        return;
+    m_log.write(log_level::info, "stopped");
+    m_loop.break_loop(ev::ALL);
+}
+
+nlohmann::json agent::state() const
+{
+    auto proxies = nlohmann::json::array();
+    std::ranges::transform(m_proxies.proxies(), std::back_inserter(proxies), describe);
+    auto peers = nlohmann::json::array();
+    std::ranges::transform(m_peers.connected(), std::back_inserter(peers),
+                           [](const auto &entry) { return describe(entry.second.remote()); });
+    return {{"self", describe(hello())},
+            {"draining", m_state == messages::process_state::draining},
+            {"configuration_version", hello().configurationVersion},
+            {"proxies", proxies},
+            {"peers", peers}};
+}
+
+agent_readings agent::readings() const
+{
+    return {hello().configurationVersion, m_proxies.proxies().size(),
+            m_peers.connected().size(),   m_server.invalidMessages() + m_peers.invalidMessages(),
+            m_server.counters(),          m_configuration.counters()};
+}
+
+} // namespace sycamorespan::agent
--- /dev/null
+++ b/programs/agent/link_server_task.cpp
@@ -0,0 +1,73 @@
+#include "programs/agent/link_server_task.h"
+
+#include "sycamorespan/Core"
+
+#include <utility>
+
+namespace sycamorespan::agent {
+
+link_server_task::link_server_task(ev::loop_ref loop, const endpoint &address,
+                                   std::function<messages::hello()> ownHello,
+                                   link_handlers handlers)
+    : m_ownHello(std::move(ownHello))
+    , m_handlers(std::move(handlers))
+    , m_log("links")
+    , m_endpoint(loop, address, linkLimits(), webHandlers())
+{ }
+
+void link_server_task::stop()
+{
+    m_endpoint.stopAccepting();
+    m_endpoint.closeSessions("shutdown");
+}
+
+web_handlers link_server_task::webHandlers()
+{
+    web_handlers result;
+    result.opened = [this](const web_session &session) {
+        m_links.emplace(session, std::nullopt);
+        sendMessage(session, m_ownHello());
+    };
+    result.message = [this](const web_session &session, std::string_view bytes) {
+        handleMessage(session, bytes);
+    };
+    result.closed = [this](const web_session &session) { handleClosed(session); };
+    return result;
+}
+
+void link_server_task::handleMessage(const web_session &session, std::string_view bytes)
+{
+    try {
+        handle(session, receivedMessage(bytes));
+    } catch (const decode_error &failure) {
+        ++m_invalidMessages;
+        m_log.write(log_level::warning, "connection closed for an invalid message",
+                    {{"remote", session.remote().str()}, {"reason", failure.what()}});
+        session.close("invalid message");
+    }
+}
+
+void link_server_task::handle(const web_session &session, const messages::message &message)
+{
+    auto &link = m_links.at(session);
+    if (link) {
+        const auto known = *link;
+        m_handlers.received(known, message);
+        return;
+    }
+    const auto *hello = std::get_if<messages::hello>(&message);
+    if (hello == nullptr)
+        throw decode_error("the first message is not hello");
+    link.emplace(*hello, session);
+    const auto known = *link;
+    m_handlers.connected(known);
+}
+
+void link_server_task::handleClosed(const web_session &session)
+{
+    const auto link = m_links.extract(session);
+    if (link && link.mapped())
+        m_handlers.disconnected(*link.mapped());
+}
+
+} // namespace sycamorespan::agent
--- /dev/null
+++ b/programs/agent/link_server_task.h
@@ -0,0 +1,55 @@
+#ifndef SYCAMORESPAN_PROGRAMS_AGENT_LINK_SERVER_TASK_H
+#define SYCAMORESPAN_PROGRAMS_AGENT_LINK_SERVER_TASK_H
+
+#include "programs/agent/process_link.h"
+
+#include "sycamorespan/Logging"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace sycamorespan::agent {
+
+/** \brief Owns the socket where proxies, other agents and tools connect.
+ *
+ * Each side says hello first. A connection that sends anything that isn't a message is closed.
+ */
+class link_server_task
+{
+public:
+    /** \param ownHello  what this agent says about itself, at the time of asking
+     * \throws error when \a address can't be listened on
+     */
+    link_server_task(ev::loop_ref loop, const endpoint &address,
+                     std::function<messages::hello()> ownHello, link_handlers handlers);
+
+    /** \brief Stops accepting and closes every link. */
+    void stop();
+
+    /** \returns the address it listens on. */
+    endpoint address() const { return m_endpoint.address(); }
+
+    std::size_t connectionCount() const { return m_endpoint.connectionCount(); }
+    const web_counters &counters() const { return m_endpoint.counters(); }
+    /** \returns connections closed for what they sent. */
+    std::uint64_t invalidMessages() const { return m_invalidMessages; }
+
+private:
+    web_handlers webHandlers();
+    void handleMessage(const web_session &session, std::string_view bytes);
+    void handle(const web_session &session, const messages::message &message);
+    void handleClosed(const web_session &session);
+
+    std::function<messages::hello()> m_ownHello;
+    link_handlers m_handlers;
+    logger m_log;
+    std::uint64_t m_invalidMessages = 0;
+    std::map<web_session, std::optional<process_link>> m_links;
+    web_endpoint m_endpoint;
+};
+
+} // namespace sycamorespan::agent
+
+#endif
--- /dev/null
+++ b/test/process_agent.py
@@ -0,0 +1,168 @@
+"""Tests of running agents: spread of the configuration, faults of links and platform, shutdown."""
+
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from running_programs import BOUND_SECONDS, Agent, Platform, free_port, wait_until
+
+# The users' bound on a change of the configuration.
+IN_FORCE_SECONDS = 5
+
+
+def document(version):
+    return json.dumps({
+        "version": version, "keys": {}, "position_secret": "0" * 64,
+        "lists": {"workspaces": {}, "plans": {}, "groups": {}}}).encode()
+
+
+def accept(platform, version, body=None):
+    """Makes a version of the configuration the accepted one."""
+    body = body or document(version)
+    name = f"configuration-{version}-{hashlib.sha256(body).hexdigest()}"
+    assert platform.request("PUT", f"/v1/objects/{name}", body)[0] == 200
+    row = {"version": version, "object": name, "request": f"request-{version}"}
+    platform.transaction([{"put": {"key": "configuration", "value": json.dumps(row)}}])
+
+
+def is_in_force(agent, version):
+    return agent.state()["configuration_version"] == version
+
+
+class AgentTest(unittest.TestCase):
+    build = None
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.platform = Platform(self.build)
+        self.addCleanup(self.platform.stop)
+        self.url = f"http://127.0.0.1:{self.platform.port}"
+
+    def start(self, name, **arguments):
+        arguments.setdefault("platform", self.url)
+        agent = Agent(self.build, self.folder.name, name, "regina", **arguments)
+        self.addCleanup(self.end, agent)
+        return agent
+
+    @staticmethod
+    def end(agent):
+        if agent.process.poll() is None:
+            agent.process.kill()
+            agent.process.wait()
+
+    def test_configuration_is_in_force_everywhere_and_never_reverts(self):
+        first = self.start("i1")
+        second = self.start("i2", peers=[first.port])
+        # Reaches no platform: learns from its peer only.
+        cut_off = self.start("i3", peers=[first.port], platform=f"http://127.0.0.1:{free_port()}")
+        for version in (1, 2):
+            accept(self.platform, version)
+            took = wait_until(lambda: all(
+                is_in_force(agent, version) for agent in (first, second, cut_off)), IN_FORCE_SECONDS)
+            print(f"version {version} in force at 3 agents after {took:.2f} s")
+        accept(self.platform, 1)
+        polls = first.metric("sycamorespan_agent_configuration_polls_total")
+        wait_until(lambda: first.metric("sycamorespan_agent_configuration_polls_total") > polls + 2)
+        self.assertTrue(all(is_in_force(agent, 2) for agent in (first, second, cut_off)))
+
+    def test_a_body_that_is_no_document_is_rejected(self):
+        agent = self.start("i1")
+        accept(self.platform, 1)
+        wait_until(lambda: is_in_force(agent, 1))
+        accept(self.platform, 2, b'{"version":2}')
+        wait_until(lambda: agent.metric("sycamorespan_agent_configuration_bodies_rejected_total") > 0)
+        self.assertTrue(is_in_force(agent, 1))
+
+    def test_platform_outage_and_recovery(self):
+        agent = self.start("i1")
+        accept(self.platform, 1)
+        wait_until(lambda: is_in_force(agent, 1))
+        self.platform.faults(outage=True)
+        wait_until(lambda: "platform unreachable" in agent.log())
+        self.assertTrue(is_in_force(agent, 1))
+        self.platform.faults(outage=False)
+        accept(self.platform, 2)
+        wait_until(lambda: is_in_force(agent, 2))
+
+    def test_peers_reconnect_after_a_restart(self):
+        first = self.start("i1")
+        second = self.start("i2", peers=[first.port])
+        wait_until(lambda: len(second.state()["peers"]) == 1)
+        boot = second.state()["peers"][0]["boot"]
+        first.process.kill()
+        first.process.wait()
+        wait_until(lambda: not second.state()["peers"])
+        self.start("i1", port=first.port)
+        wait_until(lambda: len(second.state()["peers"]) == 1)
+        self.assertNotEqual(second.state()["peers"][0]["boot"], boot)
+
+    def test_instances_of_the_list_become_peers(self):
+        first = self.start("i1")
+        second = self.start("i2")
+        for agent in (first, second):
+            entry = {"instance": agent.name, "data_centre": "regina", "state": "live",
+                     "address": f"127.0.0.1:{agent.port}"}
+            self.platform.request("PUT", f"/v1/instances/{agent.name}", entry)
+        wait_until(lambda: [peer["instance"] for peer in first.state()["peers"]] == ["i2"])
+        wait_until(lambda: [peer["instance"] for peer in second.state()["peers"]] == ["i1"])
+
+    def test_garbage_on_a_link_closes_only_that_link(self):
+        agent = self.start("i1")
+        handshake = (b"GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+                     b"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n")
+        for payload in (b"\x00", b"\xff" * 100, b"\x82\x65hello\xa0"):
+            frame = b"\x82" + bytes([0x80 | len(payload)]) + b"\0\0\0\0" + payload
+            with socket.create_connection(("127.0.0.1", agent.port), BOUND_SECONDS) as link:
+                link.sendall(handshake + frame)
+                while link.recv(4096):
+                    pass
+        self.assertEqual(agent.metric("sycamorespan_agent_invalid_messages_total"), 3)
+        self.assertTrue(agent.is_up())
+
+    def test_state_is_logged_on_request_and_without_password(self):
+        agent = self.start("i1")
+        agent.process.send_signal(signal.SIGUSR1)
+        wait_until(lambda: "event=state" in agent.log())
+        agent.state()
+        self.assertNotIn("the-backend-password", agent.log() + json.dumps(agent.state()))
+
+    def test_graceful_shutdown(self):
+        first = self.start("i1")
+        second = self.start("i2", peers=[first.port])
+        wait_until(lambda: len(second.state()["peers"]) == 1)
+        self.assertEqual(first.stop(), 0)
+        wait_until(lambda: not second.state()["peers"])
+        self.assertEqual(second.stop(), 0)
+
+    def test_command_line(self):
+        program = f"{self.build}/programs/agent/sycamorespan-agent"
+        settings = os.path.join(self.folder.name, "wrong.yaml")
+        with open(settings, "w", encoding="utf-8") as file:
+            file.write("instance: i1\ndata_centre: regina\nlisten: nowhere\n")
+
+        def run(*arguments):
+            return subprocess.run([program, *arguments], capture_output=True, text=True,
+                                  timeout=BOUND_SECONDS, check=False)
+
+        self.assertEqual(run("--help").returncode, 0)
+        self.assertTrue(run("--version").stdout.startswith("sycamorespan-agent "))
+        wrong = run("--check-settings", "--settings", settings)
+        self.assertEqual(wrong.returncode, 1)
+        self.assertIn("wrong.yaml:3", wrong.stderr)
+        self.assertEqual(run().returncode, 1)
+        example = run("--check-settings", "--settings",
+                      os.path.join(os.path.dirname(__file__),
+                                   "../examples/brandon-hollow/agent-regina-1.yaml"))
+        self.assertEqual((example.returncode, example.stdout), (0, "valid\n"))
+
+
+if __name__ == "__main__":
+    AgentTest.build = sys.argv.pop(1)
+    unittest.main()
--- a/test/process_platform.py
+++ b/test/process_platform.py
@@ -1,55 +1,11 @@
 """Tests of the platform stand-in: transactions, objects, the lagging list and its faults."""
 
 import http.client
-import json
-import signal
-import subprocess
 import sys
 import time
 import unittest
 
-BOUND_SECONDS = 5
-
-
-class Platform:
-    """A running stand-in."""
-
-    def __init__(self, build):
-        self.process = subprocess.Popen(
-            [f"{build}/standins/platform/standin-platform", "--listen", "127.0.0.1:0"],
-            stdout=subprocess.PIPE, text=True)
-        self.port = int(self.process.stdout.readline().rsplit(":", 1)[1])
-
-    def request(self, method, path, body=None, timeout=BOUND_SECONDS):
-        """Returns status and body."""
-        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=timeout)
-        try:
-            if body is not None and not isinstance(body, bytes):
-                body = json.dumps(body)
-            connection.request(method, path, body)
-            answer = connection.getresponse()
-            return answer.status, answer.read()
-        finally:
-            connection.close()
-
-    def json(self, method, path, body=None):
-        status, answer = self.request(method, path, body)
-        return status, json.loads(answer)
-
-    def transaction(self, success, compare=(), failure=()):
-        status, answer = self.json("POST", "/v1/transactions", {
-            "compare": list(compare), "success": list(success), "failure": list(failure)})
-        assert status == 200, answer
-        return answer
-
-    def faults(self, **changes):
-        status, _ = self.json("PUT", "/v1/faults", changes)
-        assert status == 200
-
-    def stop(self):
-        self.process.send_signal(signal.SIGTERM)
-        self.process.stdout.close()
-        return self.process.wait(BOUND_SECONDS)
+from running_programs import BOUND_SECONDS, Platform
 
 
 def put(key, value):
--- /dev/null
+++ b/test/running_programs.py
@@ -0,0 +1,120 @@
+"""Starts and asks the programs of the process tests. Each program is ended by its own process id."""
+
+import http.client
+import json
+import signal
+import socket
+import subprocess
+import time
+
+BOUND_SECONDS = 5
+
+
+def free_port():
+    """Returns a port that nothing listens on at the moment."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_until(condition, bound=BOUND_SECONDS):
+    """Asks until condition() is true; returns the seconds it took."""
+    start = time.monotonic()
+    while not condition():
+        if time.monotonic() - start > bound:
+            raise AssertionError(f"not within {bound} s")
+        time.sleep(0.02)
+    return time.monotonic() - start
+
+
+def request(port, method, path, body=None, timeout=BOUND_SECONDS):
+    """Returns status and body of one HTTP request."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        if body is not None and not isinstance(body, bytes):
+            body = json.dumps(body)
+        connection.request(method, path, body)
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    finally:
+        connection.close()
+
+
+class Platform:
+    """A running stand-in."""
+
+    def __init__(self, build):
+        self.process = subprocess.Popen(
+            [f"{build}/standins/platform/standin-platform", "--listen", "127.0.0.1:0"],
+            stdout=subprocess.PIPE, text=True)
+        self.port = int(self.process.stdout.readline().rsplit(":", 1)[1])
+
+    def request(self, method, path, body=None, timeout=BOUND_SECONDS):
+        return request(self.port, method, path, body, timeout)
+
+    def json(self, method, path, body=None):
+        status, answer = self.request(method, path, body)
+        return status, json.loads(answer)
+
+    def transaction(self, success, compare=(), failure=()):
+        status, answer = self.json("POST", "/v1/transactions", {
+            "compare": list(compare), "success": list(success), "failure": list(failure)})
+        assert status == 200, answer
+        return answer
+
+    def faults(self, **changes):
+        status, _ = self.json("PUT", "/v1/faults", changes)
+        assert status == 200
+
+    def stop(self):
+        self.process.send_signal(signal.SIGTERM)
+        self.process.stdout.close()
+        return self.process.wait(BOUND_SECONDS)
+
+
+class Agent:
+    """A running sycamorespan-agent."""
+
+    def __init__(self, build, folder, name, data_centre, platform, peers=(), port=None):
+        self.name = name
+        self.port = port or free_port()
+        self.admin = free_port()
+        settings = f"{folder}/{name}.yaml"
+        self.log_name = f"{folder}/{name}.log"
+        with open(settings, "w", encoding="utf-8") as file:
+            json.dump({
+                "instance": name, "data_centre": data_centre,
+                "listen": f"127.0.0.1:{self.port}", "admin": f"127.0.0.1:{self.admin}",
+                "platform": platform, "backend_password": "the-backend-password",
+                "peers": [f"127.0.0.1:{peer}" for peer in peers],
+                "timing": {"configuration_poll_ms": 200}}, file)
+        with open(self.log_name, "w", encoding="utf-8") as log:
+            self.process = subprocess.Popen(
+                [f"{build}/programs/agent/sycamorespan-agent", "--settings", settings], stderr=log)
+        wait_until(self.is_up)
+
+    def is_up(self):
+        assert self.process.poll() is None, self.log()
+        try:
+            return request(self.admin, "GET", "/healthz")[0] == 200
+        except OSError:
+            return False
+
+    def state(self):
+        status, body = request(self.admin, "GET", "/state")
+        assert status == 200, body
+        return json.loads(body)
+
+    def metric(self, name):
+        """Returns the value of a metric without labels."""
+        lines = request(self.admin, "GET", "/metrics")[1].decode().splitlines()
+        return next(float(line.split()[1]) for line in lines if line.startswith(name + " "))
+
+    def log(self):
+        with open(self.log_name, encoding="utf-8") as file:
+            return file.read()
+
+    def stop(self):
+        """Ends the agent gracefully; returns its exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(BOUND_SECONDS)
