--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -42,7 +42,8 @@
 
 } // namespace
 
-agent::agent(ev::loop_ref loop, const settings::agent_settings &agentSettings, random_source random)
+agent::agent(ev::loop_ref loop, const settings::agent_settings &agentSettings,
+             const random_source &random)
     : m_loop(loop)
     , m_settings(agentSettings)
     , m_boot(newBoot())
