--- /dev/null
+++ b/sycamorespan/src/Net/internal/tcp_socket.cpp
@@ -0,0 +1,66 @@
+#include "sycamorespan/src/Net/internal/tcp_socket.h"
+
+#include "sycamorespan/Core"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace sycamorespan::internal {
+
+namespace {
+
+error connectFailure(const endpoint &address)
+{
+    return error("cannot connect to " + address.str() + ": " + std::strerror(errno));
+}
+
+sockaddr_in toNative(const endpoint &address)
+{
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    if (::inet_pton(AF_INET, address.address.c_str(), &name.sin_addr) != 1)
+        throw error("'" + address.address + "' is not an IP number");
+    return name;
+}
+
+} // namespace
+
+file_descriptor connectTo(const endpoint &address)
+{
+    const auto name = toNative(address);
+    file_descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket)
+        throw connectFailure(address);
+    const int enabled = 1;
+    ::setsockopt(socket.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+    const auto *generic = reinterpret_cast<const sockaddr *>(&name);
+    if (::connect(socket.get(), generic, sizeof name) != 0 && errno != EINPROGRESS)
+        throw connectFailure(address);
+    return socket;
+}
+
+int connectError(const file_descriptor &socket)
+{
+    int result = 0;
+    socklen_t length = sizeof result;
+    ::getsockopt(socket.get(), SOL_SOCKET, SO_ERROR, &result, &length);
+    return result;
+}
+
+endpoint remoteEndpoint(const file_descriptor &socket)
+{
+    sockaddr_in name{};
+    socklen_t length = sizeof name;
+    if (::getpeername(socket.get(), reinterpret_cast<sockaddr *>(&name), &length) != 0)
+        return {};
+    char text[INET_ADDRSTRLEN] = "";
+    ::inet_ntop(AF_INET, &name.sin_addr, text, sizeof text);
+    return {text, ntohs(name.sin_port)};
+}
+
+} // namespace sycamorespan::internal
