--- /dev/null
+++ b/sycamorespan/src/Failover/commit_tracker.h
@@ -0,0 +1,188 @@
+#ifndef SYCAMORESPAN_FAILOVER_COMMIT_TRACKER_H
+#define SYCAMORESPAN_FAILOVER_COMMIT_TRACKER_H
+
+#include "sycamorespan/src/Failover/group_control.h"
+#include "sycamorespan/src/Failover/group_view.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace sycamorespan {
+
+/** \brief Chosen by the proxy for each commit or read that waits. */
+using waiter_id = std::uint64_t;
+
+struct commit_tracker_settings
+{
+    duration pollInterval = 1ms; ///< pause between an answer and the next request
+    duration requestTimeout = 300ms; ///< after this a fresh connection is tried
+};
+
+/** \brief Event: the primary ran a commit or a read that ended at \a position. */
+struct wait_started
+{
+    waiter_id waiter = 0;
+    log_position position; ///< group_position() behind the commit or read
+    time_point deadline;
+
+    auto operator<=>(const wait_started &) const = default;
+};
+
+/** \brief Event: nobody waits for this any more. */
+struct wait_abandoned
+{
+    waiter_id waiter = 0;
+
+    auto operator<=>(const wait_abandoned &) const = default;
+};
+
+/** \brief Event: answer to a request_status. */
+struct status_answered
+{
+    std::uint64_t request = 0;
+    server_id server;
+    member_status status;
+
+    bool operator==(const status_answered &) const = default;
+};
+
+/** \brief Event: a request_status got an error or its connection failed. */
+struct status_failed
+{
+    std::uint64_t request = 0;
+
+    auto operator<=>(const status_failed &) const = default;
+};
+
+/** \brief Event: a view arrived from an agent, the table or elsewhere. */
+struct view_learned
+{
+    group_view view;
+
+    bool operator==(const view_learned &) const = default;
+};
+
+using commit_tracker_event = std::variant<wait_started, wait_abandoned, status_answered,
+                                          status_failed, view_learned, time_passed>;
+
+/** \brief Action: run group_status() on the member; at most one request is pending. */
+struct request_status
+{
+    std::uint64_t request = 0;
+    server_id server;
+    bool freshConnection = false;
+
+    auto operator<=>(const request_status &) const = default;
+};
+
+/** \brief Action: answer the caller; \a position may be handed to the session. */
+struct release_waiter
+{
+    waiter_id waiter = 0;
+    log_position position;
+
+    auto operator<=>(const release_waiter &) const = default;
+};
+
+enum class unknown_reason {
+    deadlinePassed,
+    termEnded, ///< the new primary's log isn't known to hold the position
+};
+
+/** \brief Action: answer the caller with "outcome unknown" (SQLSTATE 08007). */
+struct report_unknown
+{
+    waiter_id waiter = 0;
+    unknown_reason reason = unknown_reason::deadlinePassed;
+
+    auto operator<=>(const report_unknown &) const = default;
+};
+
+/** \brief Action: tell the database's supervisor that the primary doesn't answer. */
+struct suspect_primary
+{
+    server_id server;
+    term_number term = 0;
+
+    auto operator<=>(const suspect_primary &) const = default;
+};
+
+using commit_tracker_action =
+        std::variant<request_status, release_waiter, report_unknown, suspect_primary>;
+
+/** \brief Decides when a commit, or a read of the primary, may be answered.
+ *
+ * An answer waits until a majority of the group holds its position in the primary's current
+ * term. One tracker serves one database in one proxy; waits are batched: one group_status()
+ * at a time answers for all. Waits outlive a change of primary where the view's base shows
+ * that the new primary's log holds them.
+ */
+class commit_tracker
+{
+public:
+    /** \param settings  intervals
+     * \param view  the view known at start; term 0 where none is
+     */
+    commit_tracker(const commit_tracker_settings &settings, group_view view);
+
+    /** \brief Takes one event.
+     * \returns what the proxy has to do now
+     */
+    std::vector<commit_tracker_action> handle(const commit_tracker_event &event, time_point now);
+
+    /** \returns when time_passed has to be handed in at the latest. */
+    std::optional<time_point> nextDeadline() const;
+
+    /** \returns the highest position known to be majority-held in the current term. */
+    std::optional<log_position> heldPosition() const { return m_held; }
+
+    const group_view &view() const { return m_view; }
+    std::size_t waiting() const { return m_waiters.size(); }
+
+private:
+    struct waiter
+    {
+        log_position position;
+        time_point deadline;
+        /** Term whose log is known to hold the position, though an older term wrote it. */
+        std::optional<term_number> inheritedBy;
+    };
+    struct pending_request
+    {
+        std::uint64_t request = 0;
+        time_point deadline;
+    };
+    using actions = std::vector<commit_tracker_action>;
+
+    void take(const wait_started &event, time_point now, actions &out);
+    void take(const wait_abandoned &event, time_point now, actions &out);
+    void take(const status_answered &event, time_point now, actions &out);
+    void take(const status_failed &event, time_point now, actions &out);
+    void take(const view_learned &event, time_point now, actions &out);
+    void take(const time_passed &event, time_point now, actions &out);
+
+    bool isHeld(const waiter &waiter) const;
+    void releaseHeld(actions &out);
+    void carryOver(const group_view &view, actions &out);
+    void expire(time_point now, actions &out);
+    void requestFailed(time_point now, actions &out);
+    void sendRequestIfDue(time_point now, actions &out);
+
+    commit_tracker_settings m_settings;
+    group_view m_view;
+    std::vector<server_id> m_members;
+    std::optional<log_position> m_held;
+    std::map<waiter_id, waiter> m_waiters;
+    std::optional<pending_request> m_pending;
+    std::uint64_t m_lastRequest = 0;
+    time_point m_nextRequest;
+    bool m_freshConnection = false;
+};
+
+} // namespace sycamorespan
+
+#endif
