--- a/sycamorespan/src/Failover/commit_tracker.h
+++ b/sycamorespan/src/Failover/commit_tracker.h
@@ -20,6 +20,7 @@
 {
     duration pollInterval = 1ms; ///< pause between an answer and the next request
     duration requestTimeout = 300ms; ///< after this a fresh connection is tried
+    duration retryInterval = 20ms; ///< pause after a failed request
 };
 
 /** \brief Event: the primary ran a commit or a read that ended at \a position. */
@@ -144,7 +145,7 @@
     std::size_t waiting() const { return m_waiters.size(); }
 
 private:
-    struct waiter
+    struct pending_wait
     {
         log_position position;
         time_point deadline;
@@ -165,22 +166,24 @@
     void take(const view_learned &event, time_point now, actions &out);
     void take(const time_passed &event, time_point now, actions &out);
 
-    bool isHeld(const waiter &waiter) const;
+    bool isHeld(const pending_wait &wait) const;
+    void learnHeld(const status_answered &event, time_point now);
     void releaseHeld(actions &out);
     void carryOver(const group_view &view, actions &out);
     void expire(time_point now, actions &out);
-    void requestFailed(time_point now, actions &out);
+    void noteFailure(time_point now, actions &out);
     void sendRequestIfDue(time_point now, actions &out);
 
     commit_tracker_settings m_settings;
     group_view m_view;
     std::vector<server_id> m_members;
     std::optional<log_position> m_held;
-    std::map<waiter_id, waiter> m_waiters;
+    std::map<waiter_id, pending_wait> m_waiters;
     std::optional<pending_request> m_pending;
     std::uint64_t m_lastRequest = 0;
     time_point m_nextRequest;
     bool m_freshConnection = false;
+    bool m_suspicionReported = false;
 };
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Failover/failure_detector.h
+++ b/sycamorespan/src/Failover/failure_detector.h
@@ -6,9 +6,9 @@
 
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <variant>
 #include <vector>
 
@@ -72,7 +72,14 @@
     auto operator<=>(const primary_suspected &) const = default;
 };
 
-using failure_detector_action = std::variant<call_member, ask_observers, primary_suspected>;
+/** \brief Output: a primary that was suspected answers again. */
+struct primary_recovered
+{
+    auto operator<=>(const primary_recovered &) const = default;
+};
+
+using failure_detector_action =
+        std::variant<call_member, ask_observers, primary_suspected, primary_recovered>;
 
 /** \brief Tells a dead primary from a dead connection and from a slow primary.
  *
@@ -109,18 +116,18 @@
     duration patience() const;
 
 private:
-    enum class phase { idle, probing, confirming, suspected };
+    enum class phase { idle, probing, confirming, confirmed };
     using actions = std::vector<failure_detector_action>;
 
-    call_member probe(bool freshConnection, time_point now, duration timeout);
-    void sendProbe(time_point now, actions &out);
+    void sendProbe(bool freshConnection, time_point now, duration timeout, actions &out);
+    void startProbing(time_point now, actions &out);
     void startConfirming(time_point now, actions &out);
     void probeFailed(time_point now, actions &out);
-    void takeStatus(const member_status &status, time_point now, actions &out);
+    void takeStatus(const call_returned &event, time_point now, actions &out);
+    void takeHealthy(const member_status &status, time_point now, actions &out);
     void watchProgress(const member_status &status, time_point now, actions &out);
-    void decide(time_point now, actions &out);
+    void decide(actions &out);
     void suspect(suspicion_cause cause, actions &out);
-    void recordAnswerTime(duration answerTime);
 
     failure_detector_settings m_settings;
     group_view m_view;
@@ -128,13 +135,13 @@
     data_centre_id m_ownDataCentre;
     std::uint64_t m_series;
     phase m_phase = phase::idle;
+    bool m_suspected = false;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_round = 0;
     time_point m_sentAt;
     time_point m_deadline;
-    bool m_ownProbeFailed = false;
     std::map<data_centre_id, primary_health> m_reports;
-    std::vector<duration> m_answerTimes;
+    std::deque<duration> m_answerTimes;
     std::optional<log_position> m_held;
     std::optional<time_point> m_behindSince;
     std::uint64_t m_deadConnections = 0;
--- a/sycamorespan/src/Failover/group_control.cpp
+++ b/sycamorespan/src/Failover/group_control.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <ranges>
 
 namespace sycamorespan {
 
--- a/sycamorespan/src/Failover/group_control.h
+++ b/sycamorespan/src/Failover/group_control.h
@@ -109,8 +109,8 @@
 
 /** \brief Action: run \a operation on a member and hand in the result as call_returned.
  *
- * No answer by \a deadline is handed in as call_failed; an answer after that may still be
- * handed in.
+ * No answer by \a deadline is handed in as call_failed, and the connection is closed; an answer
+ * after that may still be handed in.
  */
 struct call_member
 {
--- /dev/null
+++ b/sycamorespan/src/Failover/session_cleanup.cpp
@@ -0,0 +1,109 @@
+#include "sycamorespan/src/Failover/session_cleanup.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace sycamorespan {
+
+session_cleanup::session_cleanup(const session_cleanup_settings &settings,
+                                 group_configuration group)
+    : m_settings(settings)
+    , m_group(std::move(group))
+{ }
+
+std::vector<call_member> session_cleanup::setLive(const std::vector<proxy_boot> &live,
+                                                  time_point now)
+{
+    const std::set<proxy_boot> current(live.begin(), live.end());
+    const auto isRestarted = [&](const proxy_boot &boot) {
+        return std::ranges::find(current, boot.instance, &proxy_boot::instance) != current.end();
+    };
+    for (const auto &boot : m_live) {
+        if (!current.contains(boot))
+            m_missingSince.emplace(boot, now);
+    }
+    for (const auto &boot : current) {
+        m_missingSince.erase(boot);
+        m_ending.erase(boot);
+    }
+    std::erase_if(m_missingSince, [&](const auto &entry) {
+        const bool restarted = isRestarted(entry.first);
+        if (restarted)
+            beginEnding(entry.first, now);
+        return restarted;
+    });
+    m_live = current;
+    endOverdue(now);
+    return callRemaining(now);
+}
+
+std::vector<call_member> session_cleanup::handle(const call_returned &event, time_point now)
+{
+    const auto call = m_calls.find(event.id.number);
+    if (event.id.purpose != call_purpose::cleanup || call == m_calls.end())
+        return {};
+    const auto boot = call->second;
+    m_calls.erase(call);
+    const auto entry = m_ending.find(boot);
+    if (entry != m_ending.end() && std::holds_alternative<sessions_ended>(event.answer)) {
+        entry->second.remaining.erase(event.server);
+        if (entry->second.remaining.empty())
+            m_ending.erase(entry);
+    }
+    return callRemaining(now);
+}
+
+std::vector<call_member> session_cleanup::handle(const time_passed & /*event*/, time_point now)
+{
+    endOverdue(now);
+    return callRemaining(now);
+}
+
+std::optional<time_point> session_cleanup::nextDeadline() const
+{
+    std::vector<time_point> times;
+    for (const auto &[boot, since] : m_missingSince)
+        times.push_back(since + m_settings.absence);
+    for (const auto &[boot, entry] : m_ending)
+        times.push_back(entry.nextTry);
+    return times.empty() ? std::nullopt : std::optional(std::ranges::min(times));
+}
+
+void session_cleanup::beginEnding(const proxy_boot &boot, time_point now)
+{
+    ending entry;
+    entry.nextTry = now;
+    std::ranges::transform(m_group.members, std::inserter(entry.remaining, entry.remaining.end()),
+                           &group_member::server);
+    m_ending.emplace(boot, std::move(entry));
+}
+
+void session_cleanup::endOverdue(time_point now)
+{
+    std::erase_if(m_missingSince, [&](const auto &entry) {
+        const bool isOverdue = now - entry.second >= m_settings.absence;
+        if (isOverdue)
+            beginEnding(entry.first, now);
+        return isOverdue;
+    });
+}
+
+std::vector<call_member> session_cleanup::callRemaining(time_point now)
+{
+    actions out;
+    for (auto &[boot, entry] : m_ending) {
+        if (entry.nextTry > now)
+            continue;
+        entry.nextTry = now + m_settings.retryInterval;
+        for (const auto &server : entry.remaining) {
+            const call_id id{call_purpose::cleanup, 0, ++m_lastNumber};
+            m_calls.emplace(id.number, boot);
+            const end_sessions_operation operation{boot.instance, boot.boot};
+            out.push_back({id, server, operation, false, now + m_settings.callTimeout});
+        }
+    }
+    return out;
+}
+
+} // namespace sycamorespan
--- a/sycamorespan/src/Failover/session_cleanup.h
+++ b/sycamorespan/src/Failover/session_cleanup.h
@@ -9,7 +9,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace sycamorespan {
@@ -41,7 +40,9 @@
 public:
     session_cleanup(const session_cleanup_settings &settings, group_configuration group);
 
-    /** \param live  the proxies that membership holds for live now */
+    /** \param live  the proxies that membership holds for live now
+     * \returns calls to members
+     */
     std::vector<call_member> setLive(const std::vector<proxy_boot> &live, time_point now);
     std::vector<call_member> handle(const call_returned &event, time_point now);
     std::vector<call_member> handle(const time_passed &event, time_point now);
@@ -54,16 +55,18 @@
         std::set<server_id> remaining;
         time_point nextTry;
     };
+    using actions = std::vector<call_member>;
 
-    std::vector<call_member> callRemaining(time_point now);
     void beginEnding(const proxy_boot &boot, time_point now);
+    void endOverdue(time_point now);
+    actions callRemaining(time_point now);
 
     session_cleanup_settings m_settings;
     group_configuration m_group;
     std::set<proxy_boot> m_live;
     std::map<proxy_boot, time_point> m_missingSince;
     std::map<proxy_boot, ending> m_ending;
-    std::map<std::uint64_t, std::pair<proxy_boot, server_id>> m_calls;
+    std::map<std::uint64_t, proxy_boot> m_calls;
     std::uint64_t m_lastNumber = 0;
 };
 
--- a/sycamorespan/src/Failover/supervisor.h
+++ b/sycamorespan/src/Failover/supervisor.h
@@ -19,22 +19,40 @@
 {
     failure_detector_settings detector;
     primary_change_settings change;
-    /** How many live instances, in rendezvous order, watch a database. */
+    /** How many live instances watch a database. */
     std::size_t watcherCount = 3;
     /** A watcher that isn't first acts on a suspicion after this, for each place in the order. */
-    duration takeoverDelay = 2s;
-    duration standbyProbeInterval = 2s; ///< of watchers that aren't first
+    duration takeoverDelay = 1s;
+    duration standbyProbeInterval = 1s; ///< of watchers that aren't first
     duration upkeepInterval = 1s; ///< between looks at the members that aren't primary
+    duration standbyUpkeepInterval = 5s; ///< the same of watchers that aren't first
     duration minimumBackoff = 50ms; ///< after an abandoned attempt; doubles, with jitter
     duration maximumBackoff = 2s;
     /** A member fenced in a higher term than the primary's is given a new term after this. */
     duration strandedTime = 5s;
 };
 
-/** \brief Event: the instances that membership holds for live. */
+/** \brief An instance that runs an agent. */
+struct agent_instance
+{
+    instance_id instance;
+    data_centre_id dataCentre;
+
+    auto operator<=>(const agent_instance &) const = default;
+};
+
+/** \brief Orders the agents by their precedence in watching \a database.
+ *
+ * Rendezvous order, with the first agent of each data centre before any second one, so that
+ * the first few are in different data centres.
+ */
+std::vector<instance_id> watcherOrder(const database_id &database,
+                                      const std::vector<agent_instance> &agents);
+
+/** \brief Event: the agents that membership holds for live. */
 struct instances_changed
 {
-    std::vector<instance_id> live;
+    std::vector<agent_instance> live;
 
     bool operator==(const instances_changed &) const = default;
 };
@@ -80,8 +98,8 @@
 /** \brief Keeps one database's group served: finds its primary, replaces it, makes the other
  * members follow.
  *
- * Every agent has one for each database. Only the first few live instances in rendezvous
- * order do anything; there is no lease, and any number may act at once.
+ * Every agent has one for each database. Only the first few live instances by watcherOrder()
+ * do anything; there is no lease, and any number may act at once.
  * \sa primary_change for why that is harmless
  */
 class supervisor
@@ -114,21 +132,26 @@
     void take(const time_passed &event, time_point now, actions &out);
 
     void enter(supervisor_state state, std::string reason, actions &out);
-    void startWatching(time_point now, actions &out);
+    void setRank(std::optional<std::size_t> rank, time_point now, actions &out);
+    void watch(const group_view &view, time_point now, actions &out);
     void adopt(const group_view &view, time_point now, actions &out);
-    void suspect(std::string reason, time_point now, actions &out);
+    void scheduleChange(change_request request, time_point when);
+    void suspect(suspicion_cause cause, time_point now, actions &out);
     void startChange(time_point now, actions &out);
+
     void forward(const std::vector<failure_detector_action> &from, time_point now, actions &out);
     void forward(const std::vector<primary_change_action> &from, time_point now, actions &out);
-    void finishChange(const change_result &result, time_point now, actions &out);
+    void finish(const change_completed &result, time_point now, actions &out);
+    void finish(const change_unneeded &result, time_point now, actions &out);
+    void finish(const primary_unseen &result, time_point now, actions &out);
+    void finish(const change_abandoned &result, time_point now, actions &out);
+
+    duration upkeepInterval() const;
     void lookAtMembers(time_point now, actions &out);
-    void takeUpkeep(const call_returned &event, time_point now, actions &out);
-    void repair(const server_id &server, const member_status &status, time_point now, actions &out);
-    void noteStranded(term_number term, time_point now, actions &out);
+    void lookAt(const server_id &server, const member_status &status, time_point now, actions &out);
+    void noteStranded(const server_id &server, time_point now);
     call_member upkeepCall(const server_id &server, group_operation operation, time_point now);
     duration nextBackoff();
-    std::string newToken();
-    failure_detector_settings detectorSettings() const;
 
     supervisor_settings m_settings;
     group_configuration m_group;
@@ -142,14 +165,13 @@
     std::optional<group_view> m_view;
     std::optional<failure_detector> m_detector;
     std::optional<primary_change> m_change;
-    std::optional<server_id> m_suspected;
+    change_request m_request;
     term_number m_highestTerm = 0;
     std::uint64_t m_lastSeries = 0;
-    std::uint64_t m_lastToken = 0;
     std::uint64_t m_lastUpkeep = 0;
     std::optional<time_point> m_changeAt;
     std::optional<time_point> m_nextUpkeep;
-    std::optional<time_point> m_strandedSince;
+    std::map<server_id, time_point> m_strandedSince;
     unsigned m_abandonedInARow = 0;
 };
 
