--- /dev/null
+++ b/test/failover_detector.cpp
@@ -0,0 +1,112 @@
+#include "simulated_group.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sycamorespan {
+namespace {
+
+constexpr duration watchedTime = 20s;
+
+/** Runs faults that leave the primary in office and its majority reachable. */
+void expectNoChange(const std::function<void(simulated_group &)> &disturb)
+{
+    simulated_group group({}, *rc::gen::arbitrary<std::uint64_t>());
+    group.runFor(2s);
+    const auto end = group.now() + watchedTime;
+    while (group.now() < end) {
+        disturb(group);
+        group.runFor(duration(group.draw(1'500'000)));
+    }
+    RC_ASSERT(group.highestTerm() == 1U);
+    RC_ASSERT(group.firstAcknowledgedAfter(end - 2s).has_value());
+}
+
+RC_GTEST_PROP(false_suspicion, aSilentConnectionDoesNotChangeThePrimary, ())
+{
+    expectNoChange([](simulated_group &group) {
+        const auto agent = group.agentNode(group.draw(simulated_group::agentCount));
+        group.silenceConnections(agent, group.primaryOfHighestTerm());
+    });
+}
+
+RC_GTEST_PROP(false_suspicion, aSlowPrimaryDoesNotChangeThePrimary, ())
+{
+    expectNoChange([](simulated_group &group) {
+        constexpr std::uint64_t longestDelayMicroseconds = 600'000;
+        group.slowDown(group.primaryOfHighestTerm(),
+                       duration(group.draw(longestDelayMicroseconds)));
+    });
+}
+
+RC_GTEST_PROP(false_suspicion, aCutThatLeavesTheOthersDoesNotChangeThePrimary, ())
+{
+    expectNoChange([](simulated_group &group) {
+        constexpr std::size_t primaryZone = 0;
+        const auto zone = 1 + group.draw(simulated_group::dataCentreCount - 1);
+        for (std::size_t other = 1; other < simulated_group::dataCentreCount; ++other)
+            group.setCut(primaryZone, other, other == zone);
+    });
+}
+
+RC_GTEST_PROP(false_suspicion, frozenAgentsAndReplicasDoNotChangeThePrimary, ())
+{
+    expectNoChange([](simulated_group &group) {
+        constexpr std::size_t replica = 2;
+        const auto agent = group.agentNode(group.draw(simulated_group::agentCount));
+        group.draw(2) == 0 ? group.freeze(agent) : group.thaw(agent);
+        group.draw(2) == 0 ? group.freeze(replica) : group.thaw(replica);
+    });
+}
+
+group_view watchedView()
+{
+    const std::vector<group_member> members{{server_id("s0"), "", data_centre_id("a")},
+                                            {server_id("s1"), "", data_centre_id("b")}};
+    return {database_id("stock"), 3, server_id("s0"), members, {}, group_state::served};
+}
+
+bool isSuspected(const std::vector<failure_detector_action> &actions)
+{
+    return std::ranges::any_of(actions, [](const auto &action) {
+        return std::holds_alternative<primary_suspected>(action);
+    });
+}
+
+/** A detector whose kept and fresh probe both failed, in its first round. */
+failure_detector unansweredDetector()
+{
+    failure_detector detector({}, watchedView(), data_centre_id("a"), 1);
+    detector.start(time_point());
+    for (std::uint64_t number = 1; number <= 2; ++number) {
+        const call_returned failed{
+                {call_purpose::probe, 1, number}, server_id("s0"), call_failed{}};
+        EXPECT_FALSE(isSuspected(detector.handle(failed, time_point())));
+    }
+    return detector;
+}
+
+TEST(failure_detector, needsAnotherDataCentreToSuspect)
+{
+    auto detector = unansweredDetector();
+    const observer_report own{1, data_centre_id("a"), primary_health::silent};
+    EXPECT_FALSE(isSuspected(detector.handle(own, time_point())));
+    const observer_report late{0, data_centre_id("b"), primary_health::silent};
+    EXPECT_FALSE(isSuspected(detector.handle(late, time_point())));
+    const observer_report other{1, data_centre_id("b"), primary_health::silent};
+    EXPECT_TRUE(isSuspected(detector.handle(other, time_point())));
+}
+
+TEST(failure_detector, doesNotSuspectAgainstHalfOfTheDataCentres)
+{
+    auto detector = unansweredDetector();
+    const observer_report healthyB{1, data_centre_id("b"), primary_health::healthy};
+    const observer_report healthyC{1, data_centre_id("c"), primary_health::healthy};
+    const observer_report silentD{1, data_centre_id("d"), primary_health::silent};
+    EXPECT_FALSE(isSuspected(detector.handle(healthyB, time_point())));
+    EXPECT_FALSE(isSuspected(detector.handle(healthyC, time_point())));
+    EXPECT_FALSE(isSuspected(detector.handle(silentD, time_point())));
+}
+
+} // namespace
+} // namespace sycamorespan
