--- a/sycamorespan/src/Failover/commit_tracker.cpp
+++ b/sycamorespan/src/Failover/commit_tracker.cpp
@@ -45,6 +45,14 @@
     return std::min(first, m_pending ? m_pending->deadline : m_nextRequest);
 }
 
+std::optional<log_position> commit_tracker::heldPosition() const
+{
+    const auto held = m_heldOffsets.find(m_view.term);
+    if (held == m_heldOffsets.end())
+        return std::nullopt;
+    return log_position{held->first, held->second};
+}
+
 void commit_tracker::take(const wait_started &event, time_point /*now*/, actions &out)
 {
     m_waiters.insert_or_assign(event.waiter,
@@ -88,8 +96,7 @@
     carryOver(event.view, out);
     m_view = event.view;
     m_members = serversOf(m_view);
-    if (m_held && m_held->term < m_view.term)
-        m_held.reset();
+    m_heldOffsets.erase(m_heldOffsets.begin(), m_heldOffsets.lower_bound(m_view.term));
     m_pending.reset();
     m_nextRequest = now;
     m_freshConnection = false;
@@ -108,8 +115,10 @@
 void commit_tracker::learnHeld(const status_answered &event, time_point now)
 {
     const auto held = majorityHeldPosition(event.status, event.server, m_members);
-    if (held && (!m_held || *held > *m_held))
-        m_held = held;
+    if (held) {
+        auto &offset = m_heldOffsets[held->term];
+        offset = std::max(offset, held->offset);
+    }
     m_nextRequest = now + m_settings.pollInterval;
     m_freshConnection = false;
     m_suspicionReported = false;
@@ -117,10 +126,9 @@
 
 bool commit_tracker::isHeld(const pending_wait &wait) const
 {
-    if (!m_held)
-        return false;
-    const bool sameTerm = wait.position.term == m_held->term;
-    return (sameTerm && wait.position.offset <= m_held->offset) || wait.inheritedBy == m_held->term;
+    const auto held = m_heldOffsets.find(wait.position.term);
+    const bool inOwnTerm = held != m_heldOffsets.end() && wait.position.offset <= held->second;
+    return inOwnTerm || (wait.inheritedBy && m_heldOffsets.contains(*wait.inheritedBy));
 }
 
 void commit_tracker::releaseHeld(actions &out)
--- a/sycamorespan/src/Failover/commit_tracker.h
+++ b/sycamorespan/src/Failover/commit_tracker.h
@@ -139,7 +139,7 @@
     std::optional<time_point> nextDeadline() const;
 
     /** \returns the highest position known to be majority-held in the current term. */
-    std::optional<log_position> heldPosition() const { return m_held; }
+    std::optional<log_position> heldPosition() const;
 
     const group_view &view() const { return m_view; }
     std::size_t waiting() const { return m_waiters.size(); }
@@ -177,7 +177,7 @@
     commit_tracker_settings m_settings;
     group_view m_view;
     std::vector<server_id> m_members;
-    std::optional<log_position> m_held;
+    std::map<term_number, std::uint64_t> m_heldOffsets; ///< of the view's term and higher ones
     std::map<waiter_id, pending_wait> m_waiters;
     std::optional<pending_request> m_pending;
     std::uint64_t m_lastRequest = 0;
--- a/sycamorespan/src/Failover/session_cleanup.cpp
+++ b/sycamorespan/src/Failover/session_cleanup.cpp
@@ -16,9 +16,6 @@
                                                   time_point now)
 {
     const std::set<proxy_boot> current(live.begin(), live.end());
-    const auto isRestarted = [&](const proxy_boot &boot) {
-        return std::ranges::find(current, boot.instance, &proxy_boot::instance) != current.end();
-    };
     for (const auto &boot : m_live) {
         if (!current.contains(boot))
             m_missingSince.emplace(boot, now);
@@ -27,12 +24,6 @@
         m_missingSince.erase(boot);
         m_ending.erase(boot);
     }
-    std::erase_if(m_missingSince, [&](const auto &entry) {
-        const bool restarted = isRestarted(entry.first);
-        if (restarted)
-            beginEnding(entry.first, now);
-        return restarted;
-    });
     m_live = current;
     endOverdue(now);
     return callRemaining(now);
--- a/sycamorespan/src/Failover/session_cleanup.h
+++ b/sycamorespan/src/Failover/session_cleanup.h
@@ -31,9 +31,9 @@
 
 /** \brief Ends the sessions that dead proxies left open on the members of one group.
  *
- * A proxy's boot is ended when the instance runs a newer boot, or was missing from
- * membership for the stated time without a break. Another boot's sessions are never touched,
- * so a proxy that has restarted keeps its own.
+ * A boot of a proxy is ended after it was missing from membership for the stated time without
+ * a break, also where a newer boot runs: membership lags, and may show an older boot again. The
+ * sessions of another boot are never touched, so a proxy that has restarted keeps its own.
  */
 class session_cleanup
 {
--- a/test/failover_detector.cpp
+++ b/test/failover_detector.cpp
@@ -11,7 +11,8 @@
 /** Runs faults that leave the primary in office and its majority reachable. */
 void expectNoChange(const std::function<void(simulated_group &)> &disturb)
 {
-    simulated_group group({}, *rc::gen::arbitrary<std::uint64_t>());
+    const auto seed = *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>());
+    simulated_group group({}, seed);
     group.runFor(2s);
     const auto end = group.now() + watchedTime;
     while (group.now() < end) {
--- a/test/failover_schedules.cpp
+++ b/test/failover_schedules.cpp
@@ -113,7 +113,8 @@
     constexpr std::size_t termsPerSchedule = 2;
     schedule_totals totals;
     EXPECT_TRUE(rc::check([&] {
-        const auto firstSeed = *rc::gen::inRange<std::uint64_t>(0, 1'000'000'000);
+        const std::uint64_t firstSeed =
+                *rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint32_t>());
         for (std::uint64_t seed = firstSeed; seed < firstSeed + schedulesPerCase; ++seed) {
             try {
                 runSchedule(racingSettings(wrong_rule::none), seed, totals);
--- a/test/simulated_group.h
+++ b/test/simulated_group.h
@@ -414,13 +414,12 @@
                              && member.primary == primary;
         if (!follows)
             return;
-        const bool keepsTail = m_settings.wrongRule == wrong_rule::tailKept;
-        if (member.hasUncheckedTail && !keepsTail)
-            member.entries = entries;
-        else if (keepsTail && entries.size() > member.entries.size())
-            std::copy(entries.begin() + static_cast<std::ptrdiff_t>(member.entries.size()),
-                      entries.end(), std::back_inserter(member.entries));
-        else if (entries.size() > member.entries.size())
+        const bool isLonger = entries.size() > member.entries.size();
+        const auto kept = static_cast<std::ptrdiff_t>(member.entries.size());
+        if (m_settings.wrongRule == wrong_rule::tailKept && isLonger)
+            std::copy(entries.begin() + kept, entries.end(), std::back_inserter(member.entries));
+        else if (m_settings.wrongRule != wrong_rule::tailKept
+                 && (member.hasUncheckedTail || isLonger))
             member.entries = entries;
         member.hasUncheckedTail = false;
         confirm(follower);
