--- a/test/messages_codec.cpp
+++ b/test/messages_codec.cpp
@@ -201,11 +201,8 @@
 {
     const nlohmann::json member{
             {"server", "a1"}, {"address", "nowhere"}, {"data_centre", "regina"}};
-    const nlohmann::json fields{{"database", "d"},
-                                {"term", 1},
-                                {"primary", "a1"},
-                                {"token", "t"},
-                                {"members", {member}}};
+    const nlohmann::json fields{
+            {"database", "d"}, {"term", 1}, {"primary", "a1"}, {"members", {member}}};
     EXPECT_EQ(decodeFailure("group_view_update", fields),
               "group_view_update.members[0].address: must be an address of the form IP:port");
 }
