--- a/sycamorespan/src/Protocol/backend_messages.h
+++ b/sycamorespan/src/Protocol/backend_messages.h
@@ -48,6 +48,9 @@
     const std::string &bytes() const noexcept { return m_bytes; }
     std::string release() noexcept { return std::move(m_bytes); }
 
+    /** \brief Appends messages that are already encoded. */
+    void raw(std::string_view messages) { m_bytes.append(messages); }
+
     void authenticationOk();
     void authenticationCleartextPassword();
     void parameterStatus(std::string_view name, std::string_view value);
--- a/test/messages_codec.cpp
+++ b/test/messages_codec.cpp
@@ -53,6 +53,15 @@
     target = anyValue<Value>(limits);
 }
 
+template<typename Value, typename Limits>
+void fillValue(const Limits &limits, std::optional<Value> &target)
+{
+    if (*rc::gen::arbitrary<bool>())
+        target = anyValue<Value>(limits);
+    else
+        target.reset();
+}
+
 template<typename Item, typename Limits>
 void fillValue(const schema::array_limits<Limits> &limits, std::vector<Item> &target)
 {
