Add the relay stand-in for silent, cut, slow and parted connections

Tests need connections that go silent for good while new ones work, and links that are parted for a while and heal; neither can be had by ending a process. standin-relay forwards a port and switches over HTTP: pass, silent, partition, cut, and a delay for each piece of data. tcp_socket.h moves out of internal/, as the relay connects with it.

--- a/sycamorespan/src/Net/internal/web_connection.cpp
+++ b/sycamorespan/src/Net/internal/web_connection.cpp
@@ -1,7 +1,7 @@
 #include "sycamorespan/src/Net/internal/web_connection.h"
 
 #include "sycamorespan/src/Net/clock.h"
-#include "sycamorespan/src/Net/internal/tcp_socket.h"
+#include "sycamorespan/src/Net/tcp_socket.h"
 
 #include <sys/socket.h>
 
--- a/sycamorespan/src/Net/internal/tcp_socket.cpp
+++ b/sycamorespan/src/Net/tcp_socket.cpp
@@ -1,4 +1,4 @@
-#include "sycamorespan/src/Net/internal/tcp_socket.h"
+#include "sycamorespan/src/Net/tcp_socket.h"
 
 #include "sycamorespan/Core"
 
@@ -9,7 +9,7 @@
 #include <cerrno>
 #include <cstring>
 
-namespace sycamorespan::internal {
+namespace sycamorespan {
 
 namespace {
 
@@ -63,4 +63,4 @@
     return {text, ntohs(name.sin_port)};
 }
 
-} // namespace sycamorespan::internal
+} // namespace sycamorespan
--- a/sycamorespan/src/Net/internal/tcp_socket.h
+++ b/sycamorespan/src/Net/tcp_socket.h
@@ -1,10 +1,10 @@
-#ifndef SYCAMORESPAN_NET_INTERNAL_TCP_SOCKET_H
-#define SYCAMORESPAN_NET_INTERNAL_TCP_SOCKET_H
+#ifndef SYCAMORESPAN_NET_TCP_SOCKET_H
+#define SYCAMORESPAN_NET_TCP_SOCKET_H
 
 #include "sycamorespan/src/Net/endpoint.h"
 #include "sycamorespan/src/Net/file_descriptor.h"
 
-namespace sycamorespan::internal {
+namespace sycamorespan {
 
 /** \brief Begins to connect, non-blocking.
  * \returns a socket that becomes writable when the outcome is known
@@ -18,6 +18,6 @@
 /** \returns the other side's address; empty when there is none. */
 endpoint remoteEndpoint(const file_descriptor &socket);
 
-} // namespace sycamorespan::internal
+} // namespace sycamorespan
 
 #endif
--- a/sycamorespan/src/Net/web_client.cpp
+++ b/sycamorespan/src/Net/web_client.cpp
@@ -1,8 +1,8 @@
 #include "sycamorespan/src/Net/web_client.h"
 
 #include "sycamorespan/src/Core/error.h"
-#include "sycamorespan/src/Net/internal/tcp_socket.h"
 #include "sycamorespan/src/Net/internal/web_connection.h"
+#include "sycamorespan/src/Net/tcp_socket.h"
 
 #include <utility>
 
@@ -44,7 +44,7 @@
 {
     drop();
     try {
-        auto fd = internal::connectTo(address);
+        auto fd = connectTo(address);
         ++m_counters->connections;
         m_connection = std::make_shared<internal::web_connection>(
                 m_loop, std::move(fd),
--- a/sycamorespan/src/Net/web_endpoint.cpp
+++ b/sycamorespan/src/Net/web_endpoint.cpp
@@ -1,7 +1,7 @@
 #include "sycamorespan/src/Net/web_endpoint.h"
 
-#include "sycamorespan/src/Net/internal/tcp_socket.h"
 #include "sycamorespan/src/Net/internal/web_connection.h"
+#include "sycamorespan/src/Net/tcp_socket.h"
 
 #include <algorithm>
 #include <iterator>
@@ -58,7 +58,7 @@
         ++m_counters->connectionsRefused;
         return;
     }
-    auto remote = internal::remoteEndpoint(socket);
+    auto remote = remoteEndpoint(socket);
     ++m_counters->connections;
     const auto id = m_nextId++;
     auto connection = std::make_shared<internal::web_connection>(
--- a/test/net_platform_clients.cpp
+++ b/test/net_platform_clients.cpp
@@ -1,8 +1,6 @@
 #include "sycamorespan/Core"
 #include "sycamorespan/Net"
 
-#include "sycamorespan/src/Net/internal/tcp_socket.h"
-
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
--- a/test/net_web.cpp
+++ b/test/net_web.cpp
@@ -1,8 +1,6 @@
 #include "sycamorespan/Core"
 #include "sycamorespan/Net"
 
-#include "sycamorespan/src/Net/internal/tcp_socket.h"
-
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 
@@ -83,7 +81,7 @@
     /** Connects a plain socket, blocking. */
     file_descriptor connectPlain(const web_endpoint &endpoint)
     {
-        auto fd = internal::connectTo(endpoint.address());
+        auto fd = connectTo(endpoint.address());
         const auto before = endpoint.counters().connections;
         EXPECT_TRUE(runUntil([&] { return endpoint.counters().connections > before; }));
         return fd;
--- a/test/running_programs.py
+++ b/test/running_programs.py
@@ -118,3 +118,27 @@
         """Ends the agent gracefully; returns its exit status."""
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(BOUND_SECONDS)
+
+
+class Relay:
+    """A running standin-relay in front of a port."""
+
+    def __init__(self, build, target):
+        self.process = subprocess.Popen(
+            [f"{build}/standins/relay/standin-relay", "--target", f"127.0.0.1:{target}"],
+            stdout=subprocess.PIPE, text=True)
+        self.port = int(self.process.stdout.readline().rsplit(":", 1)[1])
+        self.control = int(self.process.stdout.readline().rsplit(":", 1)[1])
+
+    def switch(self, **changes):
+        """Changes "mode" and "delay_ms"."""
+        status, body = request(self.control, "PUT", "/v1/mode", changes)
+        assert status == 200, body
+
+    def connections(self):
+        return json.loads(request(self.control, "GET", "/v1/mode")[1])["connections"]
+
+    def stop(self):
+        self.process.send_signal(signal.SIGTERM)
+        self.process.stdout.close()
+        return self.process.wait(BOUND_SECONDS)
