Run the supervisors of the groups in the agent

Proxies had no primary to send to: nothing ran the Failover module's decisions. supervisor_task gives each database its supervisor, view_publisher and session_cleanup; group_client calls the group functions over libpq, one kept connection a member, with a deadline a call; views go to proxies and agents, and an agent or proxy that connects is sent those that are known.

Not wired: session_cleanup gets no proxies, as an agent knows only its own instance's until membership tells of the others; it therefore ends nothing.

--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -32,6 +32,14 @@
     return result;
 }
 
+supervisor_settings supervisorSettings(const settings::agent_timing &timing)
+{
+    supervisor_settings result;
+    result.detector.probeInterval = timing.probeInterval;
+    result.detector.probeTimeout = timing.probeTimeout;
+    return result;
+}
+
 nlohmann::json describe(const messages::hello &process)
 {
     return {{"instance", process.instance.str()},
@@ -59,6 +67,12 @@
     , m_server(
               loop, parseEndpoint(agentSettings.listen), [this] { return hello(); },
               inboundHandlers())
+    , m_supervisors(loop, supervisorSettings(agentSettings.timing),
+                    {agentSettings.instance, agentSettings.dataCentre, m_boot},
+                    agentSettings.backendPassword, m_table,
+                    {[this](const messages::group_view_update &view) { handleGroupView(view); },
+                     [this](const messages::suspicion_query &query) { askObservers(query); }},
+                    random)
     , m_configuration(
               loop, m_table, m_objects, agentSettings.timing.configurationPoll,
               [this](const configuration_snapshot &snapshot) { handleConfiguration(snapshot); },
@@ -114,11 +128,11 @@
 
 link_handlers agent::outboundHandlers()
 {
-    return {[this](const process_link &link) { learnVersion(link); },
+    return {[this](const process_link &link) { handleAgent(link); },
             [this](const process_link &link, const messages::message &message) {
                 handleReceived(link, message);
             },
-            [](const process_link &) {}};
+            [this](const process_link &) { updateAgents(); }};
 }
 
 link_handlers agent::inboundHandlers()
@@ -130,9 +144,11 @@
             [this](const process_link &link) { handleDisconnected(link); }};
 }
 
-void agent::learnVersion(const process_link &link)
+void agent::handleAgent(const process_link &link)
 {
     m_configuration.learnVersion(link, link.remote().configurationVersion);
+    std::ranges::for_each(m_supervisors.views(), [&](const auto &view) { link.send(view); });
+    updateAgents();
 }
 
 void agent::handleConnected(const process_link &link)
@@ -141,46 +157,84 @@
         m_proxies.connected(link);
     if (link.remote().role == messages::process_role::agent) {
         m_peers.addInbound(link);
-        learnVersion(link);
+        handleAgent(link);
     }
 }
 
 void agent::handleReceived(const process_link &link, const messages::message &message)
 {
-    std::visit(overloaded{
-                       [&](const messages::heartbeat &beat) {
-                           m_configuration.learnVersion(link, beat.configurationVersion);
-                       },
-                       [&](const messages::configuration_announce &announce) {
-                           m_configuration.learnVersion(link, announce.version);
-                       },
-                       [&](const messages::configuration_request &request) {
-                           m_configuration.received(link, request);
-                       },
-                       [&](const messages::configuration_body &body) {
-                           m_configuration.received(link, body);
-                       },
-                       [&](const messages::state_request &) {
-                           link.send(messages::state_reply{state().dump()});
-                       },
-                       [&](const messages::drain_request &) { drain(); },
-                       [](const auto &) {},
-               },
-               message);
+    std::visit(
+            overloaded{
+                    [&](const messages::heartbeat &beat) {
+                        m_configuration.learnVersion(link, beat.configurationVersion);
+                    },
+                    [&](const messages::configuration_announce &announce) {
+                        m_configuration.learnVersion(link, announce.version);
+                    },
+                    [&](const messages::configuration_request &request) {
+                        m_configuration.received(link, request);
+                    },
+                    [&](const messages::configuration_body &body) {
+                        m_configuration.received(link, body);
+                    },
+                    [&](const messages::group_view_update &view) { m_supervisors.received(view); },
+                    [&](const messages::suspicion_report &report) {
+                        m_supervisors.received(report);
+                    },
+                    [&](const messages::suspicion_query &query) {
+                        m_supervisors.received(link, query);
+                    },
+                    [&](const messages::suspicion_answer &answer) {
+                        m_supervisors.received(link, answer);
+                    },
+                    [&](const messages::state_request &) {
+                        link.send(messages::state_reply{state().dump()});
+                    },
+                    [&](const messages::drain_request &) { drain(); },
+                    [](const auto &) {},
+            },
+            message);
 }
 
 void agent::handleDisconnected(const process_link &link)
 {
     if (link.remote().role == messages::process_role::proxy)
         m_proxies.disconnected(link);
-    if (link.remote().role == messages::process_role::agent)
+    if (link.remote().role == messages::process_role::agent) {
         m_peers.removeInbound(link);
+        updateAgents();
+    }
 }
 
 void agent::handleConfiguration(const configuration_snapshot &snapshot)
 {
     m_proxies.setConfiguration({snapshot.version, snapshot.body});
     m_peers.broadcast(messages::configuration_announce{snapshot.version, snapshot.object});
+    m_supervisors.setGroups(configuration::parseDocument(snapshot.body).lists.groups);
+}
+
+void agent::handleGroupView(const messages::group_view_update &view)
+{
+    m_proxies.setGroupView(view);
+    m_peers.broadcast(view);
+}
+
+void agent::askObservers(const messages::suspicion_query &query)
+{
+    std::set<data_centre_id> asked{m_settings.dataCentre};
+    std::ranges::for_each(m_peers.connected(), [&](const auto &entry) {
+        if (asked.insert(entry.second.remote().dataCentre).second)
+            entry.second.send(query);
+    });
+}
+
+void agent::updateAgents()
+{
+    std::vector<agent_instance> live;
+    std::ranges::transform(m_peers.connected(), std::back_inserter(live), [](const auto &entry) {
+        return agent_instance{entry.first, entry.second.remote().dataCentre};
+    });
+    m_supervisors.setAgents(live);
 }
 
 void agent::handleInstances(const instance_list &list)
@@ -212,6 +266,7 @@
     return {{"self", describe(hello())},
             {"draining", m_state == messages::process_state::draining},
             {"configuration_version", hello().configurationVersion},
+            {"groups", m_supervisors.state()},
             {"proxies", proxies},
             {"peers", peers}};
 }
--- a/programs/agent/agent.h
+++ b/programs/agent/agent.h
@@ -7,6 +7,7 @@
 #include "programs/agent/link_server_task.h"
 #include "programs/agent/peer_task.h"
 #include "programs/agent/proxy_link_task.h"
+#include "programs/agent/supervisor_task.h"
 
 #include "sycamorespan/Logging"
 #include "sycamorespan/Net"
@@ -41,11 +42,14 @@
     nlohmann::json state() const;
     agent_readings readings() const;
 
-    void learnVersion(const process_link &link);
+    void handleAgent(const process_link &link);
     void handleConnected(const process_link &link);
     void handleReceived(const process_link &link, const messages::message &message);
     void handleDisconnected(const process_link &link);
     void handleConfiguration(const configuration_snapshot &snapshot);
+    void handleGroupView(const messages::group_view_update &view);
+    void askObservers(const messages::suspicion_query &query);
+    void updateAgents();
     void handleInstances(const instance_list &list);
     void handleDrainTick();
 
@@ -66,6 +70,7 @@
     proxy_link_task m_proxies;
     peer_task m_peers;
     link_server_task m_server;
+    supervisor_task m_supervisors;
     configuration_task m_configuration;
     instance_list_task m_instances;
     admin_server m_admin;
--- a/programs/agent/proxy_link_task.cpp
+++ b/programs/agent/proxy_link_task.cpp
@@ -27,7 +27,9 @@
 
 void proxy_link_task::broadcast(const messages::message &message) const
 {
-    std::ranges::for_each(m_proxies, [&](const auto &entry) { entry.second.send(message); });
+    // A copy, as a link that is cut off for its slowness leaves m_proxies at once.
+    const auto proxies = m_proxies;
+    std::ranges::for_each(proxies, [&](const auto &entry) { entry.second.send(message); });
 }
 
 void proxy_link_task::setConfiguration(const messages::configuration_body &configuration)
--- a/sycamorespan/src/Net/loop_timer.h
+++ b/sycamorespan/src/Net/loop_timer.h
@@ -40,7 +40,12 @@
         m_watcher.start(toSeconds(delay), toSeconds(interval));
     }
 
-    void handleTimeout(ev::timer &, int) { m_onTimeout(); }
+    void handleTimeout(ev::timer &, int)
+    {
+        // A copy, as the function may destroy this timer.
+        const auto onTimeout = m_onTimeout;
+        onTimeout();
+    }
 
     std::function<void()> m_onTimeout;
     ev::timer m_watcher;
--- a/test/process_agent.py
+++ b/test/process_agent.py
@@ -10,16 +10,21 @@
 import tempfile
 import unittest
 
-from running_programs import BOUND_SECONDS, Agent, Platform, free_port, wait_until
+from running_programs import BOUND_SECONDS, Agent, BackendServer, Platform, free_port, wait_until
 
-# The users' bound on a change of the configuration.
+# The users' bounds on a change of the configuration and of the primary.
 IN_FORCE_SECONDS = 5
+CHANGE_OF_PRIMARY_SECONDS = 11
 
 
-def document(version):
+def document(version, members=()):
+    """A document with one database, if there are members."""
+    groups = {"cribs": {"members": [
+        {"server": member.name, "address": f"127.0.0.1:{member.port}", "data_centre": "regina",
+         "slots": 5, "connections": 30} for member in members]}} if members else {}
     return json.dumps({
         "version": version, "keys": {}, "position_secret": "0" * 64,
-        "lists": {"workspaces": {}, "plans": {}, "groups": {}}}).encode()
+        "lists": {"workspaces": {}, "plans": {}, "groups": groups}}).encode()
 
 
 def accept(platform, version, body=None):
@@ -45,9 +50,9 @@
         self.addCleanup(self.platform.stop)
         self.url = f"http://127.0.0.1:{self.platform.port}"
 
-    def start(self, name, **arguments):
+    def start(self, name, data_centre="regina", **arguments):
         arguments.setdefault("platform", self.url)
-        agent = Agent(self.build, self.folder.name, name, "regina", **arguments)
+        agent = Agent(self.build, self.folder.name, name, data_centre, **arguments)
         self.addCleanup(self.end, agent)
         return agent
 
@@ -72,6 +77,29 @@
         wait_until(lambda: first.metric("sycamorespan_agent_configuration_polls_total") > polls + 2)
         self.assertTrue(all(is_in_force(agent, 2) for agent in (first, second, cut_off)))
 
+    def test_a_dead_primary_is_replaced(self):
+        members = [BackendServer(self.build, name, primary=name == "a1")
+                   for name in ("a1", "a2", "a3")]
+        self.addCleanup(lambda: [member.kill() for member in members])
+        first = self.start("i1")
+        second = self.start("i2", data_centre="brandon", peers=[first.port])
+        accept(self.platform, 1, document(1, members))
+
+        def primary(agent):
+            return agent.state()["groups"].get("cribs", {}).get("primary")
+
+        wait_until(lambda: primary(first) == "a1" and primary(second) == "a1")
+        members.pop(0).kill()
+        took = wait_until(lambda: primary(first) in ("a2", "a3") and
+                          primary(second) == primary(first), CHANGE_OF_PRIMARY_SECONDS)
+        print(f"a new primary known to 2 agents {took:.2f} s after the old one's end")
+
+        def published():
+            rows = self.platform.transaction([{"get": {"key": "group/cribs"}}])["results"][0]["rows"]
+            return rows and json.loads(rows[0]["value"])["primary"]
+
+        wait_until(lambda: published() == primary(first), CHANGE_OF_PRIMARY_SECONDS)
+
     def test_a_body_that_is_no_document_is_rejected(self):
         agent = self.start("i1")
         accept(self.platform, 1)
--- a/test/running_programs.py
+++ b/test/running_programs.py
@@ -8,6 +8,7 @@
 import time
 
 BOUND_SECONDS = 5
+BACKEND_PASSWORD = "the-backend-password"
 
 
 def free_port():
@@ -85,7 +86,7 @@
             json.dump({
                 "instance": name, "data_centre": data_centre,
                 "listen": f"127.0.0.1:{self.port}", "admin": f"127.0.0.1:{self.admin}",
-                "platform": platform, "backend_password": "the-backend-password",
+                "platform": platform, "backend_password": BACKEND_PASSWORD,
                 "peers": [f"127.0.0.1:{peer}" for peer in peers],
                 "timing": {"configuration_poll_ms": 200}}, file)
         with open(self.log_name, "w", encoding="utf-8") as log:
@@ -142,3 +143,22 @@
         self.process.send_signal(signal.SIGTERM)
         self.process.stdout.close()
         return self.process.wait(BOUND_SECONDS)
+
+
+class BackendServer:
+    """A running standin-backend-server, a member of a group."""
+
+    def __init__(self, build, name, port=None, primary=False, data=None):
+        self.name = name
+        self.port = port or free_port()
+        arguments = [f"{build}/standins/backend_server/standin-backend-server", "--id", name,
+                     "--listen", f"127.0.0.1:{self.port}", "--password", BACKEND_PASSWORD]
+        arguments += ["--primary"] if primary else []
+        arguments += ["--data", data] if data else []
+        self.process = subprocess.Popen(arguments, stdout=subprocess.PIPE, text=True)
+        assert self.process.stdout.readline().startswith("ready")
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+        self.process.stdout.close()
