Add session positions and the routing of reads with proof

Cause: sessions roam between proxies over lagging replicas and changes of primary, so a hint about a member's position must never decide what is fresh.

Each read carries group_position() of its own connection. Its answer is complete up to the earlier of two moments: what the member's staleness says, and when a majority last reported no higher term. An isolated old primary and its replicas fail the second. A session without a verified position is served only if that majority was asked after the read arrived. Answers below that are held until a majority confirms, thrown away, or refused at the deadline. A clock-based lease of the primary was ruled out: it needs bounds on drift and pauses of other machines. Accepting the view's term as proof was ruled out by the model.

--- /dev/null
+++ b/sycamorespan/src/Routing/read_attempt.h
@@ -0,0 +1,158 @@
+#ifndef SYCAMORESPAN_ROUTING_READ_ATTEMPT_H
+#define SYCAMORESPAN_ROUTING_READ_ATTEMPT_H
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "sycamorespan/src/Routing/read_request.h"
+#include "sycamorespan/src/Routing/replica_selector.h"
+
+namespace sycamorespan {
+
+/** \brief Number of one execution of a read; answers carry it back. */
+using execution_id = std::uint64_t;
+
+/** \brief Run the read on \a server, behind `group_position()` in the same round trip.
+ *
+ * The position is asked for in a transaction of its own, so that the read's snapshot is later.
+ */
+struct run_read
+{
+    execution_id execution = 0;
+    server_id server;
+
+    auto operator<=>(const run_read &) const = default;
+};
+
+/** \brief Ask every member for `group_position()` now; each report goes to a new view. */
+struct confirm_term
+{
+    auto operator<=>(const confirm_term &) const = default;
+};
+
+/** \brief Call onTimer() at \a at. */
+struct wait_until
+{
+    time_point at;
+
+    auto operator<=>(const wait_until &) const = default;
+};
+
+/** \brief The answer is new enough: hand it to the caller, and raise the session's floor by its
+ * proof.
+ * \sa session_floor::after()
+ */
+struct deliver_answer
+{
+    execution_id execution = 0;
+    member_report proof;
+
+    auto operator<=>(const deliver_answer &) const = default;
+};
+
+/** \brief The answer is not proved new enough: throw it away. */
+struct discard_answer
+{
+    execution_id execution = 0;
+
+    auto operator<=>(const discard_answer &) const = default;
+};
+
+/** \brief The statement turned out to be a write, and did not run: treat it as a write. */
+struct reroute_as_write
+{
+    auto operator<=>(const reroute_as_write &) const = default;
+};
+
+/** \brief Why a read was refused. */
+enum class read_refusal {
+    noMember, ///< no member could be reached that is new enough
+    termUnconfirmed, ///< no majority confirmed in time that the primary isn't superseded
+};
+
+/** \brief The read gets no answer. */
+struct refuse_read
+{
+    read_refusal reason = read_refusal::noMember;
+    bool notRun = true; ///< whether the read was never sent to a member
+
+    auto operator<=>(const refuse_read &) const = default;
+};
+
+/** \brief What the owner of a read_attempt is to do. */
+using read_action = std::variant<run_read, confirm_term, wait_until, deliver_answer, discard_answer,
+                                 reroute_as_write, refuse_read>;
+
+/** \brief How an execution ended without an answer. */
+enum class read_failure {
+    notSent, ///< no connection or slot in time, or refused by the member, as by a fenced one
+    connectionLost, ///< silent or closed after the read was sent
+    notReadOnly, ///< SQLSTATE 25006: the member refused to run the statement
+};
+
+/** \brief Limits of a read_attempt. */
+struct read_policy
+{
+    int replicaTries = 2; ///< executions on replicas before only the primary is tried
+    duration retryInterval = 20ms; ///< between tries while no member or majority answers
+
+    auto operator<=>(const read_policy &) const = default;
+};
+
+/** \brief Carries one read to a member whose answer is proved new enough.
+ *
+ * An answer is delivered only if it includes the session's floor, and every write that was
+ * acknowledged before the read's completeSince(). Events come with the present view of the group.
+ * After deliver_answer, reroute_as_write or refuse_read the attempt is finished and ignores events.
+ */
+class read_attempt
+{
+public:
+    read_attempt(const replica_selector &selector, read_policy policy, read_request request);
+
+    std::vector<read_action> start(const group_view &view, time_point now);
+
+    /** \param report  the proof that came with the answer */
+    std::vector<read_action> onAnswer(execution_id execution, const member_report &report,
+                                      const group_view &view, time_point now);
+    std::vector<read_action> onFailure(execution_id execution, read_failure failure,
+                                       const group_view &view, time_point now);
+    std::vector<read_action> onTimer(const group_view &view, time_point now);
+    std::vector<read_action> onViewChanged(const group_view &view, time_point now);
+
+    bool isFinished() const noexcept { return m_state == state::finished; }
+
+private:
+    enum class state { idle, waiting, running, holdingAnswer, finished };
+
+    std::vector<read_action> decide(const group_view &view, time_point now);
+    std::vector<read_action> run(const read_candidate &candidate, const group_view &view,
+                                 time_point now);
+    std::vector<read_action> wait(time_point until);
+    std::vector<read_action> judgeAnswer(const group_view &view, time_point now);
+    std::vector<read_action> hold(time_point now);
+    std::vector<read_action> deliver();
+    std::vector<read_action> discard(const group_view &view, time_point now);
+    std::vector<read_action> refuse(read_refusal reason);
+    bool mayBeNewEnough(const member_report &report, const group_view &view) const;
+    std::vector<read_candidate> untriedCandidates(const group_view &view, time_point now) const;
+
+    const replica_selector &m_selector;
+    read_policy m_policy;
+    read_request m_request;
+    state m_state = state::idle;
+    execution_id m_execution = 0;
+    int m_replicaTries = 0;
+    bool m_waitedForCatchUp = false;
+    bool m_ran = false; // a member may have run the read
+    std::set<server_id> m_tried;
+    std::optional<member_report> m_proof; // of the answer that is held
+    server_id m_server; // of the present execution
+};
+
+} // namespace sycamorespan
+
+#endif
