Keep a workspace's rate over the whole fleet by shares and loans

Cause: a rate and burst must hold over all instances under any failure, with few wrongful refusals. Ruled out: a pool with an exclusive owner, as its lease lapses in a store outage and a change of owner loses the pool's tokens; refunds without credits, as refill has replaced the tokens by then and a window exceeds the burst.

Now each holder owns units of one row in the table, long leased, and lends tokens to the others for a second; level + lent + refundable <= burst at each holder, so no agreement on an owner is needed.

--- a/sycamorespan/src/Quota/allotment.h
+++ b/sycamorespan/src/Quota/allotment.h
@@ -29,6 +29,8 @@
 class allotment
 {
 public:
+    static constexpr std::int64_t maxTotal = 1'000'000'000;
+
     allotment() = default;
     /** \throws error if the shares exceed \a total. */
     allotment(std::int64_t total, std::vector<allotment_share> shares, std::string request);
--- a/sycamorespan/src/Quota/allotment_lease.h
+++ b/sycamorespan/src/Quota/allotment_lease.h
@@ -16,11 +16,12 @@
 struct allotment_policy
 {
     clock_drift drift;
-    duration validity = 6h; ///< of a share without renewal
-    duration renewInterval = 2h;
+    duration validity = 12h; ///< of a share without renewal
+    duration renewInterval = 3h;
     duration pollInterval = 10s; ///< mean time between two reads of the row
+    duration answerTimeoutLimit = 30s; ///< the timeout doubles up to it while none is answered
     duration answerTimeout = 2s; ///< a read or write without answer is repeated after it
-    duration predecessorWait = 5s; ///< a new run waits it before it uses the last run's units
+    duration settleTime = 2s; ///< after it nothing of an earlier share is in use, such as a loan
 
     bool operator==(const allotment_policy &) const = default;
 };
@@ -134,7 +135,8 @@
 {
 public:
     /** \param key      of the row, such as "quota/rate/gronda"
-     *  \param total    units of a row that doesn't exist yet
+     *  \param total    units of a row that doesn't exist yet; this holder wants all of them until
+     *                  wanted_changed
      *  \param self     this run of this holder; the instance runs one process of this holder name
      *  \param policy   constants, the same for all holders
      *  \param random   for unique ids and jitter
@@ -176,10 +178,17 @@
     void read(time_point now, outputs &actions);
     void considerWrite(time_point now, outputs &actions);
     void write(allotment next, time_point now, outputs &actions);
-    void confirm(const pending_write &written, time_point now, outputs &actions);
+    void confirm(const pending_write &written, time_point now);
+    void resolvePending(std::uint64_t revision, const allotment &row, time_point now);
     void adopt(std::uint64_t revision, allotment row, time_point now);
-    allotment desiredRow(time_point now) const;
+    void adoptOwnUnits(std::int64_t units);
+    void settle(time_point now);
+    void reduceTo(std::int64_t units, time_point now);
+    allotment desiredRow(time_point now);
+    std::int64_t desiredUnits(const allotment &row, std::int64_t units, time_point now);
+    bool superseded() const;
     bool worthWriting(const allotment &next, time_point now) const;
+    void fail(time_point now);
     void publish(time_point now, outputs &actions);
     void scheduleRead(duration mean, time_point now);
     std::string uniqueId();
@@ -198,15 +207,20 @@
     std::uint64_t m_lastRequest = 0;
     std::optional<std::uint64_t> m_outstanding;
     time_point m_outstandingSent;
+    duration m_answerTimeout;
     time_point m_nextRead;
     std::int64_t m_usable = 0;
-    time_point m_usableFrom;
+    std::optional<time_point> m_settled; ///< when a reduced or inherited share has settled
+    std::optional<std::uint64_t> m_unresolvedBase; ///< a write on this revision may still arrive
+    bool m_inherited = false; ///< the share was a predecessor's and has not settled
+    bool m_reducing = false; ///< the usable share is less than the row says
     time_point m_validUntil;
-    time_point m_renewed;
+    std::optional<time_point> m_renewed; ///< when the last confirmed write was sent
     std::int64_t m_wanted = 0;
     std::int64_t m_committed = 0;
     bool m_draining = false;
     bool m_drained = false;
+    bool m_drainReported = false;
     std::optional<allotment_action::share_changed> m_published;
 };
 
--- a/sycamorespan/src/Quota/clock_drift.h
+++ b/sycamorespan/src/Quota/clock_drift.h
@@ -1,7 +1,7 @@
 #ifndef SYCAMORESPAN_QUOTA_CLOCK_DRIFT_H
 #define SYCAMORESPAN_QUOTA_CLOCK_DRIFT_H
 
-#include "sycamorespan/src/Core/time_types.h"
+#include "sycamorespan/src/Quota/quota_amounts.h"
 
 namespace sycamorespan {
 
@@ -18,6 +18,9 @@
     /** \returns a time that has certainly passed when a clock shows that \a shown has passed. */
     duration certainlyElapsed(duration shown) const;
 
+    /** \returns tokens that were certainly earned when a clock shows that \a shown were. */
+    token_amount certainlyEarned(token_amount shown) const;
+
     /** \returns how long the holder of a lease may use it, on its own clock, when the grantor waits
      * for \a granted on another clock before it grants again.
      */
--- a/sycamorespan/src/Quota/quota_holder.h
+++ b/sycamorespan/src/Quota/quota_holder.h
@@ -2,6 +2,7 @@
 #define SYCAMORESPAN_QUOTA_QUOTA_HOLDER_H
 
 #include "sycamorespan/src/Quota/quota_messages.h"
+#include "sycamorespan/src/Quota/refund_credits.h"
 #include "sycamorespan/src/Quota/token_bucket.h"
 
 #include <deque>
@@ -16,9 +17,11 @@
 struct quota_policy
 {
     clock_drift drift;
-    duration voucherValidity = 2s; ///< at the lender; the borrower's is shorter by the drift
+    duration voucherValidity = 1s; ///< at the lender; the borrower's is shorter by the drift
     duration borrowTimeout = 100ms; ///< a request waits this long for borrowed tokens
+    duration borrowIntervalLimit = 1s; ///< the interval doubles up to it while nothing is lent
     duration borrowInterval = 50ms; ///< least time between two rounds of borrowing
+    duration silentPause = 3s; ///< a peer that didn't answer is not asked for so long
     duration lookahead = 250ms; ///< demand that a loan covers, and that a lender keeps back
     std::size_t lendersPerRound = 5;
     std::size_t queueLimit = 1'024; ///< waiting requests
@@ -41,10 +44,16 @@
     std::uint64_t id = 0;
 };
 
-/** \brief An admitted request was refused later on, or certainly did not run: it costs nothing. */
+/** \brief The first byte of an admitted request was sent to a backend server: it is charged. */
+struct request_ran
+{
+    std::uint64_t id = 0;
+};
+
+/** \brief An admitted request was refused later on and certainly did not run: it costs nothing. */
 struct request_not_run
 {
-    token_amount cost = token_amount::tokens(1);
+    std::uint64_t id = 0;
 };
 
 /** \brief The share changed; from allotment_lease. */
@@ -72,10 +81,10 @@
 
 } // namespace quota_event
 
-using quota_input =
-        std::variant<quota_event::request_arrived, quota_event::request_cancelled,
-                     quota_event::request_not_run, quota_event::share_changed,
-                     quota_event::peers_changed, quota_event::message_received, quota_event::tick>;
+using quota_input = std::variant<quota_event::request_arrived, quota_event::request_cancelled,
+                                 quota_event::request_ran, quota_event::request_not_run,
+                                 quota_event::share_changed, quota_event::peers_changed,
+                                 quota_event::message_received, quota_event::tick>;
 
 namespace quota_action {
 
@@ -190,6 +199,7 @@
 
     void on(const quota_event::request_arrived &event, time_point now, outputs &actions);
     void on(const quota_event::request_cancelled &event, time_point now, outputs &actions);
+    void on(const quota_event::request_ran &event, time_point now, outputs &actions);
     void on(const quota_event::request_not_run &event, time_point now, outputs &actions);
     void on(const quota_event::share_changed &event, time_point now, outputs &actions);
     void on(const quota_event::peers_changed &event, time_point now, outputs &actions);
@@ -201,22 +211,26 @@
     void advance(time_point now);
     void expireLoans(time_point now);
     void expireVouchers(time_point now);
-    bool spend(token_amount cost, time_point now);
+    void returnIdleVouchers(time_point now);
+    void close(const voucher &closed, time_point now);
+    bool trySpend(std::uint64_t id, token_amount cost, time_point now);
+    token_amount spendVouchers(token_amount cost, time_point now);
     bool shareValid(time_point now) const { return now < m_shareValidUntil; }
-    void closeVoucher(const voucher &closed);
+    void lend(const loan_request &request, time_point now, outputs &actions);
+    token_amount lendable(time_point now) const;
     void admitWaiting(time_point now, outputs &actions);
     void refuseOverdue(time_point now, outputs &actions);
-    void refuseAllWaiting(time_point now, outputs &actions);
+    void refuseAll(outputs &actions);
+    void serve(time_point now, outputs &actions);
     void borrow(time_point now, outputs &actions);
-    void askPeer(const holder_id &id, peer &asked, token_amount wanted, time_point now,
-                 outputs &actions);
-    void settleIdleLoans(time_point now, outputs &actions);
-    std::vector<std::map<holder_id, peer>::iterator> lendersByHint(time_point now);
+    void ask(const holder_id &lender, token_amount wanted, time_point now, outputs &actions);
+    void settleLoans(time_point now, outputs &actions);
+    std::vector<holder_id> lendersByLevel(time_point now) const;
     token_amount estimatedLevel(const peer &of, time_point now) const;
     token_amount queuedCost() const;
     token_amount expectedDemand() const;
     void countDemand(token_amount cost, time_point now);
-    bool waitingForLoans(time_point now) const;
+    bool awaitingLoans(time_point now) const;
     duration retryAfter(token_amount cost) const;
 
     workspace_id m_workspace;
@@ -231,10 +245,15 @@
     std::map<holder_id, borrower_state> m_borrowers;
     std::uint64_t m_lastLoan = 0;
     std::uint64_t m_lastSequence = 0;
+    refund_credits m_credits;
     time_point m_nextRound;
+    duration m_roundInterval;
+    token_amount m_borrowedInRound;
+    std::optional<time_point> m_nextSettlement;
     double m_demandTokensPerSecond = 0;
     token_amount m_demandCounted;
     time_point m_demandSince;
+    time_point m_handled;
 };
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Quota/token_bucket.h
+++ b/sycamorespan/src/Quota/token_bucket.h
@@ -45,9 +45,10 @@
     /** \returns the time until the level covers \a cost; duration::max() if it never will. */
     duration timeUntil(token_amount cost) const;
 
-private:
+    /** \returns what can be added until level + lent is the burst. */
     token_amount room() const;
 
+private:
     quota_limit m_limit;
     clock_drift m_drift;
     token_amount m_level;
