Rename Routing's view of a group: one namespace had two types of one name

Failover's group_view and member_role stood beside Routing's types of the same names; no program that includes both modules compiled (an ODR violation where they were linked). Routing's are now routing_view and reported_role.

--- a/sycamorespan/src/Routing/read_attempt.cpp
+++ b/sycamorespan/src/Routing/read_attempt.cpp
@@ -12,13 +12,13 @@
     , m_request(std::move(request))
 { }
 
-std::vector<read_action> read_attempt::start(const group_view &view, time_point now)
+std::vector<read_action> read_attempt::start(const routing_view &view, time_point now)
 {
     return decide(view, now);
 }
 
 std::vector<read_action> read_attempt::onAnswer(execution_id execution, const member_report &report,
-                                                const group_view &view, time_point now)
+                                                const routing_view &view, time_point now)
 {
     if (m_state != state::running || execution != m_execution || report.server != m_server)
         return {};
@@ -27,7 +27,7 @@
 }
 
 std::vector<read_action> read_attempt::onFailure(execution_id execution, read_failure failure,
-                                                 const group_view &view, time_point now)
+                                                 const routing_view &view, time_point now)
 {
     if (m_state != state::running || execution != m_execution)
         return {};
@@ -41,7 +41,7 @@
     return decide(view, now);
 }
 
-std::vector<read_action> read_attempt::onTimer(const group_view &view, time_point now)
+std::vector<read_action> read_attempt::onTimer(const routing_view &view, time_point now)
 {
     switch (m_state) {
     case state::waiting:
@@ -59,7 +59,7 @@
     return {};
 }
 
-std::vector<read_action> read_attempt::onViewChanged(const group_view &view, time_point now)
+std::vector<read_action> read_attempt::onViewChanged(const routing_view &view, time_point now)
 {
     if (m_state != state::holdingAnswer)
         return {};
@@ -69,7 +69,7 @@
     return actions;
 }
 
-std::vector<read_action> read_attempt::decide(const group_view &view, time_point now)
+std::vector<read_action> read_attempt::decide(const routing_view &view, time_point now)
 {
     if (now >= m_request.deadline)
         return refuse(read_refusal::noMember);
@@ -82,7 +82,7 @@
     return run(best, view, now);
 }
 
-std::vector<read_candidate> read_attempt::untriedCandidates(const group_view &view,
+std::vector<read_candidate> read_attempt::untriedCandidates(const routing_view &view,
                                                             time_point now) const
 {
     auto candidates = m_selector.rank(view, m_request, now);
@@ -94,8 +94,8 @@
     return candidates;
 }
 
-std::vector<read_action> read_attempt::run(const read_candidate &candidate, const group_view &view,
-                                           time_point now)
+std::vector<read_action> read_attempt::run(const read_candidate &candidate,
+                                           const routing_view &view, time_point now)
 {
     m_state = state::running;
     m_server = candidate.server;
@@ -114,7 +114,7 @@
     return {wait_until{until}};
 }
 
-std::vector<read_action> read_attempt::judgeAnswer(const group_view &view, time_point now)
+std::vector<read_action> read_attempt::judgeAnswer(const routing_view &view, time_point now)
 {
     m_ran = true;
     const auto known = view.withReport(*m_proof);
@@ -126,7 +126,7 @@
 }
 
 /** All but the confirmation of the proof's term, which may still come. */
-bool read_attempt::mayBeNewEnough(const member_report &report, const group_view &view) const
+bool read_attempt::mayBeNewEnough(const member_report &report, const routing_view &view) const
 {
     const bool includesFloor =
             report.position >= m_request.floor.position || m_request.floor.isOutranked(report);
@@ -149,7 +149,7 @@
     return {deliver_answer{m_execution, *m_proof}};
 }
 
-std::vector<read_action> read_attempt::discard(const group_view &view, time_point now)
+std::vector<read_action> read_attempt::discard(const routing_view &view, time_point now)
 {
     m_proof.reset();
     m_tried.insert(m_server);
--- a/sycamorespan/src/Routing/read_attempt.h
+++ b/sycamorespan/src/Routing/read_attempt.h
@@ -113,32 +113,32 @@
 public:
     read_attempt(const replica_selector &selector, read_policy policy, read_request request);
 
-    std::vector<read_action> start(const group_view &view, time_point now);
+    std::vector<read_action> start(const routing_view &view, time_point now);
 
     /** \param report  the proof that came with the answer */
     std::vector<read_action> onAnswer(execution_id execution, const member_report &report,
-                                      const group_view &view, time_point now);
+                                      const routing_view &view, time_point now);
     std::vector<read_action> onFailure(execution_id execution, read_failure failure,
-                                       const group_view &view, time_point now);
-    std::vector<read_action> onTimer(const group_view &view, time_point now);
-    std::vector<read_action> onViewChanged(const group_view &view, time_point now);
+                                       const routing_view &view, time_point now);
+    std::vector<read_action> onTimer(const routing_view &view, time_point now);
+    std::vector<read_action> onViewChanged(const routing_view &view, time_point now);
 
     bool isFinished() const noexcept { return m_state == state::finished; }
 
 private:
     enum class state { idle, waiting, running, holdingAnswer, finished };
 
-    std::vector<read_action> decide(const group_view &view, time_point now);
-    std::vector<read_action> run(const read_candidate &candidate, const group_view &view,
+    std::vector<read_action> decide(const routing_view &view, time_point now);
+    std::vector<read_action> run(const read_candidate &candidate, const routing_view &view,
                                  time_point now);
     std::vector<read_action> wait(time_point until);
-    std::vector<read_action> judgeAnswer(const group_view &view, time_point now);
+    std::vector<read_action> judgeAnswer(const routing_view &view, time_point now);
     std::vector<read_action> hold(time_point now);
     std::vector<read_action> deliver();
-    std::vector<read_action> discard(const group_view &view, time_point now);
+    std::vector<read_action> discard(const routing_view &view, time_point now);
     std::vector<read_action> refuse(read_refusal reason);
-    bool mayBeNewEnough(const member_report &report, const group_view &view) const;
-    std::vector<read_candidate> untriedCandidates(const group_view &view, time_point now) const;
+    bool mayBeNewEnough(const member_report &report, const routing_view &view) const;
+    std::vector<read_candidate> untriedCandidates(const routing_view &view, time_point now) const;
 
     const replica_selector &m_selector;
     read_policy m_policy;
--- a/sycamorespan/src/Routing/read_request.h
+++ b/sycamorespan/src/Routing/read_request.h
@@ -7,7 +7,7 @@
 #include "sycamorespan/src/Core/identifiers.h"
 #include "sycamorespan/src/Core/log_position.h"
 #include "sycamorespan/src/Core/time_types.h"
-#include "sycamorespan/src/Routing/group_view.h"
+#include "sycamorespan/src/Routing/routing_view.h"
 
 namespace sycamorespan {
 
@@ -44,7 +44,7 @@
     /** \returns whether \a report is of a primary in a later term than the floor. */
     bool isOutranked(const member_report &report) const
     {
-        return position && report.role == member_role::primary && report.term > position->term;
+        return position && report.role == reported_role::primary && report.term > position->term;
     }
 
     auto operator<=>(const session_floor &) const = default;
--- a/sycamorespan/src/Routing/replica_selector.cpp
+++ b/sycamorespan/src/Routing/replica_selector.cpp
@@ -40,7 +40,7 @@
 { }
 
 std::vector<read_candidate>
-replica_selector::rank(const group_view &view, const read_request &request, time_point now) const
+replica_selector::rank(const routing_view &view, const read_request &request, time_point now) const
 {
     std::vector<read_candidate> candidates;
     for (const auto &member : view.members) {
@@ -59,7 +59,7 @@
     return candidates;
 }
 
-std::optional<read_candidate> replica_selector::candidate(const group_view &view,
+std::optional<read_candidate> replica_selector::candidate(const routing_view &view,
                                                           const member_state &member,
                                                           const read_request &request,
                                                           time_point now) const
@@ -69,7 +69,7 @@
     const duration reach = member.distance + queueingDelay(member);
     if (member.server == view.primary)
         return read_candidate{member.server, true, duration{0}, reach + m_policy.primaryPenalty};
-    const bool canBeReplica = member.report && member.report->role == member_role::replica
+    const bool canBeReplica = member.report && member.report->role == reported_role::replica
                               && member.report->term >= view.term && member.report->staleness;
     if (request.isStrict() || !canBeReplica)
         return std::nullopt;
--- a/sycamorespan/src/Routing/replica_selector.h
+++ b/sycamorespan/src/Routing/replica_selector.h
@@ -3,8 +3,8 @@
 
 #include <vector>
 
-#include "sycamorespan/src/Routing/group_view.h"
 #include "sycamorespan/src/Routing/read_request.h"
+#include "sycamorespan/src/Routing/routing_view.h"
 
 namespace sycamorespan {
 
@@ -43,11 +43,11 @@
     explicit replica_selector(selection_policy policy);
 
     /** \returns members that are expected to answer \a request in time, the best one first. */
-    std::vector<read_candidate> rank(const group_view &view, const read_request &request,
+    std::vector<read_candidate> rank(const routing_view &view, const read_request &request,
                                      time_point now) const;
 
 private:
-    std::optional<read_candidate> candidate(const group_view &view, const member_state &member,
+    std::optional<read_candidate> candidate(const routing_view &view, const member_state &member,
                                             const read_request &request, time_point now) const;
 
     selection_policy m_policy;
--- a/sycamorespan/src/Routing/group_view.cpp
+++ b/sycamorespan/src/Routing/routing_view.cpp
@@ -1,4 +1,4 @@
-#include "sycamorespan/src/Routing/group_view.h"
+#include "sycamorespan/src/Routing/routing_view.h"
 
 #include <algorithm>
 #include <functional>
@@ -18,7 +18,7 @@
 
 } // namespace
 
-std::optional<time_point> group_view::confirmedAt(term_number limit) const
+std::optional<time_point> routing_view::confirmedAt(term_number limit) const
 {
     std::vector<time_point> times;
     for (const auto &member : members) {
@@ -32,7 +32,7 @@
     return *oldest;
 }
 
-bool group_view::isSuperseded(term_number limit) const
+bool routing_view::isSuperseded(term_number limit) const
 {
     const auto above = std::ranges::count_if(members, [limit](const member_state &member) {
         return member.report && member.report->term > limit;
@@ -40,13 +40,13 @@
     return static_cast<std::size_t>(above) >= majority(members.size());
 }
 
-group_view group_view::withReport(const member_report &report) const
+routing_view routing_view::withReport(const member_report &report) const
 {
-    group_view view = *this;
+    routing_view view = *this;
     const auto member = std::ranges::find(view.members, report.server, &member_state::server);
     if (member == view.members.end())
         return view;
-    if (report.role == member_role::primary && report.term >= view.term) {
+    if (report.role == reported_role::primary && report.term >= view.term) {
         view.term = report.term;
         view.primary = report.server;
     }
@@ -55,15 +55,16 @@
     return view;
 }
 
-const member_state *group_view::find(const server_id &server) const
+const member_state *routing_view::find(const server_id &server) const
 {
     const auto found = std::ranges::find(members, server, &member_state::server);
     return found != members.end() ? &*found : nullptr;
 }
 
-std::optional<time_point> completeUntil(const group_view &view, const member_report &report)
+std::optional<time_point> completeUntil(const routing_view &view, const member_report &report)
 {
-    const bool serves = report.role == member_role::primary || report.role == member_role::replica;
+    const bool serves =
+            report.role == reported_role::primary || report.role == reported_role::replica;
     if (!serves || !report.staleness)
         return std::nullopt;
     const auto confirmedAt = view.withReport(report).confirmedAt(report.term);
--- a/sycamorespan/src/Routing/group_view.h
+++ b/sycamorespan/src/Routing/routing_view.h
@@ -1,5 +1,5 @@
-#ifndef SYCAMORESPAN_ROUTING_GROUP_VIEW_H
-#define SYCAMORESPAN_ROUTING_GROUP_VIEW_H
+#ifndef SYCAMORESPAN_ROUTING_ROUTING_VIEW_H
+#define SYCAMORESPAN_ROUTING_ROUTING_VIEW_H
 
 #include <cstddef>
 #include <optional>
@@ -12,7 +12,7 @@
 namespace sycamorespan {
 
 /** \brief What a member of a group does, by its own report. */
-enum class member_role { unknown, primary, replica, fenced };
+enum class reported_role { unknown, primary, replica, fenced };
 
 /** \brief A member's answer to `group_position()`.
  *
@@ -22,7 +22,7 @@
 struct member_report
 {
     server_id server;
-    member_role role = member_role::unknown;
+    reported_role role = reported_role::unknown;
     term_number term = 0; ///< the member's term, not lower than the position's
     log_position position;
     std::optional<duration> staleness; ///< rounded up; zero on a primary, nothing when unknown
@@ -48,7 +48,7 @@
 /** \brief What an instance knows about a database's group; an immutable value.
  * \sa member_report
  */
-struct group_view
+struct routing_view
 {
     database_id database;
     term_number term = 0; ///< of the primary
@@ -68,11 +68,11 @@
     bool isSuperseded(term_number limit) const;
 
     /** \returns this view with \a report taken in, unless a later one is known. */
-    group_view withReport(const member_report &report) const;
+    routing_view withReport(const member_report &report) const;
 
     const member_state *find(const server_id &server) const;
 
-    bool operator==(const group_view &) const = default;
+    bool operator==(const routing_view &) const = default;
 };
 
 /** \brief The moment up to which the answer of a read with proof \a report is complete.
@@ -80,7 +80,7 @@
  * Every write that was acknowledged before it is in the answer.
  * \returns nothing when it is unknown, as for a member of a superseded term
  */
-std::optional<time_point> completeUntil(const group_view &view, const member_report &report);
+std::optional<time_point> completeUntil(const routing_view &view, const member_report &report);
 
 } // namespace sycamorespan
 
--- a/test/routing_reads.cpp
+++ b/test/routing_reads.cpp
@@ -34,7 +34,7 @@
 {
     std::vector<log_entry> log;
     term_number term = 1;
-    member_role role = member_role::replica;
+    reported_role role = reported_role::replica;
     std::size_t upstream = 0;
     std::optional<time_point> syncedAt;
     int connectionEpoch = 0; // sessions end when the role changes
@@ -93,7 +93,7 @@
         : m_selector(eagerPolicy)
         , m_codec({"secret"})
     {
-        m_members[0].role = member_role::primary;
+        m_members[0].role = reported_role::primary;
         for (auto &view : m_views) {
             view.database = database;
             for (std::size_t index = 0; index < memberCount; ++index)
@@ -138,7 +138,7 @@
     void write(std::size_t server, std::size_t session)
     {
         auto &target = m_members[server];
-        if (target.role != member_role::primary)
+        if (target.role != reported_role::primary)
             return;
         target.log.push_back({target.term, ++m_lastValue});
         m_pending.push_back({session, server, target.term, target.log.size(), m_lastValue});
@@ -155,7 +155,7 @@
         std::erase_if(m_pending, [this](const pending_write &write) {
             const auto holders = std::ranges::count_if(
                     m_members, [&](const member &each) { return holds(each, write); });
-            if (holders < 2 || m_members[write.server].role != member_role::primary)
+            if (holders < 2 || m_members[write.server].role != reported_role::primary)
                 return false;
             m_acknowledged.push_back({write.session, write.value, m_now});
             auto &token = m_tokens[write.session];
@@ -189,7 +189,7 @@
             if (index == spared)
                 continue;
             m_members[index].term = *m_electionTerm;
-            m_members[index].role = member_role::fenced;
+            m_members[index].role = reported_role::fenced;
             ++m_members[index].connectionEpoch;
             m_fenced.push_back(index);
         }
@@ -201,7 +201,7 @@
             return;
         const auto longest = *std::ranges::max_element(
                 m_fenced, {}, [this](std::size_t index) { return m_members[index].position(); });
-        m_members[longest].role = member_role::primary;
+        m_members[longest].role = reported_role::primary;
         m_primary = longest;
         m_electionTerm.reset();
     }
@@ -215,7 +215,7 @@
         const auto [end, ignored] = std::ranges::mismatch(follower.log, primary.log);
         follower.log.erase(end, follower.log.end());
         follower.term = primary.term;
-        follower.role = member_role::replica;
+        follower.role = reported_role::replica;
         follower.upstream = m_primary;
         follower.syncedAt.reset();
         ++follower.connectionEpoch;
@@ -225,7 +225,7 @@
     {
         auto &follower = m_members[index];
         const auto &source = m_members[follower.upstream];
-        if (follower.role != member_role::replica || source.role != member_role::primary
+        if (follower.role != reported_role::replica || source.role != reported_role::primary
             || source.term != follower.term)
             return;
         const auto end = std::min(source.log.size(), follower.log.size() + 1 + count % 8);
@@ -239,7 +239,7 @@
     {
         const auto &each = m_members[index];
         std::optional<duration> staleness;
-        if (each.role == member_role::primary)
+        if (each.role == reported_role::primary)
             staleness = duration{0};
         else if (each.syncedAt)
             staleness = m_now - *each.syncedAt;
@@ -289,7 +289,7 @@
     void evaluateProof(running_read &read)
     {
         const auto &server = m_members[read.server];
-        if (server.role == member_role::fenced || m_isCut[read.proxy][read.server])
+        if (server.role == reported_role::fenced || m_isCut[read.proxy][read.server])
             return fail(read, read_failure::notSent);
         read.proof = report(read.server, 0ms);
         read.proof->askedAt = read.sentAt;
@@ -345,7 +345,7 @@
                           != read.answer->end());
         }
         ++m_counts.delivered;
-        m_counts.byReplica += read.proof->role == member_role::replica ? 1 : 0;
+        m_counts.byReplica += read.proof->role == reported_role::replica ? 1 : 0;
         auto &token = m_tokens[read.session];
         token = m_codec.encode({database, *floorOf(token).after(deliver.proof, m_now).position});
     }
@@ -354,7 +354,7 @@
     session_position_codec m_codec;
     time_point m_now{1h};
     std::array<member, memberCount> m_members;
-    std::array<group_view, proxyCount> m_views;
+    std::array<routing_view, proxyCount> m_views;
     std::array<std::array<bool, memberCount>, proxyCount> m_isCut{};
     std::array<std::string, sessionCount> m_tokens;
     std::vector<pending_write> m_pending;
