--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -76,7 +76,7 @@
     , m_configuration(
               loop, m_table, m_objects, agentSettings.timing.configurationPoll,
               [this](const configuration_snapshot &snapshot) { handleConfiguration(snapshot); },
-              random)
+              [this](time_point askedAt) { handleConfirmed(askedAt); }, random)
     , m_instances(
               loop, m_instanceList, instanceListInterval,
               [this](const instance_list &list) { handleInstances(list); }, random)
@@ -237,6 +237,15 @@
     m_supervisors.setAgents(live);
 }
 
+void agent::handleConfirmed(time_point askedAt)
+{
+    const auto until = askedAt + m_settings.timing.freshnessBound;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - monotonicNow());
+    if (left.count() > 0)
+        m_proxies.broadcast(
+                messages::freshness_update{true, static_cast<std::uint64_t>(left.count())});
+}
+
 void agent::handleInstances(const instance_list &list)
 {
     auto peers = m_seedPeers;
--- a/programs/agent/agent.h
+++ b/programs/agent/agent.h
@@ -50,6 +50,7 @@
     void handleGroupView(const messages::group_view_update &view);
     void askObservers(const messages::suspicion_query &query);
     void updateAgents();
+    void handleConfirmed(time_point askedAt);
     void handleInstances(const instance_list &list);
     void handleDrainTick();
 
--- a/programs/agent/configuration_task.cpp
+++ b/programs/agent/configuration_task.cpp
@@ -12,11 +12,13 @@
 
 configuration_task::configuration_task(ev::loop_ref loop, table_service_client &table,
                                        object_store_client &objects, duration poll,
-                                       changed_handler onChanged, random_source random)
+                                       changed_handler onChanged, confirmed_handler onConfirmed,
+                                       random_source random)
     : m_table(table)
     , m_objects(objects)
     , m_interval(poll)
     , m_onChanged(std::move(onChanged))
+    , m_onConfirmed(std::move(onConfirmed))
     , m_random(std::move(random))
     , m_log("configuration")
     , m_timer(loop, [this] { this->poll(); })
@@ -52,6 +54,7 @@
 void configuration_task::poll()
 {
     ++m_counters.polls;
+    m_askedAt = monotonicNow();
     m_table.run({{}, {table_get{rowKey}}, {}}, [this](const auto &outcome) { handleRow(outcome); });
 }
 
@@ -84,8 +87,11 @@
 
 void configuration_task::fetch(const configuration::configuration_row &row)
 {
-    if (row.version <= version())
+    if (row.version <= version()) {
+        if (row.version == version())
+            m_onConfirmed(m_askedAt);
         return;
+    }
     m_objects.get(row.object, [this, row](const auto &outcome) { handleObject(row, outcome); });
 }
 
--- a/programs/agent/configuration_task.h
+++ b/programs/agent/configuration_task.h
@@ -43,15 +43,19 @@
 {
 public:
     using changed_handler = std::function<void(const configuration_snapshot &)>;
+    /** Gets the time before the row was asked for. */
+    using confirmed_handler = std::function<void(time_point)>;
 
     /** \param table     reads the row "configuration"; outlives this object
      * \param objects    reads the bodies; outlives this object
      * \param poll       between two reads of the row
      * \param onChanged  called for each version that is taken
+     * \param onConfirmed  called when the version in force was read to be the newest
      * \param random     source of the polls' jitter
      */
     configuration_task(ev::loop_ref loop, table_service_client &table, object_store_client &objects,
-                       duration poll, changed_handler onChanged, random_source random);
+                       duration poll, changed_handler onChanged, confirmed_handler onConfirmed,
+                       random_source random);
 
     /** \brief A connected process holds \a version. */
     void learnVersion(const process_link &from, configuration::configuration_version version);
@@ -79,6 +83,8 @@
     object_store_client &m_objects;
     duration m_interval;
     changed_handler m_onChanged;
+    confirmed_handler m_onConfirmed;
+    time_point m_askedAt;
     random_source m_random;
     logger m_log;
     configuration_counters m_counters;
--- /dev/null
+++ b/programs/proxy/access_control.h
@@ -0,0 +1,68 @@
+#ifndef SYCAMORESPAN_PROGRAMS_PROXY_ACCESS_CONTROL_H
+#define SYCAMORESPAN_PROGRAMS_PROXY_ACCESS_CONTROL_H
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "sycamorespan/Configuration"
+#include "sycamorespan/Routing"
+#include "sycamorespan/Session"
+
+namespace sycamorespan::proxy {
+
+/** \brief What an accepted caller may do. */
+struct caller_grant
+{
+    /** Empty on a route open to all. */
+    std::optional<configuration::key_guard> guard;
+    workspace_id workspace;
+    database_id database;
+    duration planStaleness{0};
+    std::optional<log_position> position;
+    std::optional<duration> maxStaleness;
+};
+
+/** \brief Checks callers against the configuration in force. */
+class access_control
+{
+public:
+    /** \brief Takes a version of the configuration. \returns whether it is in force now. */
+    bool offer(configuration::configuration_version version, const std::string &body);
+
+    /** \brief Sets until when the configuration is known to be the newest. */
+    void setFreshUntil(time_point until) { m_freshUntil = until; }
+    bool isFresh(time_point now) const { return now < m_freshUntil; }
+
+    std::variant<caller_grant, error_report>
+    authenticate(const caller_identity &identity, const std::string &key, time_point now) const;
+
+    /** \returns why a statement of this caller is refused now; it was not run. */
+    std::optional<error_report> refusalOf(const caller_grant &grant, bool isInTransaction,
+                                          time_point now) const;
+
+    /** \returns whether the session has to end as its key was withdrawn. */
+    bool isWithdrawn(const caller_grant &grant) const;
+
+    /** \returns the text of a position that a caller can hand in on any proxy. */
+    std::string positionToken(const database_id &database, const log_position &position) const;
+
+    configuration::configuration_version version() const { return m_holder.version(); }
+    const std::shared_ptr<const configuration::configuration_document> &document() const
+    {
+        return m_holder.document();
+    }
+
+private:
+    caller_grant grantFor(const caller_identity &identity, const workspace_id &workspace,
+                          duration planStaleness) const;
+
+    configuration::configuration_holder m_holder;
+    configuration::key_ring m_keys{nullptr};
+    std::optional<session_position_codec> m_positions;
+    time_point m_freshUntil;
+};
+
+} // namespace sycamorespan::proxy
+
+#endif
--- /dev/null
+++ b/programs/proxy/caller_connection.cpp
@@ -0,0 +1,129 @@
+#include "programs/proxy/caller_connection.h"
+
+#include <utility>
+
+namespace sycamorespan::proxy {
+namespace {
+
+constexpr std::size_t pausedWriteBytes = 4UL * 1024 * 1024;
+
+} // namespace
+
+caller_connection::caller_connection(const caller_services &services, file_descriptor socket,
+                                     std::int32_t processId, std::int32_t secret,
+                                     std::function<void()> onClosed)
+    : m_services(services)
+    , m_processId(processId)
+    , m_secret(secret)
+    , m_onClosed(std::move(onClosed))
+    , m_session(services.limits, services.classifier)
+    , m_stream(services.loop, std::move(socket),
+               {[this](std::string_view bytes) { handle(caller_bytes{bytes}); },
+                [this] { closed(); }})
+    , m_startupTimer(services.loop, [this] { startupTimedOut(); })
+{
+    m_startupTimer.startOnce(services.startupTimeout);
+}
+
+void caller_connection::end(const error_report &report, ending_mode mode)
+{
+    handle(session_ending{report, mode});
+}
+
+void caller_connection::cancelRunning()
+{
+    if (m_flow)
+        m_flow->cancelRunning();
+}
+
+void caller_connection::handle(const session_event &event)
+{
+    for (const auto &action : m_session.handle(event))
+        std::visit([this](const auto &value) { perform(value); }, action);
+}
+
+void caller_connection::perform(const send_bytes &action)
+{
+    m_stream.write(action.bytes);
+    m_stream.pauseReading(m_stream.pendingBytes() > pausedWriteBytes);
+}
+
+void caller_connection::perform(const negotiate_tls &)
+{
+    m_stream.write("N");
+}
+
+void caller_connection::perform(const authenticate_caller &action)
+{
+    auto decision =
+            m_services.access.authenticate(action.identity, action.password, monotonicNow());
+    if (const auto *report = std::get_if<error_report>(&decision))
+        return handle(caller_refused{*report});
+    m_grant = std::move(std::get<caller_grant>(decision));
+    auto *database = m_services.findDatabase(m_grant->database);
+    m_flow = std::make_unique<statement_flow>(m_services.loop, *database, m_grant->workspace,
+                                              m_grant->planStaleness, m_services.bounds,
+                                              m_services.statements);
+    m_startupTimer.stop();
+    handle(caller_accepted{m_grant->position, m_grant->maxStaleness, !m_grant->guard, m_processId,
+                           m_secret});
+}
+
+void caller_connection::perform(const start_statement &action)
+{
+    const bool ends = action.request.step == transaction_step::rollback;
+    const auto refusal = ends ? std::nullopt
+                              : m_services.access.refusalOf(*m_grant, m_session.isInTransaction(),
+                                                            monotonicNow());
+    if (!refusal) {
+        return m_flow->start(action.request, [this](statement_flow::outcome outcome) {
+            finished(std::move(outcome));
+        });
+    }
+    m_flow->abandon();
+    statement_finished event;
+    event.result.error = refusal;
+    event.result.transactionLost = true;
+    handle(event);
+}
+
+void caller_connection::perform(const cancel_statement &action)
+{
+    m_services.cancel(action.processId, action.secret);
+}
+
+void caller_connection::perform(const abandon_work &)
+{
+    if (m_flow)
+        m_flow->abandon();
+}
+
+void caller_connection::perform(const close_session &)
+{
+    m_startupTimer.stop();
+    m_stream.closeAfterWrite();
+}
+
+void caller_connection::closed()
+{
+    m_startupTimer.stop();
+    if (m_flow)
+        m_flow->abandon();
+    m_onClosed();
+}
+
+void caller_connection::startupTimedOut()
+{
+    end({"FATAL", std::string(sqlstate::protocolViolation), "authentication took too long", {}, {}},
+        ending_mode::immediately);
+}
+
+void caller_connection::finished(statement_flow::outcome outcome)
+{
+    statement_finished event{std::move(outcome.result), outcome.position, {}};
+    if (outcome.position)
+        event.positionToken = m_services.access.positionToken(m_grant->database, *outcome.position);
+    handle(event);
+}
+
+} // namespace sycamorespan::proxy
--- /dev/null
+++ b/programs/proxy/caller_connection.h
@@ -0,0 +1,72 @@
+#ifndef SYCAMORESPAN_PROGRAMS_PROXY_CALLER_CONNECTION_H
+#define SYCAMORESPAN_PROGRAMS_PROXY_CALLER_CONNECTION_H
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include <ev++.h>
+
+#include "programs/proxy/access_control.h"
+#include "programs/proxy/statement_flow.h"
+#include "sycamorespan/Net"
+#include "sycamorespan/Session"
+
+namespace sycamorespan::proxy {
+
+/** \brief What every caller's connection uses; owned by the proxy. */
+struct caller_services
+{
+    ev::loop_ref loop;
+    statement_classifier &classifier;
+    access_control &access;
+    statement_counters &statements;
+    session_limits limits;
+    statement_bounds bounds;
+    duration startupTimeout = 5s;
+    std::function<database_task *(const database_id &)> findDatabase;
+    std::function<void(std::int32_t processId, std::int32_t secret)> cancel;
+};
+
+/** \brief One caller: its socket, its session and what runs for it. */
+class caller_connection
+{
+public:
+    caller_connection(const caller_services &services, file_descriptor socket,
+                      std::int32_t processId, std::int32_t secret, std::function<void()> onClosed);
+
+    std::int32_t processId() const noexcept { return m_processId; }
+    std::int32_t secret() const noexcept { return m_secret; }
+    const std::optional<caller_grant> &grant() const noexcept { return m_grant; }
+    bool isIdle() const noexcept { return m_session.isIdle(); }
+
+    void end(const error_report &report, ending_mode mode);
+    void cancelRunning();
+
+private:
+    void handle(const session_event &event);
+    void perform(const send_bytes &action);
+    void perform(const negotiate_tls &action);
+    void perform(const authenticate_caller &action);
+    void perform(const start_statement &action);
+    void perform(const cancel_statement &action);
+    void perform(const abandon_work &action);
+    void perform(const close_session &action);
+    void closed();
+    void startupTimedOut();
+    void finished(statement_flow::outcome outcome);
+
+    const caller_services &m_services;
+    std::int32_t m_processId;
+    std::int32_t m_secret;
+    std::function<void()> m_onClosed;
+    caller_session m_session;
+    std::optional<caller_grant> m_grant;
+    std::unique_ptr<statement_flow> m_flow;
+    byte_stream m_stream;
+    loop_timer m_startupTimer;
+};
+
+} // namespace sycamorespan::proxy
+
+#endif
--- /dev/null
+++ b/programs/proxy/database_task.cpp
@@ -0,0 +1,294 @@
+#include "programs/proxy/database_task.h"
+
+#include <algorithm>
+#include <charconv>
+#include <ranges>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "sycamorespan/src/Protocol/internal/byte_reader.h"
+
+namespace sycamorespan::proxy {
+namespace {
+
+constexpr duration statusTimeout = 300ms;
+
+group_view emptyView(const database_id &database)
+{
+    group_view view;
+    view.database = database;
+    return view;
+}
+
+/** \returns the values of the only row of \a result. */
+std::vector<std::string> onlyRow(const sql_result &result)
+{
+    if (result.error)
+        throw decode_error(result.error->message);
+    internal::byte_reader reader(result.rows);
+    if (reader.readByte() != 'D')
+        throw decode_error("a row was expected");
+    reader.readInt32();
+    std::vector<std::string> values(reader.readCount());
+    std::ranges::generate(values, [&reader] {
+        const auto length = reader.readInt32();
+        return length < 0 ? std::string() : std::string(reader.take(std::size_t(length)));
+    });
+    reader.expectEnd();
+    return values;
+}
+
+template<typename Number>
+Number toNumber(const std::string &text)
+{
+    Number value = 0;
+    const auto *const last = text.data() + text.size();
+    const auto [end, code] = std::from_chars(text.data(), last, value);
+    if (code != std::errc() || end != last)
+        throw decode_error("'" + text + "' is not a number");
+    return value;
+}
+
+std::optional<duration> parseStaleness(const std::string &text)
+{
+    const auto milliseconds = toNumber<std::int64_t>(text);
+    if (milliseconds < 0)
+        return std::nullopt;
+    return std::chrono::milliseconds(milliseconds);
+}
+
+member_status parseStatus(const sql_result &result)
+{
+    constexpr std::size_t statusColumns = 8;
+    const auto values = onlyRow(result);
+    if (values.size() != statusColumns)
+        throw decode_error("group_status has another number of columns");
+    member_status status;
+    status.term = toNumber<term_number>(values[0]);
+    status.role = parseMemberRole(values[1]);
+    status.position = {toNumber<term_number>(values[2]), toNumber<std::uint64_t>(values[3])};
+    status.staleness = parseStaleness(values[4]);
+    status.followers = parseFollowers(values[5]);
+    return status;
+}
+
+} // namespace
+
+sql_request proofStatement()
+{
+    return {"SELECT * FROM group_position()"};
+}
+
+member_proof parseProof(const sql_result &result, time_point askedAt)
+{
+    constexpr std::size_t proofColumns = 5;
+    const auto values = onlyRow(result);
+    if (values.size() != proofColumns)
+        throw decode_error("group_position has another number of columns");
+    return {parseMemberRole(values[3]),
+            toNumber<term_number>(values[4]),
+            {toNumber<term_number>(values[0]), toNumber<std::uint64_t>(values[1])},
+            parseStaleness(values[2]),
+            askedAt};
+}
+
+database_task::database_task(ev::loop_ref loop, database_id database,
+                             const database_options &options)
+    : m_loop(loop)
+    , m_database(std::move(database))
+    , m_options(options)
+    , m_tracker({}, emptyView(m_database))
+    , m_trackerTimer(loop, [this] { step(time_passed{}); })
+{ }
+
+database_task::~database_task() = default;
+
+void database_task::setMembers(const std::vector<configuration::member_entry> &members)
+{
+    for (const auto &entry : members) {
+        auto &target = m_members[entry.server];
+        if (target.pool && target.entry.address == entry.address)
+            continue;
+        retire(target);
+        target.entry = entry;
+        target.pool = std::make_unique<member_pool>(
+                m_loop,
+                member_pool::options{connectionOptions(target), m_options.connectionsPerMember});
+    }
+    const auto isConfigured = [&members](const server_id &server) {
+        return std::ranges::find(members, server, &configuration::member_entry::server)
+               != members.end();
+    };
+    for (auto &[server, target] : m_members) {
+        if (!isConfigured(server))
+            retire(target);
+    }
+    std::erase_if(m_members, [](const auto &known) { return !known.second.pool; });
+    std::erase_if(m_leavingPools, [](const auto &pool) { return pool->leasedConnections() == 0; });
+}
+
+void database_task::retire(member &target)
+{
+    if (target.pool)
+        m_leavingPools.push_back(std::move(target.pool));
+}
+
+void database_task::learnView(const group_view &view)
+{
+    const auto before = m_tracker.view().term;
+    step(view_learned{view});
+    if (m_tracker.view().term != before)
+        ++m_counters.viewChanges;
+}
+
+member_pool *database_task::pool(const server_id &server)
+{
+    const auto found = m_members.find(server);
+    return found == m_members.end() ? nullptr : found->second.pool.get();
+}
+
+std::vector<server_id> database_task::replicaCandidates(const log_position &floor) const
+{
+    struct candidate
+    {
+        bool isElsewhere = false;
+        std::size_t load = 0;
+        server_id server;
+        auto operator<=>(const candidate &) const = default;
+    };
+    std::vector<candidate> candidates;
+    for (const auto &[server, target] : m_members) {
+        const bool behind = target.hint && target.hint->position < floor
+                            && monotonicNow() - target.hint->askedAt < 5ms;
+        if (server != view().primary && !behind)
+            candidates.push_back({target.entry.dataCentre != m_options.dataCentre,
+                                  target.pool->leasedConnections() + target.pool->waiting(),
+                                  server});
+    }
+    std::ranges::sort(candidates);
+    std::vector<server_id> servers;
+    std::ranges::transform(candidates, std::back_inserter(servers), &candidate::server);
+    return servers;
+}
+
+void database_task::noteProof(const server_id &server, const member_proof &proof)
+{
+    const auto found = m_members.find(server);
+    if (found != m_members.end())
+        found->second.hint = proof;
+}
+
+waiter_id database_task::waitUntilHeld(const log_position &position, time_point deadline,
+                                       held_handler onHeld)
+{
+    const auto waiter = ++m_lastWaiter;
+    m_waits.emplace(waiter, std::move(onHeld));
+    step(wait_started{waiter, position, deadline});
+    return waiter;
+}
+
+void database_task::abandonWait(waiter_id waiter)
+{
+    if (m_waits.erase(waiter) > 0)
+        step(wait_abandoned{waiter});
+}
+
+nlohmann::json database_task::state() const
+{
+    auto members = nlohmann::json::object();
+    for (const auto &[server, target] : m_members) {
+        members[server.str()] = {{"address", target.entry.address},
+                                 {"connections", target.pool->openConnections()},
+                                 {"leased", target.pool->leasedConnections()},
+                                 {"waiting", target.pool->waiting()}};
+    }
+    return {{"term", view().term},
+            {"primary", view().primary.str()},
+            {"commits_waiting", m_tracker.waiting()},
+            {"members", members}};
+}
+
+void database_task::step(const commit_tracker_event &event)
+{
+    for (const auto &action : m_tracker.handle(event, monotonicNow()))
+        std::visit([this](const auto &value) { perform(value); }, action);
+    scheduleTracker();
+}
+
+void database_task::perform(const request_status &action)
+{
+    ++m_counters.statusRequests;
+    const bool reusable = m_monitor && m_monitoredServer == action.server && !action.freshConnection
+                          && m_monitor->currentState() == backend_connection::state::ready;
+    if (reusable)
+        return askStatus(action);
+    const auto found = m_members.find(action.server);
+    if (found == m_members.end())
+        return;
+    if (m_monitor)
+        m_retired.push_back(std::move(m_monitor));
+    m_monitoredServer = action.server;
+    m_monitor = std::make_unique<backend_connection>(m_loop, connectionOptions(found->second),
+                                                     [this, action](bool connected) {
+                                                         if (connected)
+                                                             askStatus(action);
+                                                         else
+                                                             step(status_failed{action.request});
+                                                     });
+}
+
+void database_task::askStatus(const request_status &action)
+{
+    m_retired.clear();
+    m_monitor->run({{{"SELECT * FROM group_status()"}}}, statusTimeout,
+                   [this, action](const backend_reply &reply) { takeStatus(action, reply); });
+}
+
+void database_task::takeStatus(const request_status &action, const backend_reply &reply)
+{
+    if (reply.connectionLost)
+        return step(status_failed{action.request});
+    try {
+        step(status_answered{action.request, action.server, parseStatus(reply.results.at(0))});
+    } catch (const decode_error &) {
+        step(status_failed{action.request});
+    }
+}
+
+void database_task::perform(const release_waiter &action)
+{
+    ++m_counters.commitsReleased;
+    finishWait(action.waiter, true);
+}
+
+void database_task::perform(const report_unknown &action)
+{
+    ++m_counters.commitsUnknown;
+    finishWait(action.waiter, false);
+}
+
+void database_task::perform(const suspect_primary &) { }
+
+void database_task::finishWait(waiter_id waiter, bool isHeld)
+{
+    auto node = m_waits.extract(waiter);
+    if (!node.empty())
+        node.mapped()(isHeld);
+}
+
+void database_task::scheduleTracker()
+{
+    const auto deadline = m_tracker.nextDeadline();
+    if (!deadline)
+        return m_trackerTimer.stop();
+    m_trackerTimer.startOnce(std::max(duration::zero(), *deadline - monotonicNow()));
+}
+
+backend_connection::options database_task::connectionOptions(const member &target) const
+{
+    return {parseEndpoint(target.entry.address), m_options.backendPassword,
+            m_options.applicationName};
+}
+
+} // namespace sycamorespan::proxy
--- /dev/null
+++ b/programs/proxy/proxy.cpp
@@ -0,0 +1,259 @@
+#include "programs/proxy/proxy.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "programs/proxy/proxy_metrics.h"
+#include "sycamorespan/src/Core/overloaded.h"
+
+namespace sycamorespan::proxy {
+namespace {
+
+constexpr duration drainCheckInterval = 20ms;
+
+error_report shutdownReport()
+{
+    return {"FATAL",
+            std::string(sqlstate::adminShutdown),
+            "terminating connection due to administrator command",
+            {},
+            {}};
+}
+
+std::string makeBoot(const random_source &random)
+{
+    return std::to_string(random());
+}
+
+group_view toView(const messages::group_view_update &update)
+{
+    group_view view;
+    view.database = update.database;
+    view.term = update.term;
+    view.primary = update.primary;
+    std::ranges::transform(
+            update.members, std::back_inserter(view.members),
+            [](const messages::group_member &member) {
+                return group_member{member.server, member.address, member.dataCentre};
+            });
+    if (update.base)
+        view.base = log_position{update.base->term, update.base->offset};
+    view.state = update.primary.empty() ? group_state::unserved : group_state::served;
+    return view;
+}
+
+} // namespace
+
+proxy::proxy(ev::loop_ref loop, const settings::proxy_settings &proxySettings,
+             const random_source &random)
+    : m_loop(loop)
+    , m_settings(proxySettings)
+    , m_random(random)
+    , m_boot(makeBoot(random))
+    , m_log("proxy")
+    , m_services(services())
+    , m_reaper(loop, [this] { removeClosed(); })
+    , m_drainTimer(loop, [this] { endWhenDrained(); })
+    , m_agent(
+              loop, parseEndpoint(proxySettings.agent), [this] { return hello(); },
+              [this](const messages::message &message) { received(message); }, random)
+    , m_listener(loop, parseEndpoint(proxySettings.listen),
+                 [this](file_descriptor socket) { accept(std::move(socket)); })
+    , m_admin(loop, parseEndpoint(proxySettings.admin),
+              {metrics(), [this] { return state(); },
+               [this] { return !m_draining && m_access.version() > 0; }})
+{
+    m_log.write(log_level::info, "listening",
+                {{"callers", proxySettings.listen}, {"boot", m_boot}});
+}
+
+void proxy::drain()
+{
+    if (std::exchange(m_draining, true))
+        return;
+    m_log.write(log_level::info, "draining", {{"sessions", std::to_string(m_callers.size())}});
+    m_drainStart = monotonicNow();
+    m_listener.close();
+    for (auto &entry : m_callers) {
+        if (!entry.closed)
+            entry.connection->end(shutdownReport(), ending_mode::whenIdle);
+    }
+    m_drainTimer.startRepeating(drainCheckInterval);
+}
+
+void proxy::endWhenDrained()
+{
+    removeClosed();
+    if (m_callers.empty()) {
+        m_log.write(log_level::info, "drained");
+        return m_loop.break_loop(ev::ALL);
+    }
+    if (monotonicNow() - m_drainStart < m_settings.limits.drainTimeout)
+        return;
+    for (auto &entry : m_callers) {
+        if (!entry.closed)
+            entry.connection->end(shutdownReport(), ending_mode::afterStatement);
+    }
+}
+
+void proxy::logState()
+{
+    m_log.write(log_level::info, "state", {{"state", state().dump()}});
+}
+
+caller_services proxy::services()
+{
+    const auto &limits = m_settings.limits;
+    return {m_loop,
+            m_classifier,
+            m_access,
+            m_statements,
+            {limits.messageBytes},
+            {limits.queueDeadline, limits.statementTimeout},
+            limits.startupTimeout,
+            [this](const database_id &database) { return findDatabase(database); },
+            [this](std::int32_t processId, std::int32_t secret) { cancel(processId, secret); }};
+}
+
+messages::hello proxy::hello() const
+{
+    return {m_settings.instance, m_settings.dataCentre,         m_boot,
+            m_settings.listen,   messages::process_role::proxy, m_access.version()};
+}
+
+void proxy::accept(file_descriptor socket)
+{
+    ++m_callerCounters.connections;
+    if (m_callers.size() >= m_settings.limits.sessions) {
+        ++m_callerCounters.refusedConnections;
+        return;
+    }
+    auto &entry = m_callers.emplace_back();
+    const auto secret = static_cast<std::int32_t>(m_random());
+    entry.connection = std::make_unique<caller_connection>(
+            m_services, std::move(socket), ++m_lastProcessId, secret, [this, &entry] {
+                entry.closed = true;
+                m_reaper.startOnce(duration::zero());
+            });
+}
+
+void proxy::removeClosed()
+{
+    std::erase_if(m_callers, [](const caller &entry) { return entry.closed; });
+}
+
+void proxy::received(const messages::message &message)
+{
+    std::visit(overloaded{
+                       [this](const messages::configuration_body &body) { take(body); },
+                       [this](const messages::group_view_update &update) { take(update); },
+                       [this](const messages::freshness_update &update) { take(update); },
+                       [this](const messages::drain_request &) { drain(); },
+                       [](const auto &) {},
+               },
+               message);
+}
+
+void proxy::take(const messages::configuration_body &body)
+{
+    if (!m_access.offer(body.version, body.body))
+        return;
+    const auto &lists = m_access.document()->lists;
+    for (const auto &[database, group] : lists.groups) {
+        auto &task = m_databases[database];
+        if (!task) {
+            task = std::make_unique<database_task>(
+                    m_loop, database,
+                    database_options{m_settings.backendPassword,
+                                     m_settings.instance.str() + '/' + m_boot,
+                                     m_settings.dataCentre});
+        }
+        task->setMembers(group.members);
+    }
+    endWithdrawn();
+    m_agent.send(messages::configuration_in_force{m_settings.instance, body.version});
+    m_log.write(log_level::info, "configuration in force",
+                {{"version", std::to_string(body.version)}});
+}
+
+void proxy::take(const messages::group_view_update &update)
+{
+    const auto found = m_databases.find(update.database);
+    if (found == m_databases.end())
+        return;
+    const auto before = found->second->view().term;
+    found->second->learnView(toView(update));
+    if (found->second->view().term != before) {
+        m_log.write(log_level::info, "primary changed",
+                    {{"database", update.database.str()},
+                     {"term", std::to_string(update.term)},
+                     {"primary", update.primary.str()}});
+    }
+}
+
+void proxy::take(const messages::freshness_update &update)
+{
+    const auto validity =
+            update.fresh ? std::chrono::milliseconds(update.untilMs) : std::chrono::milliseconds(0);
+    m_access.setFreshUntil(monotonicNow() + validity);
+}
+
+void proxy::endWithdrawn()
+{
+    for (auto &entry : m_callers) {
+        const auto &grant = entry.connection->grant();
+        if (entry.closed || !grant || !m_access.isWithdrawn(*grant))
+            continue;
+        ++m_callerCounters.refusedKeys;
+        entry.connection->end({"FATAL",
+                               std::string(sqlstate::invalidAuthorization),
+                               "the key was withdrawn",
+                               {},
+                               {}},
+                              ending_mode::afterStatement);
+    }
+}
+
+void proxy::cancel(std::int32_t processId, std::int32_t secret)
+{
+    const auto found = std::ranges::find_if(m_callers, [&](const caller &entry) {
+        return !entry.closed && entry.connection->processId() == processId
+               && entry.connection->secret() == secret;
+    });
+    if (found != m_callers.end())
+        found->connection->cancelRunning();
+}
+
+database_task *proxy::findDatabase(const database_id &database)
+{
+    const auto found = m_databases.find(database);
+    return found == m_databases.end() ? nullptr : found->second.get();
+}
+
+nlohmann::json proxy::state() const
+{
+    auto databases = nlohmann::json::object();
+    for (const auto &[name, task] : m_databases)
+        databases[name.str()] = task->state();
+    return {{"instance", m_settings.instance.str()},
+            {"data_centre", m_settings.dataCentre.str()},
+            {"boot", m_boot},
+            {"draining", m_draining},
+            {"configuration_version", m_access.version()},
+            {"fresh", m_access.isFresh(monotonicNow())},
+            {"agent_connected", m_agent.isConnected()},
+            {"sessions", m_callers.size()},
+            {"databases", databases}};
+}
+
+std::shared_ptr<prometheus::Collectable> proxy::metrics()
+{
+    return std::make_shared<proxy_metrics>([this] {
+        return proxy_readings{m_statements, m_callerCounters, m_callers.size(), m_access.version(),
+                              m_classifier.counters()};
+    });
+}
+
+} // namespace sycamorespan::proxy
--- /dev/null
+++ b/programs/proxy/proxy.h
@@ -0,0 +1,81 @@
+#ifndef SYCAMORESPAN_PROGRAMS_PROXY_PROXY_H
+#define SYCAMORESPAN_PROGRAMS_PROXY_PROXY_H
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <ev++.h>
+#include <nlohmann/json_fwd.hpp>
+#include <prometheus/registry.h>
+
+#include "programs/proxy/agent_link_task.h"
+#include "programs/proxy/caller_connection.h"
+#include "programs/proxy/proxy_metrics.h"
+#include "sycamorespan/Logging"
+#include "sycamorespan/Settings"
+
+namespace sycamorespan::proxy {
+
+/** \brief The data path of an instance: makes the tasks and routes messages among them. */
+class proxy
+{
+public:
+    /** \throws error when an address can't be listened on */
+    proxy(ev::loop_ref loop, const settings::proxy_settings &proxySettings,
+          const random_source &random);
+
+    /** \brief Begins the graceful shutdown; the loop ends when it is done. */
+    void drain();
+
+    /** \brief Writes the state to the log. */
+    void logState();
+
+private:
+    struct caller
+    {
+        std::unique_ptr<caller_connection> connection;
+        bool closed = false;
+    };
+
+    caller_services services();
+    messages::hello hello() const;
+    void accept(file_descriptor socket);
+    void removeClosed();
+    void received(const messages::message &message);
+    void take(const messages::configuration_body &body);
+    void take(const messages::group_view_update &update);
+    void take(const messages::freshness_update &update);
+    void endWithdrawn();
+    void cancel(std::int32_t processId, std::int32_t secret);
+    database_task *findDatabase(const database_id &database);
+    void endWhenDrained();
+    nlohmann::json state() const;
+    std::shared_ptr<prometheus::Collectable> metrics();
+
+    ev::loop_ref m_loop;
+    settings::proxy_settings m_settings;
+    random_source m_random;
+    std::string m_boot;
+    logger m_log;
+    statement_classifier m_classifier;
+    access_control m_access;
+    statement_counters m_statements;
+    caller_counters m_callerCounters;
+    std::map<database_id, std::unique_ptr<database_task>> m_databases;
+    caller_services m_services;
+    std::list<caller> m_callers;
+    std::int32_t m_lastProcessId = 0;
+    bool m_draining = false;
+    time_point m_drainStart;
+    loop_timer m_reaper;
+    loop_timer m_drainTimer;
+    agent_link_task m_agent;
+    tcp_listener m_listener;
+    admin_server m_admin;
+};
+
+} // namespace sycamorespan::proxy
+
+#endif
--- /dev/null
+++ b/programs/proxy/proxy_metrics.h
@@ -0,0 +1,48 @@
+#ifndef SYCAMORESPAN_PROGRAMS_PROXY_PROXY_METRICS_H
+#define SYCAMORESPAN_PROGRAMS_PROXY_PROXY_METRICS_H
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include <prometheus/collectable.h>
+
+#include "programs/proxy/statement_flow.h"
+#include "sycamorespan/Routing"
+
+namespace sycamorespan::proxy {
+
+/** \brief Totals since the start. */
+struct caller_counters
+{
+    std::uint64_t connections = 0;
+    std::uint64_t refusedConnections = 0;
+    std::uint64_t refusedKeys = 0;
+};
+
+/** \brief Values that the tasks count, at one moment. */
+struct proxy_readings
+{
+    statement_counters statements;
+    caller_counters callers;
+    std::size_t sessions = 0;
+    std::uint64_t configurationVersion = 0;
+    statement_cache_counters classifier;
+};
+
+/** \brief Shows the readings as Prometheus metrics. */
+class proxy_metrics : public prometheus::Collectable
+{
+public:
+    /** \param read  takes the readings at each collection */
+    explicit proxy_metrics(std::function<proxy_readings()> read);
+
+    std::vector<prometheus::MetricFamily> Collect() const override; // NOLINT: the library's name
+
+private:
+    std::function<proxy_readings()> m_read;
+};
+
+} // namespace sycamorespan::proxy
+
+#endif
--- /dev/null
+++ b/programs/proxy/statement_flow.cpp
@@ -0,0 +1,343 @@
+#include "programs/proxy/statement_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamorespan::proxy {
+namespace {
+
+constexpr duration retryInterval = 20ms;
+constexpr std::size_t maximumReplicaTries = 2;
+
+error_report errorOf(std::string_view code, const std::string &message)
+{
+    return {"ERROR", std::string(code), message, {}, {}};
+}
+
+/** \returns whether the server itself refused, as it isn't or no longer primary: nothing ran. */
+bool isRoleRefusal(const sql_result &result)
+{
+    return result.error
+           && (result.error->sqlstate == sqlstate::readOnlySqlTransaction
+               || result.error->sqlstate == sqlstate::cannotConnectNow);
+}
+
+} // namespace
+
+statement_flow::statement_flow(ev::loop_ref loop, database_task &database, workspace_id workspace,
+                               duration planStaleness, const statement_bounds &bounds,
+                               statement_counters &counters)
+    : m_loop(loop)
+    , m_database(database)
+    , m_workspace(std::move(workspace))
+    , m_planStaleness(planStaleness)
+    , m_bounds(bounds)
+    , m_counters(counters)
+    , m_retryTimer(loop, [this] { choose(); })
+    , m_alive(std::make_shared<bool>(true))
+{ }
+
+statement_flow::~statement_flow()
+{
+    abandon();
+}
+
+void statement_flow::start(statement_request request, finished_handler onFinished)
+{
+    ++m_counters.statements;
+    m_request = std::move(request);
+    m_onFinished = std::move(onFinished);
+    m_deadline = monotonicNow() + m_bounds.queueDeadline;
+    m_triedReplicas.clear();
+    m_mayHaveRun = false;
+    choose();
+}
+
+void statement_flow::cancelRunning()
+{
+    if (m_connection != nullptr)
+        m_connection->cancelRunning();
+}
+
+void statement_flow::abandon()
+{
+    *m_alive = false;
+    m_alive = std::make_shared<bool>(true);
+    m_retryTimer.stop();
+    m_request.reset();
+    m_onFinished = nullptr;
+    if (m_waiter != 0)
+        m_database.abandonWait(std::exchange(m_waiter, 0));
+    releaseConnection();
+}
+
+bool statement_flow::isRead() const
+{
+    return m_request->kind == statement_kind::read || m_request->kind == statement_kind::show;
+}
+
+bool statement_flow::isPinned() const
+{
+    return m_request->step != transaction_step::none && m_request->step != transaction_step::start;
+}
+
+bool statement_flow::mayUseReplica() const
+{
+    const bool readOnly =
+            m_request->step == transaction_step::none
+            || (m_request->step == transaction_step::start && m_request->readOnlyTransaction);
+    const auto staleness =
+            std::min(m_request->maxStaleness.value_or(m_planStaleness), m_planStaleness);
+    return readOnly && isRead() && m_request->position && staleness > duration::zero()
+           && m_triedReplicas.size() < maximumReplicaTries;
+}
+
+void statement_flow::choose()
+{
+    if (isPinned()) {
+        if (m_connection == nullptr)
+            return fail(sqlstate::connectionFailure,
+                        "the transaction's connection is lost: nothing of it was kept", true);
+        return send();
+    }
+    if (mayUseReplica()) {
+        const auto candidates = m_database.replicaCandidates(*m_request->position);
+        const auto fresh = std::ranges::find_if(candidates, [this](const server_id &server) {
+            return !m_triedReplicas.contains(server);
+        });
+        if (fresh != candidates.end()) {
+            m_triedReplicas.insert(*fresh);
+            return acquire(*fresh, target_kind::replica);
+        }
+    }
+    const auto &view = m_database.view();
+    if (view.primary.empty())
+        return retryLater(sqlstate::cannotConnectNow, "no primary is known");
+    acquire(view.primary, target_kind::primary);
+}
+
+void statement_flow::acquire(const server_id &server, target_kind kind)
+{
+    m_pool = m_database.pool(server);
+    if (m_pool == nullptr)
+        return retryLater(sqlstate::cannotConnectNow, "the primary is not configured");
+    m_server = server;
+    m_kind = kind;
+    m_lease = m_pool->acquire(
+            m_workspace, m_deadline,
+            [this, alive = m_alive](backend_connection *connection, pool_refusal reason) {
+                if (*alive)
+                    granted(connection, reason);
+            });
+}
+
+void statement_flow::granted(backend_connection *connection, pool_refusal reason)
+{
+    m_connection = connection;
+    if (connection != nullptr)
+        return send();
+    m_lease = 0;
+    if (m_kind == target_kind::replica)
+        return choose();
+    if (reason == pool_refusal::deadline)
+        return refuse(sqlstate::tooManyConnections, "no slot of the database was free in time");
+    retryLater(sqlstate::cannotConnectNow, "the primary can't be reached");
+}
+
+void statement_flow::send()
+{
+    const auto sentAt = monotonicNow();
+    m_connection->run(steps(), m_bounds.statementTimeout,
+                      [this, sentAt, alive = m_alive](backend_reply reply) {
+                          if (*alive)
+                              answered(std::move(reply), sentAt);
+                      });
+}
+
+std::vector<backend_step> statement_flow::steps() const
+{
+    const backend_step statement{m_request->sql, true};
+    const backend_step position{proofStatement(), true};
+    if (m_kind == target_kind::replica) {
+        std::vector<backend_step> result{{proofStatement(), true}};
+        if (m_request->step == transaction_step::start)
+            result.push_back({{m_request->beginText}, false});
+        result.push_back(statement);
+        return result;
+    }
+    switch (m_request->step) {
+    case transaction_step::none:
+        return m_request->sql.describeOnly ? std::vector{statement}
+                                           : std::vector{statement, position};
+    case transaction_step::start:
+        return {{{m_request->beginText}, false}, statement};
+    case transaction_step::inside:
+        return {statement};
+    case transaction_step::commit:
+        return {{{"COMMIT"}, true}, position};
+    case transaction_step::rollback:
+        return {{{"ROLLBACK"}, true}};
+    }
+    return {};
+}
+
+void statement_flow::answered(backend_reply reply, time_point sentAt)
+{
+    if (reply.connectionLost) {
+        const bool commitSeen = m_request->step == transaction_step::none
+                                && m_kind == target_kind::primary && !reply.results.empty()
+                                && reply.results.front().error;
+        if (!commitSeen)
+            return connectionLost();
+        releaseConnection();
+        return finish(reply.results.front(), std::nullopt);
+    }
+    if (m_kind == target_kind::replica && !isPinned())
+        return replicaAnswered(reply, sentAt);
+    primaryAnswered(reply);
+}
+
+void statement_flow::replicaAnswered(backend_reply &reply, time_point sentAt)
+{
+    std::optional<member_proof> proof;
+    try {
+        proof = parseProof(reply.results.front(), sentAt);
+        m_database.noteProof(m_server, *proof);
+    } catch (const decode_error &) { }
+    auto &result = reply.results.back();
+    const bool usable = proof && isProved(*proof) && !isRoleRefusal(result);
+    if (!usable) {
+        ++m_counters.staleProofs;
+        m_mayHaveRun = m_mayHaveRun || !result.error;
+        releaseConnection();
+        return choose();
+    }
+    ++m_counters.replicaReads;
+    const bool keepsConnection = m_request->step == transaction_step::start;
+    if (!keepsConnection)
+        releaseConnection();
+    finish(std::move(result), proof->position);
+}
+
+bool statement_flow::isProved(const member_proof &proof) const
+{
+    const auto staleness =
+            std::min(m_request->maxStaleness.value_or(m_planStaleness), m_planStaleness);
+    return proof.role == member_role::replica && proof.staleness && *proof.staleness <= staleness
+           && proof.position >= *m_request->position;
+}
+
+void statement_flow::primaryAnswered(backend_reply &reply)
+{
+    const auto step = m_request->step;
+    if (step == transaction_step::rollback) {
+        releaseConnection();
+        sql_result result;
+        result.tag = "ROLLBACK";
+        return finish(std::move(result), std::nullopt);
+    }
+    if (step == transaction_step::start && reply.results.front().error)
+        reply.results.back().error = reply.results.front().error;
+    const auto statementIndex = step == transaction_step::start ? std::size_t{1} : std::size_t{0};
+    auto result = std::move(reply.results.at(statementIndex));
+    if (isRoleRefusal(result) && !isPinned() && m_kind == target_kind::primary) {
+        const auto reason = result.error->message;
+        releaseConnection();
+        return retryLater(sqlstate::cannotConnectNow, reason);
+    }
+    if (step == transaction_step::start || step == transaction_step::inside)
+        return finish(std::move(result), std::nullopt);
+    releaseConnection();
+    if (m_request->sql.describeOnly || result.error)
+        return finish(std::move(result), std::nullopt);
+    (isRead() ? m_counters.primaryReads : m_counters.writes) += 1;
+    try {
+        const auto proof = parseProof(reply.results.back(), {});
+        waitForMajority(std::move(result), proof.position);
+    } catch (const decode_error &) {
+        ++m_counters.outcomeUnknown;
+        fail(sqlstate::transactionResolutionUnknown, "outcome unknown: no position was reported",
+             true);
+    }
+}
+
+void statement_flow::connectionLost()
+{
+    releaseConnection();
+    const auto step = m_request->step;
+    if (step == transaction_step::rollback) {
+        sql_result result;
+        result.tag = "ROLLBACK";
+        return finish(std::move(result), std::nullopt);
+    }
+    if (step == transaction_step::start || step == transaction_step::inside)
+        return fail(sqlstate::connectionFailure,
+                    "the connection to the database was lost: nothing of the transaction was kept",
+                    true);
+    if (step == transaction_step::none && (isRead() || m_request->sql.describeOnly)) {
+        ++m_counters.retries;
+        m_mayHaveRun = true;
+        return retryLater(sqlstate::connectionFailure, "the connection to the database was lost");
+    }
+    ++m_counters.outcomeUnknown;
+    fail(sqlstate::transactionResolutionUnknown,
+         "outcome unknown: the connection to the database was lost", true);
+}
+
+void statement_flow::waitForMajority(sql_result result, const log_position &position)
+{
+    const auto deadline = monotonicNow() + m_bounds.statementTimeout;
+    auto shared = std::make_shared<sql_result>(std::move(result));
+    auto ended = std::make_shared<bool>(false);
+    const auto waiter = m_database.waitUntilHeld(
+            position, deadline, [this, alive = m_alive, shared, ended, position](bool isHeld) {
+                *ended = true;
+                if (!*alive)
+                    return;
+                m_waiter = 0;
+                if (isHeld)
+                    return finish(std::move(*shared), position);
+                ++m_counters.outcomeUnknown;
+                fail(sqlstate::transactionResolutionUnknown,
+                     "outcome unknown: no majority confirmed it in this term", true);
+            });
+    if (!*ended)
+        m_waiter = waiter;
+}
+
+void statement_flow::retryLater(std::string_view code, const std::string &reason)
+{
+    if (monotonicNow() + retryInterval >= m_deadline)
+        return refuse(code, reason);
+    m_retryTimer.startOnce(retryInterval);
+}
+
+void statement_flow::refuse(std::string_view code, const std::string &reason)
+{
+    ++m_counters.refusedNotRun;
+    fail(code, m_mayHaveRun ? reason : reason + ": not run", true);
+}
+
+void statement_flow::fail(std::string_view code, const std::string &reason, bool transactionLost)
+{
+    sql_result result;
+    result.error = errorOf(code, reason);
+    result.transactionLost = transactionLost;
+    finish(std::move(result), std::nullopt);
+}
+
+void statement_flow::finish(sql_result result, std::optional<log_position> position)
+{
+    m_request.reset();
+    const auto onFinished = std::exchange(m_onFinished, nullptr);
+    onFinished({std::move(result), position});
+}
+
+void statement_flow::releaseConnection()
+{
+    m_connection = nullptr;
+    if (m_lease != 0)
+        m_pool->release(std::exchange(m_lease, 0));
+}
+
+} // namespace sycamorespan::proxy
--- /dev/null
+++ b/test/cluster.py
@@ -0,0 +1,323 @@
+"""Starts a small sycamorespan system on loopback for process tests and the demonstration.
+
+Every process is a child of this one and is ended by its own pid; files live in a temporary folder.
+"""
+import contextlib
+import hashlib
+import hmac
+import json
+import os
+import re
+import secrets
+import shutil
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+import psycopg2
+import yaml
+
+BACKEND_PASSWORD = "backend-role-password"
+
+
+def free_ports(count):
+    """Ports that were free a moment ago; all are held open until the last one is known."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def wait_for(condition, seconds, what):
+    """Calls condition until it returns a true value, which is returned."""
+    deadline = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise AssertionError(f"not within {seconds} s: {what}")
+        time.sleep(0.02)
+
+
+def make_key():
+    """A key as text, and the entry that the configuration keeps of it."""
+    identifier, secret, salt = secrets.token_hex(6), secrets.token_hex(32), secrets.token_hex(16)
+    digest = hmac.new(bytes.fromhex(salt), secret.encode(), hashlib.sha256).hexdigest()
+    return f"{identifier}.{secret}", {"key": identifier, "salt": salt, "hash": digest}
+
+
+class Process:
+    def __init__(self, name, command, folder, environment=None):
+        self.name = name
+        self.command = command
+        self.log_path = os.path.join(folder, f"{name}.log")
+        self.environment = environment
+        self.popen = None
+        self.start()
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.popen = subprocess.Popen(self.command, stdout=log, stderr=log, env=self.environment)
+
+    def kill(self):
+        if self.popen.poll() is None:
+            self.popen.kill()
+        self.popen.wait()
+
+    def stop(self):
+        """SIGSTOP: the process is frozen, its connections stay open."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.popen.send_signal(signal.SIGCONT)
+
+    def terminate(self, seconds=10):
+        self.popen.terminate()
+        return self.popen.wait(seconds)
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as file:
+            return file.read()
+
+
+class Cluster:
+    """platform + groups of members + one agent for each data centre + proxies.
+
+    databases: names; every database has one member in each of the first three data centres.
+    proxies: for each data centre, how many.
+    """
+
+    def __init__(self, build, data_centres=("regina", "saskatoon", "winnipeg"), databases=("cribs",),
+                 proxies=2, agents=1, plans=None, workspaces=None, member_options=(), timing=None,
+                 limits=None, open_databases=()):
+        self.build = os.path.abspath(build)
+        self.folder = tempfile.mkdtemp(prefix="sycamorespan-")
+        self.processes = []
+        self.data_centres = data_centres
+        self.timing = timing or {}
+        self.limits = limits or {}
+        self.plans = plans or {"shop": {"databases": list(databases), "max_staleness_ms": 5000,
+                                        "rate_per_second": 2000, "burst": 2000}}
+        self.workspaces = workspaces or {"counter": {"plan": "shop"}, "buyers": {"plan": "shop"}}
+        self.keys = {}
+        self.key_entries = {}
+        for workspace in self.workspaces:
+            self.keys[workspace], entry = make_key()
+            self.key_entries[workspace] = [entry]
+        self.version = 0
+        self.position_secret = secrets.token_hex(32)
+        try:
+            self._start_platform()
+            self._start_members(databases, member_options, open_databases)
+            self.put_configuration()
+            self._start_agents(agents)
+            self._start_proxies(proxies)
+        except BaseException:
+            self.close()
+            raise
+
+    # Start-up
+
+    def program(self, *path):
+        return os.path.join(self.build, *path)
+
+    def _add(self, name, command):
+        process = Process(name, command, self.folder)
+        self.processes.append(process)
+        return process
+
+    def _start_platform(self):
+        (port,) = free_ports(1)
+        self.platform_port = port
+        self.platform_url = f"http://127.0.0.1:{port}"
+        self.platform = self._add("platform", [self.program("standins/platform/standin-platform"),
+                                               "--listen", f"127.0.0.1:{port}"])
+        wait_for(self._platform_answers, 10, "the platform stand-in answers")
+
+    def _platform_answers(self):
+        try:
+            self.transaction([], [{"get": {"key": "configuration"}}])
+            return True
+        except OSError:
+            return False
+
+    def _start_members(self, databases, member_options, open_databases):
+        self.groups = {}
+        self.members = {}
+        self.open_databases = open_databases
+        for database in databases:
+            group = []
+            for index, data_centre in enumerate(self.data_centres[:3]):
+                server = f"{database}-{index + 1}"
+                (port,) = free_ports(1)
+                data = os.path.join(self.folder, server)
+                os.mkdir(data)
+                command = [self.program("standins/backend_server/standin-backend-server"),
+                           "--id", server, "--listen", f"127.0.0.1:{port}",
+                           "--password", BACKEND_PASSWORD, "--data", data,
+                           "--record", os.path.join(self.folder, f"{server}.received"),
+                           *member_options]
+                if index == 0:
+                    command.append("--primary")
+                self.members[server] = self._add(server, command)
+                group.append({"server": server, "address": f"127.0.0.1:{port}",
+                              "data_centre": data_centre, "slots": 5, "connections": 30})
+            self.groups[database] = group
+        for server in self.members:
+            wait_for(lambda name=server: "ready" in self.members[name].log(), 10, f"{server} is ready")
+
+    def _start_agents(self, count):
+        names = [(f"{data_centre}-{number + 1}", data_centre)
+                 for data_centre in self.data_centres for number in range(count)]
+        ports = free_ports(2 * len(names))
+        addresses = [f"127.0.0.1:{port}" for port in ports[:len(names)]]
+        self.agents, self.agent_listen, self.agent_admin = {}, {}, {}
+        for (name, data_centre), listen, admin in zip(names, addresses, ports[len(names):]):
+            self.agent_listen[name] = listen
+            self.agent_admin[name] = admin
+            settings = {"instance": name, "data_centre": data_centre, "listen": listen,
+                        "admin": f"127.0.0.1:{admin}", "platform": self.platform_url,
+                        "backend_password": BACKEND_PASSWORD,
+                        "peers": [address for address in addresses if address != listen],
+                        "timing": self.timing}
+            self.agents[name] = self._daemon("agent", name, settings)
+            self.put_instance(name, data_centre, listen)
+
+    def _start_proxies(self, count):
+        self.proxies, self.proxy_port, self.proxy_admin = {}, {}, {}
+        for data_centre in self.data_centres:
+            for number in range(count):
+                name = f"{data_centre}-proxy-{number + 1}"
+                agents = [key for key in self.agents if key.startswith(data_centre + "-")]
+                port, admin = free_ports(2)
+                self.proxy_port[name], self.proxy_admin[name] = port, admin
+                settings = {"instance": name, "data_centre": data_centre,
+                            "listen": f"127.0.0.1:{port}", "admin": f"127.0.0.1:{admin}",
+                            "agent": self.agent_listen[agents[number % len(agents)]],
+                            "backend_password": BACKEND_PASSWORD, "limits": self.limits}
+                self.proxies[name] = self._daemon("proxy", name, settings)
+        for name in self.proxies:
+            wait_for(lambda key=name: self.serves(key), 15, f"{name} serves")
+
+    def _daemon(self, kind, name, settings):
+        path = os.path.join(self.folder, f"{name}.yaml")
+        with open(path, "w", encoding="utf-8") as file:
+            yaml.safe_dump(settings, file)
+        program = self.program(f"programs/{kind}/sycamorespan-{kind}")
+        return self._add(name, [program, "--settings", path])
+
+    def serves(self, proxy):
+        """Whether the proxy has a configuration that it knows to be the newest, and every primary."""
+        try:
+            state = self.state(self.proxy_admin[proxy])
+        except OSError:
+            return False
+        return state["fresh"] and len(state["databases"]) == len(self.groups) and all(
+            database["primary"] for database in state["databases"].values())
+
+    # The platform
+
+    def http(self, method, url, body=None, timeout=2):
+        request = urllib.request.Request(url, method=method, data=body)
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.read()
+
+    def transaction(self, compare, success):
+        body = json.dumps({"compare": compare, "success": success, "failure": []}).encode()
+        return json.loads(self.http("POST", f"{self.platform_url}/v1/transactions", body))
+
+    def faults(self, **values):
+        self.http("PUT", f"{self.platform_url}/v1/faults", json.dumps(values).encode())
+
+    def put_instance(self, name, data_centre, address, state="live"):
+        entry = {"instance": name, "data_centre": data_centre, "address": address, "state": state}
+        self.http("PUT", f"{self.platform_url}/v1/instances/{name}", json.dumps(entry).encode())
+
+    def document(self):
+        return {"version": self.version,
+                "lists": {"workspaces": self.workspaces, "plans": self.plans,
+                          "groups": {name: {"open": name in self.open_databases, "members": members}
+                                     for name, members in self.groups.items()}},
+                "keys": {name: entries for name, entries in self.key_entries.items() if entries},
+                "position_secret": self.position_secret}
+
+    def put_configuration(self):
+        """Makes a new version the accepted one, as sycamorespanctl does."""
+        self.version += 1
+        body = json.dumps(self.document(), sort_keys=True, separators=(",", ":")).encode()
+        name = f"configuration-{self.version}-{hashlib.sha256(body).hexdigest()}"
+        self.http("PUT", f"{self.platform_url}/v1/objects/{name}", body)
+        row = json.dumps({"version": self.version, "object": name, "request": secrets.token_hex(8)})
+        answer = self.transaction([], [{"put": {"key": "configuration", "value": row}}])
+        assert answer["succeeded"], answer
+
+    # Callers and operators
+
+    def state(self, admin_port):
+        return json.loads(self.http("GET", f"http://127.0.0.1:{admin_port}/state"))
+
+    def metrics(self, admin_port):
+        """Samples without labels, by name."""
+        text = self.http("GET", f"http://127.0.0.1:{admin_port}/metrics").decode()
+        return {name: float(value) for name, value in re.findall(r"^(\w+) (\S+)$", text, re.M)}
+
+    def connect(self, proxy, workspace="counter", database="cribs", key=None, position=None, **extra):
+        """A session with autocommit; position as reported by an earlier session."""
+        options = f"-c sycamorespan.position={position}" if position else ""
+        connection = psycopg2.connect(
+            host="127.0.0.1", port=self.proxy_port[proxy], user=workspace, dbname=database,
+            password=key or self.keys.get(workspace, ""), options=options, sslmode="disable",
+            connect_timeout=5, **extra)
+        connection.autocommit = True
+        return connection
+
+    def member_query(self, server, statement):
+        """Runs a statement on a member directly, as the proxies' role."""
+        address = next(member["address"] for group in self.groups.values() for member in group
+                       if member["server"] == server)
+        host, port = address.split(":")
+        with contextlib.closing(psycopg2.connect(
+                host=host, port=port, user="sycamorespan", dbname="x", password=BACKEND_PASSWORD,
+                sslmode="disable", connect_timeout=5)) as connection:
+            connection.autocommit = True
+            return run(connection, statement)
+
+    def primary(self, database="cribs", proxy=None):
+        name = proxy or next(iter(self.proxies))
+        return self.state(self.proxy_admin[name])["databases"][database]["primary"]
+
+    # End
+
+    def close(self):
+        for process in reversed(self.processes):
+            process.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, trace):
+        if kind is not None:
+            for process in self.processes:
+                print(f"--- {process.name}\n{process.log()[-3000:]}")
+        self.close()
+
+
+def run(connection, statement, parameters=None):
+    """Rows of a query, or the command tag of any other statement."""
+    with connection.cursor() as cursor:
+        cursor.execute(statement, parameters)
+        return cursor.fetchall() if cursor.description else cursor.statusmessage
+
+
+def position_of(connection):
+    """The session's position, to hand in on another proxy."""
+    return connection.info.parameter_status("sycamorespan.position")
