--- a/sycamorespan/src/Configuration/configuration_document.cpp
+++ b/sycamorespan/src/Configuration/configuration_document.cpp
@@ -4,12 +4,9 @@
 #include "sycamorespan/src/Core/error.h"
 
 #include <algorithm>
-#include <array>
 #include <set>
-#include <string_view>
 
 #include <nlohmann/json.hpp>
-#include <openssl/sha.h>
 
 namespace sycamorespan::configuration {
 
@@ -126,6 +123,9 @@
     validateKeys(document, errors);
     if (!internal::isHexadecimal(document.positionSecret))
         errors.add("position_secret", "must be hexadecimal");
+    const auto &edits = document.recentEdits;
+    if (edits.empty() || edits.back().version != document.version)
+        errors.add("recent_edits", "must end with the edit that made this version");
 }
 
 configuration_document parseDocument(const std::string &body)
@@ -142,11 +142,18 @@
     return toJson(document).dump();
 }
 
-std::string objectName(configuration_version version, const std::string &body)
+std::string objectName(configuration_version version, const std::string &request)
 {
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(body.data()), body.size(), digest.data());
-    return "configuration-" + std::to_string(version) + '-' + internal::toHexadecimal(digest);
+    return "configuration-" + std::to_string(version) + '-' + request;
+}
+
+std::optional<configuration_version> versionOfEdit(const configuration_document &document,
+                                                   const std::string &request)
+{
+    const auto found = std::ranges::find(document.recentEdits, request, &accepted_edit::request);
+    if (found == document.recentEdits.end())
+        return std::nullopt;
+    return found->version;
 }
 
 configuration_row parseRow(const std::string &value)
--- a/sycamorespan/src/Configuration/configuration_document.h
+++ b/sycamorespan/src/Configuration/configuration_document.h
@@ -4,6 +4,7 @@
 #include "sycamorespan/src/Configuration/generated/document_types.h"
 #include "sycamorespan/src/Schema/decode_errors.h"
 
+#include <optional>
 #include <string>
 
 namespace sycamorespan::configuration {
@@ -30,8 +31,16 @@
 /** \returns \a document as JSON text; equal documents give equal texts. */
 std::string serializeDocument(const configuration_document &document);
 
-/** \returns the name under which the object store keeps \a body: configuration-VERSION-HASH. */
-std::string objectName(configuration_version version, const std::string &body);
+/** \brief Edits that a document remembers. */
+inline constexpr std::size_t longestEditHistory = 64;
+
+/** \returns the name under which the object store keeps the version that the edit \a request made.
+ */
+std::string objectName(configuration_version version, const std::string &request);
+
+/** \returns the version that the edit \a request made, if \a document remembers it. */
+std::optional<configuration_version> versionOfEdit(const configuration_document &document,
+                                                   const std::string &request);
 
 /** \returns the row in the JSON text \a value. \throws decode_error */
 configuration_row parseRow(const std::string &value);
--- /dev/null
+++ b/sycamorespan/src/Configuration/key_guard.h
@@ -0,0 +1,90 @@
+#ifndef SYCAMORESPAN_CONFIGURATION_KEY_GUARD_H
+#define SYCAMORESPAN_CONFIGURATION_KEY_GUARD_H
+
+#include "sycamorespan/src/Configuration/key_ring.h"
+
+#include <string>
+#include <variant>
+
+namespace sycamorespan::configuration {
+
+/** \brief Where a session stands between a caller and a backend server. */
+enum class session_activity {
+    idle, /**< no transaction is open */
+    idleInTransaction, /**< a transaction is open and no statement runs */
+    running /**< a statement runs */
+};
+
+/** \brief Why a statement is refused; it was not run. */
+enum class key_refusal {
+    keyWithdrawn, /**< the key is no longer granted */
+    notFresh /**< a withdrawal could be unknown here; the same request may succeed later */
+};
+
+/** \brief Run the statement. */
+struct run_statement
+{
+    bool operator==(const run_statement &) const = default;
+};
+
+/** \brief Answer the statement with an error; roll back the transaction, if one is open. */
+struct refuse_statement
+{
+    key_refusal reason;
+    bool rollBack;
+    bool endSession;
+
+    bool operator==(const refuse_statement &) const = default;
+};
+
+using statement_verdict = std::variant<run_statement, refuse_statement>;
+
+/** \brief Leave the session as it is. */
+struct keep_session
+{
+    bool operator==(const keep_session &) const = default;
+};
+
+/** \brief Roll back the transaction, if one is open, and end the session. */
+struct end_session
+{
+    bool rollBack;
+
+    bool operator==(const end_session &) const = default;
+};
+
+using session_verdict = std::variant<keep_session, end_session>;
+
+/** \brief Applies the keys in force to one session whose key was verified at connect.
+ *
+ * A statement that runs when its key is withdrawn is let finish and answered; the open transaction
+ * is then rolled back and the session ended. A session that runs no statement is ended at once, so
+ * that it holds no slot. While the process is not fresh, statements are refused, and sessions stay.
+ */
+class key_guard
+{
+public:
+    /** \param workspace  the session's workspace
+     * \param key        the identifier that key_ring::verify() returned
+     */
+    key_guard(workspace_id workspace, std::string key);
+
+    /** \brief A statement has arrived.
+     * \param keys     the keys in force
+     * \param isFresh  whether requests with a key may start
+     * \param isInTransaction  whether a transaction is open
+     */
+    statement_verdict statementArrived(const key_ring &keys, bool isFresh,
+                                       bool isInTransaction) const;
+
+    /** \brief A version was put in force, or a statement that ran has ended. */
+    session_verdict reviewed(const key_ring &keys, session_activity activity) const;
+
+private:
+    workspace_id m_workspace;
+    std::string m_key;
+};
+
+} // namespace sycamorespan::configuration
+
+#endif
