--- a/sycamorespan/src/Net/tcp_listener.cpp
+++ b/sycamorespan/src/Net/tcp_listener.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr int acceptBacklog = 1024;
+/** Wait after accept failed for want of file descriptors or memory. */
+constexpr duration acceptPause = 100ms;
 
 error systemError(const std::string &what)
 {
@@ -44,7 +46,9 @@
     : m_socket(bindSocket(address))
     , m_onAccept(std::move(onAccept))
     , m_watcher(loop)
+    , m_resume(loop)
 {
+    m_resume.set<tcp_listener, &tcp_listener::resume>(this);
     m_watcher.set<tcp_listener, &tcp_listener::acceptPending>(this);
     m_watcher.start(m_socket.get(), ev::READ);
 }
@@ -52,6 +56,7 @@
 void tcp_listener::close()
 {
     m_watcher.stop();
+    m_resume.stop();
     m_socket = file_descriptor();
 }
 
@@ -68,12 +73,27 @@
     while (m_socket) {
         file_descriptor accepted(
                 ::accept4(m_socket.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-        if (!accepted)
+        if (!accepted) {
+            pause();
             return;
+        }
         const int enabled = 1;
         ::setsockopt(accepted.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
         m_onAccept(std::move(accepted));
     }
 }
 
+void tcp_listener::pause()
+{
+    if (errno != EMFILE && errno != ENFILE && errno != ENOBUFS && errno != ENOMEM)
+        return;
+    m_watcher.stop();
+    m_resume.start(toSeconds(acceptPause));
+}
+
+void tcp_listener::resume(ev::timer &, int)
+{
+    m_watcher.start();
+}
+
 } // namespace sycamorespan
--- a/sycamorespan/src/Net/tcp_listener.h
+++ b/sycamorespan/src/Net/tcp_listener.h
@@ -27,10 +27,13 @@
 
 private:
     void acceptPending(ev::io &watcher, int events);
+    void resume(ev::timer &watcher, int events);
+    void pause();
 
     file_descriptor m_socket;
     accept_handler m_onAccept;
     ev::io m_watcher;
+    ev::timer m_resume;
 };
 
 } // namespace sycamorespan
