--- a/sycamorespan/src/Failover/commit_tracker.cpp
+++ b/sycamorespan/src/Failover/commit_tracker.cpp
@@ -37,12 +37,10 @@
 {
     if (m_waiters.empty())
         return std::nullopt;
-    const auto byDeadline = [](const auto &entry) { return entry.second.deadline; };
-    const auto first = std::ranges::min_element(m_waiters, {}, byDeadline)->second.deadline;
     const bool canRequest = !m_view.primary.empty();
     if (!canRequest)
-        return first;
-    return std::min(first, m_pending ? m_pending->deadline : m_nextRequest);
+        return m_firstDeadline;
+    return std::min(m_firstDeadline, m_pending ? m_pending->deadline : m_nextRequest);
 }
 
 std::optional<log_position> commit_tracker::heldPosition() const
@@ -55,11 +53,16 @@
 
 void commit_tracker::take(const wait_started &event, time_point /*now*/, actions &out)
 {
-    m_waiters.insert_or_assign(event.waiter,
-                               pending_wait{event.position, event.deadline, std::nullopt});
-    if (event.position.term < m_view.term)
+    const auto [entry, isNew] = m_waiters.insert_or_assign(
+            event.waiter, pending_wait{event.position, event.deadline, std::nullopt});
+    m_firstDeadline = std::min(m_firstDeadline, event.deadline);
+    if (event.position.term < m_view.term) {
         carryOver(m_view, out);
-    releaseHeld(out);
+        releaseHeld(out);
+    } else if (isHeld(entry->second)) {
+        out.emplace_back(release_waiter{event.waiter, event.position});
+        m_waiters.erase(entry);
+    }
 }
 
 void commit_tracker::take(const wait_abandoned &event, time_point /*now*/, actions & /*out*/)
@@ -162,11 +165,16 @@
 
 void commit_tracker::expire(time_point now, actions &out)
 {
+    if (m_firstDeadline > now)
+        return;
+    m_firstDeadline = time_point::max();
     std::erase_if(m_waiters, [&](const auto &entry) {
         const auto &[id, wait] = entry;
         const bool isLate = wait.deadline <= now;
         if (isLate)
             out.emplace_back(report_unknown{id, unknown_reason::deadlinePassed});
+        else
+            m_firstDeadline = std::min(m_firstDeadline, wait.deadline);
         return isLate;
     });
 }
--- a/sycamorespan/src/Failover/commit_tracker.h
+++ b/sycamorespan/src/Failover/commit_tracker.h
@@ -179,6 +179,7 @@
     std::vector<server_id> m_members;
     std::map<term_number, std::uint64_t> m_heldOffsets; ///< of the view's term and higher ones
     std::map<waiter_id, pending_wait> m_waiters;
+    time_point m_firstDeadline = time_point::max(); ///< no wait's deadline is earlier
     std::optional<pending_request> m_pending;
     std::uint64_t m_lastRequest = 0;
     time_point m_nextRequest;
--- a/sycamorespan/src/Failover/supervisor.cpp
+++ b/sycamorespan/src/Failover/supervisor.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <utility>
 
 namespace sycamorespan {
@@ -11,6 +10,20 @@
 
 constexpr unsigned maximumBackoffDoublings = 10;
 
+struct candidate
+{
+    std::uint64_t weight = 0;
+    const agent_instance *agent = nullptr;
+
+    const data_centre_id &dataCentre() const { return agent->dataCentre; }
+};
+
+bool precedes(const candidate &left, const candidate &right)
+{
+    return left.weight != right.weight ? left.weight > right.weight
+                                       : left.agent->instance < right.agent->instance;
+}
+
 std::string describe(suspicion_cause cause)
 {
     switch (cause) {
@@ -34,25 +47,31 @@
 
 } // namespace
 
-std::vector<instance_id> watcherOrder(const database_id &database,
-                                      const std::vector<agent_instance> &agents)
+std::vector<instance_id> watchersOf(const database_id &database,
+                                    const std::vector<agent_instance> &agents, std::size_t count)
 {
-    std::map<instance_id, data_centre_id> dataCentres;
-    std::vector<instance_id> instances;
+    std::vector<candidate> firsts;
+    std::vector<candidate> others;
     for (const auto &agent : agents) {
-        if (dataCentres.emplace(agent.instance, agent.dataCentre).second)
-            instances.push_back(agent.instance);
-    }
-    const auto order = rendezvousOrder(database.str(), std::move(instances));
-    std::set<data_centre_id> seen;
-    std::vector<instance_id> firsts;
-    std::vector<instance_id> others;
-    for (const auto &instance : order) {
-        const bool isFirst = seen.insert(dataCentres.at(instance)).second;
-        (isFirst ? firsts : others).push_back(instance);
+        candidate next{rendezvousWeight(database.str(), agent.instance.str()), &agent};
+        const auto first = std::ranges::find(firsts, agent.dataCentre, &candidate::dataCentre);
+        if (first == firsts.end()) {
+            firsts.push_back(next);
+            continue;
+        }
+        if (precedes(next, *first))
+            std::swap(next, *first);
+        others.push_back(next);
     }
+    std::ranges::sort(firsts, precedes);
+    if (firsts.size() < count)
+        std::ranges::sort(others, precedes);
     std::ranges::copy(others, std::back_inserter(firsts));
-    return firsts;
+    firsts.resize(std::min(count, firsts.size()));
+    std::vector<instance_id> watchers;
+    std::ranges::transform(firsts, std::back_inserter(watchers),
+                           [](const candidate &watcher) { return watcher.agent->instance; });
+    return watchers;
 }
 
 supervisor::supervisor(const supervisor_settings &settings, group_configuration group,
@@ -108,10 +127,12 @@
 void supervisor::take(const instances_changed &event, time_point now, actions &out)
 {
     auto live = event.live;
-    live.push_back(agent_instance{m_self, m_dataCentre});
-    const auto order = watcherOrder(m_group.database, live);
-    const auto place = static_cast<std::size_t>(std::ranges::find(order, m_self) - order.begin());
-    const bool isWatcher = place < m_settings.watcherCount;
+    if (std::ranges::find(live, m_self, &agent_instance::instance) == live.end())
+        live.push_back(agent_instance{m_self, m_dataCentre});
+    const auto watchers = watchersOf(m_group.database, live, m_settings.watcherCount);
+    const auto own = std::ranges::find(watchers, m_self);
+    const bool isWatcher = own != watchers.end();
+    const auto place = static_cast<std::size_t>(own - watchers.begin());
     setRank(isWatcher ? std::optional(place) : std::nullopt, now, out);
 }
 
--- a/sycamorespan/src/Failover/supervisor.h
+++ b/sycamorespan/src/Failover/supervisor.h
@@ -41,13 +41,14 @@
     auto operator<=>(const agent_instance &) const = default;
 };
 
-/** \brief Orders the agents by their precedence in watching \a database.
+/** \brief Picks the agents that watch \a database, the first in precedence first.
  *
- * Rendezvous order, with the first agent of each data centre before any second one, so that
- * the first few are in different data centres.
+ * Rendezvous order, with the first agent of each data centre before any second one, so that the
+ * watchers are in different data centres where there are enough.
+ * \param count  how many are wanted
  */
-std::vector<instance_id> watcherOrder(const database_id &database,
-                                      const std::vector<agent_instance> &agents);
+std::vector<instance_id> watchersOf(const database_id &database,
+                                    const std::vector<agent_instance> &agents, std::size_t count);
 
 /** \brief Event: the agents that membership holds for live. */
 struct instances_changed
@@ -98,7 +99,7 @@
 /** \brief Keeps one database's group served: finds its primary, replaces it, makes the other
  * members follow.
  *
- * Every agent has one for each database. Only the first few live instances by watcherOrder()
+ * Every agent has one for each database. Only the few live instances that watchersOf() picks
  * do anything; there is no lease, and any number may act at once.
  * \sa primary_change for why that is harmless
  */
--- a/test/failover_upkeep.cpp
+++ b/test/failover_upkeep.cpp
@@ -136,19 +136,27 @@
         RC_ASSERT(servers.empty());
 }
 
-TEST(supervisor, watchersAreInDifferentDataCentresFirst)
+TEST(supervisor, watchersAreInDifferentDataCentresAndInRendezvousOrder)
 {
+    constexpr std::size_t wanted = 3;
     std::vector<agent_instance> agents;
-    for (int number = 0; number < 6; ++number)
-        agents.push_back(
-                {instance_id(std::to_string(number)), data_centre_id(std::to_string(number / 2))});
-    for (int database = 0; database < 100; ++database) {
-        const auto order = watcherOrder(database_id(std::to_string(database)), agents);
+    std::vector<instance_id> instances;
+    for (int number = 0; number < 6; ++number) {
+        instances.emplace_back(std::to_string(number));
+        agents.push_back({instances.back(), data_centre_id(std::to_string(number / 2))});
+    }
+    for (int number = 0; number < 100; ++number) {
+        const database_id database(std::to_string(number));
+        const auto order = rendezvousOrder(database.str(), instances);
+        const auto watchers = watchersOf(database, agents, wanted);
         std::set<int> dataCentres;
-        for (std::size_t place = 0; place < 3; ++place)
-            dataCentres.insert(std::stoi(order[place].str()) / 2);
-        EXPECT_EQ(dataCentres.size(), 3U);
-        EXPECT_EQ(order.size(), agents.size());
+        for (const auto &watcher : watchers)
+            dataCentres.insert(std::stoi(watcher.str()) / 2);
+        EXPECT_EQ(dataCentres.size(), wanted);
+        EXPECT_EQ(watchers.front(), order.front());
+        const auto place = [&](const instance_id &id) { return std::ranges::find(order, id); };
+        EXPECT_TRUE(std::ranges::is_sorted(watchers, {}, place));
+        EXPECT_EQ(watchersOf(database, agents, 10).size(), agents.size());
     }
 }
 
--- a/test/simulated_group.h
+++ b/test/simulated_group.h
@@ -166,7 +166,7 @@
         std::vector<agent_instance> agents;
         for (std::size_t number = 0; number < agentCount; ++number)
             agents.push_back({instanceAt(number), dataCentreAt(number)});
-        return static_cast<std::size_t>(watcherOrder(m_group.database, agents).front().str().back()
+        return static_cast<std::size_t>(watchersOf(m_group.database, agents, 1).front().str().back()
                                         - '0');
     }
     std::size_t acknowledgedCount() const { return m_acknowledged.size(); }
