Expose four rules that no test of the Failover module held

Sabotage runs left four lines without a failing test: a fresh connection before the primary is reported, the report of a fenced primary, the suspicion of a stalled primary, the patience with a slow one. Each has a test now.

--- a/test/failover_commit_tracker.cpp
+++ b/test/failover_commit_tracker.cpp
@@ -169,14 +169,32 @@
         const auto actions = tracker.handle(time_passed{}, now);
         std::ranges::copy(only<request_status>(actions), std::back_inserter(requests));
         std::ranges::copy(only<suspect_primary>(actions), std::back_inserter(suspicions));
-        if (suspicions.empty()) {
-            EXPECT_LE(requests.size(), 1U);
+        if (!only<suspect_primary>(actions).empty()) {
+            EXPECT_EQ(requests.size(), 1U);
         }
     }
     EXPECT_TRUE(requests.front().freshConnection);
     EXPECT_EQ(suspicions, (std::vector{suspect_primary{server_id("s1"), 1}}));
 }
 
+TEST(commit_tracker, reportsAPrimaryThatWasFencedAndReleasesNothingOnItsWord)
+{
+    time_point now;
+    commit_tracker tracker({}, viewOf(1));
+    tracker.handle(wait_started{1, {1, 7}, now + 5s}, now);
+    auto fenced = statusOf(1, 9, {{server_id("s2"), {1, 9}}});
+    fenced.role = member_role::fenced;
+    std::vector<suspect_primary> suspicions;
+    for (std::uint64_t request = 1; request <= 2; ++request) {
+        const auto actions = tracker.handle(status_answered{request, server_id("s1"), fenced}, now);
+        EXPECT_TRUE(only<release_waiter>(actions).empty());
+        std::ranges::copy(only<suspect_primary>(actions), std::back_inserter(suspicions));
+        now = *tracker.nextDeadline();
+        tracker.handle(time_passed{}, now);
+    }
+    EXPECT_EQ(suspicions, (std::vector{suspect_primary{server_id("s1"), 1}}));
+}
+
 TEST(commit_tracker, answersAReadOfAHeldPositionAtOnce)
 {
     const time_point now;
--- a/test/failover_detector.cpp
+++ b/test/failover_detector.cpp
@@ -109,5 +109,54 @@
     EXPECT_FALSE(isSuspected(detector.handle(silentD, time_point())));
 }
 
+/** Answers every probe of \a detector for \a time; \a offsetAt gives what the follower holds. */
+bool suspectsWhileAnswered(failure_detector &detector, duration time,
+                           const std::function<std::uint64_t(time_point)> &offsetAt)
+{
+    time_point now;
+    std::uint64_t number = 0;
+    bool suspected = false;
+    detector.start(now);
+    while (now < time_point() + time) {
+        const member_status status{
+                3, member_role::primary, {3, 1000}, {}, {{server_id("s1"), {3, offsetAt(now)}}}};
+        const call_returned answer{{call_purpose::probe, 1, ++number}, server_id("s0"), status};
+        suspected = isSuspected(detector.handle(answer, now)) || suspected;
+        now = *detector.nextDeadline();
+        detector.handle(time_passed{}, now);
+    }
+    return suspected;
+}
+
+TEST(failure_detector, suspectsAPrimaryWhoseFollowersConfirmNothingMore)
+{
+    failure_detector detector({}, watchedView(), data_centre_id("a"), 1);
+    EXPECT_TRUE(suspectsWhileAnswered(detector, 5s, [](time_point) { return 7; }));
+}
+
+TEST(failure_detector, doesNotSuspectAPrimaryWhoseFollowersLag)
+{
+    failure_detector detector({}, watchedView(), data_centre_id("a"), 1);
+    const auto slowly = [](time_point now) {
+        return static_cast<std::uint64_t>(now.time_since_epoch() / 2s);
+    };
+    EXPECT_FALSE(suspectsWhileAnswered(detector, 60s, slowly));
+}
+
+TEST(failure_detector, isMorePatientWithAPrimaryThatHasBeenSlow)
+{
+    failure_detector detector({}, watchedView(), data_centre_id("a"), 1);
+    const time_point now;
+    const auto usual = detector.patience();
+    detector.start(now);
+    const call_returned slow{
+            {call_purpose::probe, 1, 1},
+            server_id("s0"),
+            member_status{3, member_role::primary, {3, 1}, {}, {{server_id("s1"), {3, 1}}}}};
+    detector.handle(slow, now + 290ms);
+    EXPECT_GT(detector.patience(), usual);
+    EXPECT_GE(detector.patience(), 4 * 290ms);
+}
+
 } // namespace
 } // namespace sycamorespan
