--- /dev/null
+++ b/test/quota_loans.cpp
@@ -0,0 +1,115 @@
+#include "test/quota_simulation.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sycamorespan::test {
+namespace {
+
+constexpr quota_limit limit{token_rate::tokensPerSecond(100), token_amount::tokens(20)};
+const workspace_id workspace("gronda");
+const holder_run borrower{holder_id("a"), 1};
+const holder_run lender{holder_id("b"), 1};
+
+/** \brief One holder with half of the limit, and the work that it admitted. */
+class half_holder
+{
+public:
+    half_holder(const holder_run &self, const holder_id &peer)
+        : m_holder(workspace, self, {}, time_point{})
+    {
+        constexpr duration longTime = 1h;
+        handle(quota_event::share_changed{limit.share(1, 2), time_point(longTime)}, {});
+        handle(quota_event::peers_changed{{peer}}, {});
+    }
+
+    std::vector<quota_message> handle(const quota_input &input, duration now)
+    {
+        std::vector<quota_message> sent;
+        for (const auto &action : m_holder.handle(input, time_point(now))) {
+            if (std::holds_alternative<quota_action::admit>(action))
+                work.push_back({now, token_amount::tokens(1)});
+            if (const auto *message = std::get_if<quota_action::send_message>(&action))
+                sent.push_back(message->message);
+        }
+        return sent;
+    }
+    void flood(duration now)
+    {
+        for (int request = 0; request < 2 * limit.burst.asTokens(); ++request)
+            handle(quota_event::request_arrived{++m_lastRequest}, now);
+    }
+    /** \returns the loan requests that a short demand causes. */
+    std::vector<quota_message> borrow(duration now)
+    {
+        std::vector<quota_message> sent;
+        while (sent.empty() && m_lastRequest < 1'000)
+            sent = handle(quota_event::request_arrived{++m_lastRequest}, now);
+        handle(quota_event::request_cancelled{m_lastRequest}, now);
+        return sent;
+    }
+
+    std::vector<admission> work;
+
+private:
+    quota_holder m_holder;
+    std::uint64_t m_lastRequest = 0;
+};
+
+/** \returns the excess when a loan is held for \a held before all spend. */
+std::int64_t excessAfterLoan(duration requestDelay, duration grantDelay, duration held)
+{
+    half_holder first(borrower, lender.holder);
+    half_holder second(lender, borrower.holder);
+    constexpr duration full = 1s;
+    const auto request = first.borrow(full);
+    const auto grants =
+            second.handle(quota_event::message_received{request.at(0)}, full + requestDelay);
+    const auto granted = full + requestDelay + grantDelay;
+    for (const auto &grant : grants)
+        first.handle(quota_event::message_received{grant}, granted);
+    first.flood(granted + held);
+    second.flood(granted + held);
+    auto work = first.work;
+    std::ranges::copy(second.work, std::back_inserter(work));
+    std::ranges::stable_sort(work, {}, &admission::when);
+    return excessOf(work, limit);
+}
+
+RC_GTEST_PROP(quota_loans, aLoanIsSpentOnlyWhileTheLenderCountsIt, ())
+{
+    const duration requestDelay(*rc::gen::inRange(0, 100'000));
+    const duration grantDelay(*rc::gen::inRange(0, 1'500'000));
+    const duration held(*rc::gen::inRange(0, 1'500'000));
+    RC_ASSERT(excessAfterLoan(requestDelay, grantDelay, held) == 0);
+}
+
+TEST(quota_loans, theLenderHasTheLentTokensBackAfterTheirValidity)
+{
+    constexpr duration afterValidity = 2s;
+    EXPECT_EQ(excessAfterLoan(1ms, 1ms, afterValidity), 0);
+    half_holder holder(lender, borrower.holder);
+    holder.handle(quota_event::message_received{loan_request{
+                          workspace, borrower, 1, token_amount::tokens(10), 0, {}}},
+                  1s);
+    holder.flood(1s + afterValidity);
+    EXPECT_EQ(holder.work.size(), 10U);
+}
+
+RC_GTEST_PROP(quota_loans, messagesSurviveTheirEncoding, ())
+{
+    const auto text = *rc::gen::arbitrary<std::string>();
+    const auto number = *rc::gen::arbitrary<std::uint64_t>();
+    const token_amount amount{*rc::gen::inRange<std::int64_t>(0, 1'000'000'000'000)};
+    const loan_request request{workspace_id("w"), {holder_id("h"), number}, number, amount, number,
+                               {{number, amount}}};
+    const loan_grant grant{workspace_id("w"), lender, borrower, number, number, amount, amount};
+    RC_ASSERT(decodeQuotaMessage(encodeQuotaMessage(request)) == quota_message(request));
+    RC_ASSERT(decodeQuotaMessage(encodeQuotaMessage(grant)) == quota_message(grant));
+    const std::vector<std::uint8_t> garbage(text.begin(), text.end());
+    RC_ASSERT_THROWS_AS(decodeQuotaMessage(garbage), decode_error);
+    RC_ASSERT_THROWS_AS(allotment::decode(text), decode_error);
+}
+
+} // namespace
+} // namespace sycamorespan::test
