Serve a session end to end by separate processes

Cause of the last failure before it passed: the object's name is now made of version and request id, the agent still compared with a hash of the body and never took a version.

--- a/programs/agent/configuration_task.cpp
+++ b/programs/agent/configuration_task.cpp
@@ -103,7 +103,7 @@
         countFailure("no object " + row.object);
         return;
     }
-    if (configuration::objectName(row.version, *object->bytes) != row.object) {
+    if (configuration::objectName(row.version, row.request) != row.object) {
         ++m_counters.bodiesRejected;
         return;
     }
@@ -116,16 +116,19 @@
 {
     if (newVersion <= version())
         return false;
+    std::string object;
     try {
-        if (configuration::parseDocument(body).version != newVersion)
+        const auto document = configuration::parseDocument(body);
+        if (document.version != newVersion || document.recentEdits.empty())
             throw decode_error("the document is of another version");
+        object = configuration::objectName(newVersion, document.recentEdits.back().request);
     } catch (const decode_error &failure) {
         ++m_counters.bodiesRejected;
         m_log.write(log_level::warning, "configuration rejected",
                     {{"version", std::to_string(newVersion)}, {"reason", failure.what()}});
         return false;
     }
-    m_current = {newVersion, configuration::objectName(newVersion, body), body};
+    m_current = {newVersion, object, body};
     m_log.write(log_level::info, "configuration in force",
                 {{"version", std::to_string(newVersion)}});
     m_onChanged(*m_current);
--- /dev/null
+++ b/test/process_whole_path.py
@@ -0,0 +1,82 @@
+"""The whole path as separate processes: write, roam, replica read, change of primary, withdrawn key."""
+import sys
+import time
+
+import psycopg2
+
+from cluster import Cluster, position_of, run, wait_for
+
+FAILOVER_BOUND_SECONDS = 11
+IN_FORCE_BOUND_SECONDS = 5
+
+
+def write_until_accepted(cluster, proxy, statement, seconds):
+    """Repeats the write while it is refused as not run. Returns the seconds that it took."""
+    start = time.monotonic()
+    while True:
+        try:
+            connection = cluster.connect(proxy)
+            run(connection, statement)
+            connection.close()
+            return time.monotonic() - start
+        except psycopg2.Error as error:
+            if "not run" not in str(error) and error.pgcode != "57P03":
+                raise
+            if time.monotonic() - start > seconds:
+                raise
+
+
+def main(build):
+    with Cluster(build) as cluster:
+        first, second = "regina-proxy-1", "winnipeg-proxy-1"
+        clerk = cluster.connect(first)
+        run(clerk, "CREATE TABLE crib (id INTEGER PRIMARY KEY, state TEXT)")
+        run(clerk, "INSERT INTO crib VALUES (1, 'taken in')")
+        position = position_of(clerk)
+        assert position, "the session has a position after its write"
+
+        roaming = cluster.connect(second, position=position)
+        before = cluster.metrics(cluster.proxy_admin[second])["sycamorespan_proxy_replica_reads_total"]
+        assert run(roaming, "SELECT id, state FROM crib") == [(1, "taken in")]
+        after = cluster.metrics(cluster.proxy_admin[second])["sycamorespan_proxy_replica_reads_total"]
+        assert after == before + 1, f"a replica answered ({before} -> {after})"
+        print("read-your-writes on another proxy, from a replica")
+
+        old = cluster.primary()
+        cluster.members[old].kill()
+        gap = write_until_accepted(cluster, second, "INSERT INTO crib VALUES (2, 'after')",
+                                   FAILOVER_BOUND_SECONDS)
+        assert gap < FAILOVER_BOUND_SECONDS, gap
+        print(f"first write {gap:.2f} s after the kill of {old}; primary is {cluster.primary(proxy=second)}")
+        assert run(cluster.connect(second, position=position), "SELECT count(*) FROM crib") == [(2,)]
+
+        buyer = cluster.connect(first, workspace="buyers")
+        run(buyer, "SELECT count(*) FROM crib")
+        cluster.key_entries["buyers"] = []
+        cluster.put_configuration()
+        start = time.monotonic()
+
+        def refused():
+            try:
+                run(buyer, "SELECT count(*) FROM crib")
+                return False
+            except psycopg2.Error:
+                return True
+
+        wait_for(refused, IN_FORCE_BOUND_SECONDS, "the withdrawn key stops on a connected caller")
+        print(f"withdrawn key refused after {time.monotonic() - start:.2f} s on a connected caller")
+        try:
+            cluster.connect(second, workspace="buyers")
+            raise AssertionError("a withdrawn key connects")
+        except psycopg2.OperationalError:
+            pass
+        for server in cluster.members:
+            with open(f"{cluster.folder}/{server}.received", "rb") as received:
+                content = received.read()
+            for key in cluster.keys.values():
+                secret = key.split(".")[1].encode()
+                assert secret not in content, f"{server} saw a key"
+        print("no backend server saw a key")
+
+
+main(sys.argv[1])
