Release a wait of an older term only at the new term's own entry

A primary reports what a follower confirmed in its term, which may end below the term's first entry (the stand-in does so: {term, common prefix}). A wait carried over a change of primary was released at any such confirmation, while the followers' logs still ended in an older term and could lose to a longer one of a term between. It now waits for the entry after the view's base. The simulated members confirm in the same way as the stand-in; the schedules did not reach the case, the unit test does.

--- a/sycamorespan/src/Failover/commit_tracker.cpp
+++ b/sycamorespan/src/Failover/commit_tracker.cpp
@@ -127,11 +127,15 @@
     m_suspicionReported = false;
 }
 
+bool commit_tracker::isHeld(const log_position &position) const
+{
+    const auto held = m_heldOffsets.find(position.term);
+    return held != m_heldOffsets.end() && position.offset <= held->second;
+}
+
 bool commit_tracker::isHeld(const pending_wait &wait) const
 {
-    const auto held = m_heldOffsets.find(wait.position.term);
-    const bool inOwnTerm = held != m_heldOffsets.end() && wait.position.offset <= held->second;
-    return inOwnTerm || (wait.inheritedBy && m_heldOffsets.contains(*wait.inheritedBy));
+    return isHeld(wait.position) || (wait.inheritedAt && isHeld(*wait.inheritedAt));
 }
 
 void commit_tracker::releaseHeld(actions &out)
@@ -148,15 +152,18 @@
 void commit_tracker::carryOver(const group_view &view, actions &out)
 {
     for (auto &[id, wait] : m_waiters) {
-        const bool written = view.base && wait.position.term == view.base->term
-                             && wait.position.offset <= view.base->offset;
-        const bool inherited = view.base && wait.inheritedBy == view.base->term;
-        if (written || inherited)
-            wait.inheritedBy = view.term;
+        if (!view.base)
+            break;
+        const auto isInBase = [&view](const log_position &position) {
+            return position.term == view.base->term && position.offset <= view.base->offset;
+        };
+        if (isInBase(wait.position) || (wait.inheritedAt && isInBase(*wait.inheritedAt)))
+            wait.inheritedAt = log_position{view.term, view.base->offset + 1};
     }
     std::erase_if(m_waiters, [&](const auto &entry) {
         const auto &[id, wait] = entry;
-        const bool isLost = wait.position.term < view.term && wait.inheritedBy != view.term;
+        const bool inherited = wait.inheritedAt && wait.inheritedAt->term >= view.term;
+        const bool isLost = wait.position.term < view.term && !inherited;
         if (isLost)
             out.emplace_back(report_unknown{id, unknown_reason::termEnded});
         return isLost;
--- a/sycamorespan/src/Failover/commit_tracker.h
+++ b/sycamorespan/src/Failover/commit_tracker.h
@@ -149,8 +149,8 @@
     {
         log_position position;
         time_point deadline;
-        /** Term whose log is known to hold the position, though an older term wrote it. */
-        std::optional<term_number> inheritedBy;
+        /** First entry of a later term whose log is known to hold the position. */
+        std::optional<log_position> inheritedAt;
     };
     struct pending_request
     {
@@ -166,6 +166,7 @@
     void take(const view_learned &event, time_point now, actions &out);
     void take(const time_passed &event, time_point now, actions &out);
 
+    bool isHeld(const log_position &position) const;
     bool isHeld(const pending_wait &wait) const;
     void learnHeld(const status_answered &event, time_point now);
     void releaseHeld(actions &out);
--- a/test/failover_commit_tracker.cpp
+++ b/test/failover_commit_tracker.cpp
@@ -134,6 +134,10 @@
     EXPECT_TRUE(
             only<release_waiter>(tracker.handle(status_answered{2, server_id("s2"), alone}, now))
                     .empty());
+    // Confirmed in the term, but only up to the entries of the older one.
+    const auto confirmed = statusOf(2, 8, {{server_id("s0"), {2, 7}}});
+    const auto answer = tracker.handle(status_answered{3, server_id("s2"), confirmed}, now);
+    EXPECT_TRUE(only<release_waiter>(answer).empty());
     // A second change before that: the wait goes on only because its base is the first one's term.
     tracker.handle(view_learned{viewOf(3, log_position{2, 8})}, now);
     const auto held = statusOf(3, 9, {{server_id("s1"), {3, 9}}});
--- a/test/simulated_group.h
+++ b/test/simulated_group.h
@@ -399,7 +399,10 @@
     {
         const auto &member = m_members[follower];
         const auto term = member.term;
-        const auto position = positionOf(member);
+        // A checked log is a prefix of the primary's, though its last entry may be of an older
+        // term.
+        const auto position = member.hasUncheckedTail ? positionOf(member)
+                                                      : log_position{term, member.entries.size()};
         const auto primary = member.primary;
         send(follower, primary, [=, this] {
             auto &target = m_members[primary];
