--- a/sycamorespan/src/Overload/backoff.h
+++ b/sycamorespan/src/Overload/backoff.h
@@ -18,10 +18,12 @@
     auto operator<=>(const backoff_policy &) const = default;
 };
 
-/** \brief Exponential backoff with full jitter.
+/** \brief Exponential backoff with jitter.
  *
- * Each delay is drawn uniformly between zero and an upper end that doubles. Clients that failed at
- * the same moment so come back spread over the whole delay.
+ * Each delay is drawn uniformly between half of an upper end and the upper end, which doubles.
+ * Clients that failed at the same moment come back spread over half of the delay. For a client with
+ * a steady period the shortest upper end should not be below the period, so that an outage doesn't
+ * raise its rate.
  */
 class backoff
 {
@@ -35,7 +37,8 @@
     /** \returns the delay before the next try. */
     duration next()
     {
-        const duration delay = fromSeconds(toSeconds(m_upperEnd) * uniformUnit(m_random));
+        const double half = toSeconds(m_upperEnd) / 2;
+        const duration delay = fromSeconds(half + half * uniformUnit(m_random));
         m_upperEnd = std::min(m_upperEnd * 2, m_policy.longest);
         return delay;
     }
--- a/sycamorespan/src/Pooling/fair_queue.cpp
+++ b/sycamorespan/src/Pooling/fair_queue.cpp
@@ -88,10 +88,10 @@
             const auto isLive = [limit](const waiting_request &waiting) {
                 return waiting.request.deadline >= limit;
             };
-            const auto rest = std::ranges::stable_partition(requests, isLive);
-            for (const auto &waiting : rest)
-                expired.push_back(waiting.request);
-            requests.erase(rest.begin(), rest.end());
+            const auto rest = std::stable_partition(requests.begin(), requests.end(), isLive);
+            std::transform(rest, requests.end(), std::back_inserter(expired),
+                           [](const waiting_request &waiting) { return waiting.request; });
+            requests.erase(rest, requests.end());
         });
     }
     return expired;
--- a/sycamorespan/src/Pooling/slot_scheduler.h
+++ b/sycamorespan/src/Pooling/slot_scheduler.h
@@ -26,7 +26,7 @@
 {
     fair_queue_limits queue = {};
     /** Slots that one workspace alone can't take, while others have used the member lately. */
-    std::size_t reservedSlots = 2;
+    std::size_t reservedSlots = 3;
     duration reservationTime = 1s; ///< since another workspace's last grant
     duration pingInterval = 5s; ///< of silence on an idle connection
     duration answerTimeout = 2s; ///< for pings and resets
