Share a member's slots in the proxy by slot_scheduler

The pool was first come first served. Connections are now opened, reset, pinged and closed as the scheduler decides; a lease that ran a write is reset before its connection is lent again, one in an unknown state is closed.

--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -48,10 +48,10 @@
 {
     const replica_selector selector{selection_policy{}};
     const time_point now{1h};
-    group_view view{database_id("sales"), 1, server_id("member-0"), {}};
+    routing_view view{database_id("sales"), 1, server_id("member-0"), {}};
     for (std::int64_t number = 0; number < state.range(0); ++number) {
         const server_id server("member-" + std::to_string(number));
-        const auto role = number == 0 ? member_role::primary : member_role::replica;
+        const auto role = number == 0 ? reported_role::primary : reported_role::replica;
         const member_report report{server, role, 1, {1, 100}, duration{0}, now};
         view.members.push_back({.server = server, .slots = 5, .report = report});
     }
--- a/programs/proxy/backend_connection.cpp
+++ b/programs/proxy/backend_connection.cpp
@@ -142,9 +142,11 @@
 void backend_connection::run(std::vector<backend_step> steps, duration timeout,
                              reply_handler onReply)
 {
+    m_onReply = std::move(onReply);
+    if (m_state == state::closed)
+        return m_timer.startOnce(duration::zero());
     m_state = state::busy;
     m_steps = std::move(steps);
-    m_onReply = std::move(onReply);
     m_reply = {};
     m_result = {};
     m_resultSeen = false;
@@ -191,6 +193,8 @@
 {
     if (m_lastError.empty())
         m_lastError = "timeout";
+    if (m_state == state::closed)
+        return reportLost();
     fail();
 }
 
@@ -317,10 +321,16 @@
     m_connection.reset();
     if (wasConnecting)
         return std::exchange(m_onConnected, nullptr)(false);
-    if (const auto onReply = std::exchange(m_onReply, nullptr)) {
-        m_reply.connectionLost = true;
-        onReply(std::exchange(m_reply, {}));
-    }
+    reportLost();
+}
+
+void backend_connection::reportLost()
+{
+    const auto onReply = std::exchange(m_onReply, nullptr);
+    if (!onReply)
+        return;
+    m_reply.connectionLost = true;
+    onReply(std::exchange(m_reply, {}));
 }
 
 void backend_connection::watch(int events)
--- a/programs/proxy/backend_connection.h
+++ b/programs/proxy/backend_connection.h
@@ -79,6 +79,7 @@
     void finishStep();
     void finishBatch();
     void fail();
+    void reportLost();
     void watch(int events);
 
     state m_state = state::connecting;
--- a/programs/proxy/database_task.cpp
+++ b/programs/proxy/database_task.cpp
@@ -94,10 +94,11 @@
 }
 
 database_task::database_task(ev::loop_ref loop, database_id database,
-                             const database_options &options)
+                             const database_options &options, const random_source &random)
     : m_loop(loop)
     , m_database(std::move(database))
     , m_options(options)
+    , m_random(random)
     , m_tracker({}, emptyView(m_database))
     , m_trackerTimer(loop, [this] { step(time_passed{}); })
 { }
@@ -113,8 +114,8 @@
         retire(target);
         target.entry = entry;
         target.pool = std::make_unique<member_pool>(
-                m_loop,
-                member_pool::options{connectionOptions(target), m_options.connectionsPerMember});
+                m_loop, member_pool::options{connectionOptions(target), m_options.budget},
+                m_random);
     }
     const auto isConfigured = [&members](const server_id &server) {
         return std::ranges::find(members, server, &configuration::member_entry::server)
--- a/programs/proxy/database_task.h
+++ b/programs/proxy/database_task.h
@@ -39,7 +39,8 @@
     /** instance/boot: names the sessions of this start of the proxy. */
     std::string applicationName;
     data_centre_id dataCentre;
-    std::size_t connectionsPerMember = 4;
+    /** Slots and connections of this proxy at each member. */
+    slot_budget budget{4, 4};
 };
 
 /** \brief Totals since the start. */
@@ -60,7 +61,8 @@
     /** Called once: true when a majority holds the position, false when that stays unknown. */
     using held_handler = std::function<void(bool)>;
 
-    database_task(ev::loop_ref loop, database_id database, const database_options &options);
+    database_task(ev::loop_ref loop, database_id database, const database_options &options,
+                  const random_source &random);
     ~database_task();
 
     void setMembers(const std::vector<configuration::member_entry> &members);
@@ -103,6 +105,7 @@
     ev::loop_ref m_loop;
     database_id m_database;
     database_options m_options;
+    random_source m_random;
     std::map<server_id, member> m_members;
     std::vector<std::unique_ptr<member_pool>> m_leavingPools; ///< until their last lease ends
     commit_tracker m_tracker;
--- a/programs/proxy/member_pool.cpp
+++ b/programs/proxy/member_pool.cpp
@@ -1,124 +1,166 @@
 #include "programs/proxy/member_pool.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace sycamorespan::proxy {
 namespace {
 
-constexpr duration checkInterval = 10ms;
+constexpr duration timerInterval = 50ms;
+constexpr duration controlTimeout = 2s;
+constexpr duration expectedDuration = 1ms;
+
+/** The proxy bounds running statements itself: a transaction may outlast a request's deadline. */
+slot_policy poolPolicy()
+{
+    slot_policy policy;
+    policy.deadlineGrace = 24h;
+    return policy;
+}
 
 } // namespace
 
-member_pool::member_pool(ev::loop_ref loop, options settings)
+member_pool::member_pool(ev::loop_ref loop, options settings, const random_source &random)
     : m_loop(loop)
     , m_options(std::move(settings))
-    , m_timer(loop, [this] { serve(); })
-{ }
+    , m_scheduler(poolPolicy(), m_options.budget, random)
+    , m_timer(loop, [this] { handleTimer(); })
+    , m_laterTimer(loop, [this] { runLater(); })
+{
+    m_timer.startRepeating(timerInterval);
+}
 
 member_pool::~member_pool() = default;
 
-lease_number member_pool::acquire(const workspace_id &, time_point deadline,
+lease_number member_pool::acquire(const workspace_id &workspace, time_point deadline,
                                   granted_handler onGranted)
 {
-    m_waiting.push_back({++m_lastLease, deadline, std::move(onGranted)});
-    scheduleNow();
-    return m_lastLease;
+    const auto lease = ++m_lastLease;
+    m_waiting.emplace(lease, waiting_request{workspace, std::move(onGranted)});
+    later([this, lease, workspace, deadline] {
+        if (m_waiting.contains(lease))
+            perform(m_scheduler.submit({lease, workspace, expectedDuration, deadline},
+                                       monotonicNow()));
+    });
+    return lease;
 }
 
-void member_pool::release(lease_number lease)
+void member_pool::release(lease_number lease, lease_use use)
 {
-    std::erase_if(m_waiting, [lease](const request &entry) { return entry.lease == lease; });
+    const auto waiting = m_waiting.find(lease);
+    if (waiting != m_waiting.end()) {
+        const auto workspace = waiting->second.workspace;
+        m_waiting.erase(waiting);
+        return perform(m_scheduler.cancel(workspace, lease, monotonicNow()));
+    }
     const auto found = m_leases.find(lease);
     if (found == m_leases.end())
         return;
-    auto &entry = *found->second;
+    const auto id = found->second;
     m_leases.erase(found);
-    entry.lease = 0;
-    const bool reusable = entry.connection->currentState() == backend_connection::state::ready
-                          && entry.connection->isOutsideTransaction();
-    entry.failed = !reusable;
-    scheduleNow();
-}
-
-void member_pool::serve()
-{
-    removeClosed();
-    refuseOverdue();
-    for (auto &entry : m_connections) {
-        if (m_waiting.empty())
-            break;
-        if (entry.lease != 0
-            || entry.connection->currentState() != backend_connection::state::ready)
-            continue;
-        auto next = std::move(m_waiting.front());
-        m_waiting.pop_front();
-        entry.lease = next.lease;
-        m_leases[next.lease] = &entry;
-        next.onGranted(entry.connection.get(), {});
-    }
-    const auto connecting = static_cast<std::size_t>(
-            std::ranges::count_if(m_connections, [](const pooled_connection &entry) {
-                return entry.connection->currentState() == backend_connection::state::connecting;
-            }));
-    if (m_waiting.size() > connecting && m_connections.size() < m_options.maximumConnections)
-        openConnection();
-    if (!m_waiting.empty())
-        m_timer.startOnce(checkInterval);
+    const auto &connection = m_connections.at(id);
+    const bool isKnown = connection->currentState() == backend_connection::state::ready
+                         && connection->isOutsideTransaction();
+    const auto cleanState =
+            use == lease_use::readOnly ? released_state::clean : released_state::needsReset;
+    perform(m_scheduler.onReleased(id, lease, isKnown ? cleanState : released_state::unknown,
+                                   monotonicNow()));
 }
 
-void member_pool::openConnection()
+void member_pool::perform(const actions &list)
 {
-    auto &entry = m_connections.emplace_back();
-    entry.connection = std::make_unique<backend_connection>(
-            m_loop, m_options.connection,
-            [this, &entry](bool success) { connected(entry, success); });
+    for (const auto &action : list)
+        std::visit([this](const auto &value) { perform(value); }, action);
 }
 
-void member_pool::connected(pooled_connection &entry, bool success)
+void member_pool::perform(const open_connection &action)
 {
-    entry.failed = !success;
-    const bool anyReady = std::ranges::any_of(m_connections, [](const pooled_connection &other) {
-        const auto state = other.connection->currentState();
-        return state == backend_connection::state::ready
-               || state == backend_connection::state::busy;
-    });
-    if (!success && !anyReady)
-        refuseAll(pool_refusal::unreachable);
-    scheduleNow();
+    const auto id = action.connection;
+    m_connections[id] = std::make_unique<backend_connection>(
+            m_loop, m_options.connection, [this, id](bool success) { connected(id, success); });
 }
 
-void member_pool::removeClosed()
+void member_pool::connected(connection_id id, bool success)
 {
-    std::erase_if(m_connections, [](const pooled_connection &entry) {
-        const bool isClosed = entry.connection->currentState() == backend_connection::state::closed;
-        return entry.lease == 0 && (entry.failed || isClosed);
+    later([this, id, success] {
+        const auto now = monotonicNow();
+        perform(success ? m_scheduler.onOpened(id, now) : m_scheduler.onOpenFailed(id, now));
     });
 }
 
-void member_pool::refuseAll(pool_refusal reason)
+void member_pool::perform(const run_on_connection &action)
+{
+    auto node = m_waiting.extract(action.request);
+    m_leases[action.request] = action.connection;
+    if (node.empty())
+        return release(action.request, lease_use::readOnly);
+    node.mapped().onGranted(m_connections.at(action.connection).get(), {});
+}
+
+void member_pool::perform(const reset_connection &action)
+{
+    m_connections.at(action.connection)
+            ->run({{{"DISCARD ALL"}}}, controlTimeout,
+                  [this, id = action.connection](const backend_reply &reply) {
+                      const auto now = monotonicNow();
+                      const bool isReset = !reply.connectionLost && !reply.results.at(0).error;
+                      perform(isReset ? m_scheduler.onReset(id, now)
+                                      : m_scheduler.onClosed(id, now));
+                  });
+}
+
+void member_pool::perform(const ping_connection &action)
 {
-    for (const auto &entry : std::exchange(m_waiting, {}))
-        entry.onGranted(nullptr, reason);
+    m_connections.at(action.connection)
+            ->run({{{""}}}, controlTimeout,
+                  [this, id = action.connection](const backend_reply &reply) {
+                      const auto now = monotonicNow();
+                      perform(reply.connectionLost ? m_scheduler.onClosed(id, now)
+                                                   : m_scheduler.onPong(id, now));
+                  });
 }
 
-void member_pool::refuseOverdue()
+void member_pool::perform(const close_connection &action)
+{
+    auto node = m_connections.extract(action.connection);
+    if (node.empty())
+        return;
+    m_closed.push_back(std::move(node.mapped()));
+    later([this] { m_closed.clear(); });
+}
+
+void member_pool::perform(const refuse_request &action)
+{
+    auto node = m_waiting.extract(action.request);
+    if (!node.empty())
+        node.mapped().onGranted(nullptr, action.reason);
+}
+
+void member_pool::perform(const abandon_request &)
+{
+    // Does not come: deadlineGrace is longer than any statement may run.
+}
+
+void member_pool::handleTimer()
 {
     const auto now = monotonicNow();
-    std::deque<request> overdue;
-    std::erase_if(m_waiting, [&](request &entry) {
-        if (entry.deadline > now)
-            return false;
-        overdue.push_back(std::move(entry));
-        return true;
-    });
-    for (const auto &entry : overdue)
-        entry.onGranted(nullptr, pool_refusal::deadline);
+    for (const auto &[id, connection] : m_connections) {
+        const bool isUnnoticed = connection->currentState() == backend_connection::state::closed;
+        if (isUnnoticed)
+            later([this, closed = id] { perform(m_scheduler.onClosed(closed, monotonicNow())); });
+    }
+    perform(m_scheduler.onTimer(now));
+}
+
+void member_pool::later(std::function<void()> work)
+{
+    m_later.push_back(std::move(work));
+    m_laterTimer.startOnce(duration::zero());
 }
 
-void member_pool::scheduleNow()
+void member_pool::runLater()
 {
-    m_timer.startOnce(duration::zero());
+    for (const auto &work : std::exchange(m_later, {}))
+        work();
 }
 
 } // namespace sycamorespan::proxy
--- a/programs/proxy/member_pool.h
+++ b/programs/proxy/member_pool.h
@@ -1,38 +1,39 @@
 #ifndef SYCAMORESPAN_PROGRAMS_PROXY_MEMBER_POOL_H
 #define SYCAMORESPAN_PROGRAMS_PROXY_MEMBER_POOL_H
 
-#include <cstdint>
-#include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <string>
 
 #include "programs/proxy/backend_connection.h"
+#include "sycamorespan/Pooling"
 
 namespace sycamorespan::proxy {
 
 /** \brief Number of a request for a connection. */
-using lease_number = std::uint64_t;
+using lease_number = request_id;
 
-/** \brief Why no connection could be had; nothing was sent to the backend server. */
-enum class pool_refusal { deadline, unreachable };
+/** \brief Whether a lease may have left something behind in the server's session. */
+enum class lease_use { readOnly, mayHaveChangedSession };
 
-/** \brief Connections to one backend server, lent to one statement or transaction at a time. */
+/** \brief Connections to one backend server, lent to one statement or transaction at a time as
+ * slot_scheduler decides.
+ */
 class member_pool
 {
 public:
     struct options
     {
         backend_connection::options connection;
-        std::size_t maximumConnections = 4;
-        std::size_t maximumWaiting = 1000;
+        slot_budget budget{4, 4};
     };
-    /** Gets the connection, or nullptr and the reason. */
-    using granted_handler = std::function<void(backend_connection *, pool_refusal)>;
+    /** Gets the connection, or nullptr and the reason; nothing was sent to the server then. */
+    using granted_handler = std::function<void(backend_connection *, slot_refusal)>;
 
-    member_pool(ev::loop_ref loop, options settings);
+    member_pool(ev::loop_ref loop, options settings, const random_source &random);
+    member_pool(const member_pool &) = delete;
+    member_pool &operator=(const member_pool &) = delete;
     ~member_pool();
 
     /** \brief Asks for a connection until \a deadline. The handler is called from the loop. */
@@ -40,41 +41,44 @@
                          granted_handler onGranted);
 
     /** \brief Withdraws a request, or gives a granted connection back. */
-    void release(lease_number lease);
+    void release(lease_number lease, lease_use use);
 
-    std::size_t openConnections() const noexcept { return m_connections.size(); }
+    std::size_t openConnections() const noexcept { return m_scheduler.connections(); }
     std::size_t leasedConnections() const noexcept { return m_leases.size(); }
     std::size_t waiting() const noexcept { return m_waiting.size(); }
 
 private:
-    struct request
+    struct waiting_request
     {
-        lease_number lease = 0;
-        time_point deadline;
+        workspace_id workspace;
         granted_handler onGranted;
     };
-    struct pooled_connection
-    {
-        std::unique_ptr<backend_connection> connection;
-        lease_number lease = 0;
-        bool failed = false;
-    };
+    using actions = std::vector<slot_action>;
 
-    void serve();
-    void openConnection();
-    void connected(pooled_connection &entry, bool success);
-    void removeClosed();
-    void refuseAll(pool_refusal reason);
-    void refuseOverdue();
-    void scheduleNow();
+    void perform(const actions &list);
+    void perform(const open_connection &action);
+    void perform(const run_on_connection &action);
+    void perform(const reset_connection &action);
+    void perform(const ping_connection &action);
+    void perform(const close_connection &action);
+    void perform(const refuse_request &action);
+    void perform(const abandon_request &action);
+    void connected(connection_id id, bool success);
+    void handleTimer();
+    void later(std::function<void()> work);
+    void runLater();
 
     ev::loop_ref m_loop;
     options m_options;
+    slot_scheduler m_scheduler;
     lease_number m_lastLease = 0;
-    std::deque<request> m_waiting;
-    std::list<pooled_connection> m_connections;
-    std::map<lease_number, pooled_connection *> m_leases;
+    std::map<lease_number, waiting_request> m_waiting;
+    std::map<lease_number, connection_id> m_leases;
+    std::map<connection_id, std::unique_ptr<backend_connection>> m_connections;
+    std::vector<std::unique_ptr<backend_connection>> m_closed; ///< destroyed from the loop
+    std::vector<std::function<void()>> m_later;
     loop_timer m_timer;
+    loop_timer m_laterTimer;
 };
 
 } // namespace sycamorespan::proxy
--- a/programs/proxy/proxy.cpp
+++ b/programs/proxy/proxy.cpp
@@ -168,7 +168,8 @@
                     m_loop, database,
                     database_options{m_settings.backendPassword,
                                      m_settings.instance.str() + '/' + m_boot,
-                                     m_settings.dataCentre});
+                                     m_settings.dataCentre},
+                    m_random);
         }
         task->setMembers(group.members);
     }
--- a/programs/proxy/statement_flow.cpp
+++ b/programs/proxy/statement_flow.cpp
@@ -125,13 +125,13 @@
     m_kind = kind;
     m_lease = m_pool->acquire(
             m_workspace, m_deadline,
-            [this, alive = m_alive](backend_connection *connection, pool_refusal reason) {
+            [this, alive = m_alive](backend_connection *connection, slot_refusal reason) {
                 if (*alive)
                     granted(connection, reason);
             });
 }
 
-void statement_flow::granted(backend_connection *connection, pool_refusal reason)
+void statement_flow::granted(backend_connection *connection, slot_refusal reason)
 {
     m_connection = connection;
     if (connection != nullptr)
@@ -139,7 +139,7 @@
     m_lease = 0;
     if (m_kind == target_kind::replica)
         return choose();
-    if (reason == pool_refusal::deadline)
+    if (reason != slot_refusal::memberUnreachable)
         return refuse(sqlstate::tooManyConnections, "no slot of the database was free in time");
     retryLater(sqlstate::cannotConnectNow, "the primary can't be reached");
 }
@@ -147,6 +147,7 @@
 void statement_flow::send()
 {
     const auto sentAt = monotonicNow();
+    m_mayHaveChangedSession = m_mayHaveChangedSession || m_request->kind == statement_kind::write;
     m_connection->run(steps(), m_bounds.statementTimeout,
                       [this, sentAt, alive = m_alive](backend_reply reply) {
                           if (*alive)
@@ -337,7 +338,9 @@
 {
     m_connection = nullptr;
     if (m_lease != 0)
-        m_pool->release(std::exchange(m_lease, 0));
+        m_pool->release(std::exchange(m_lease, 0), std::exchange(m_mayHaveChangedSession, false)
+                                                           ? lease_use::mayHaveChangedSession
+                                                           : lease_use::readOnly);
 }
 
 } // namespace sycamorespan::proxy
--- a/programs/proxy/statement_flow.h
+++ b/programs/proxy/statement_flow.h
@@ -66,7 +66,7 @@
     void choose();
     bool mayUseReplica() const;
     void acquire(const server_id &server, target_kind kind);
-    void granted(backend_connection *connection, pool_refusal reason);
+    void granted(backend_connection *connection, slot_refusal reason);
     void send();
     std::vector<backend_step> steps() const;
     void answered(backend_reply reply, time_point sentAt);
@@ -100,6 +100,7 @@
     member_pool *m_pool = nullptr;
     lease_number m_lease = 0;
     backend_connection *m_connection = nullptr;
+    bool m_mayHaveChangedSession = false; ///< since the connection was granted
     waiter_id m_waiter = 0;
     loop_timer m_retryTimer;
     std::shared_ptr<bool> m_alive; ///< false for callbacks of work that was dropped
