--- a/programs/proxy/member_pool.cpp
+++ b/programs/proxy/member_pool.cpp
@@ -1,5 +1,6 @@
 #include "programs/proxy/member_pool.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sycamorespan::proxy {
@@ -143,14 +144,26 @@
 void member_pool::handleTimer()
 {
     const auto now = monotonicNow();
-    for (const auto &[id, connection] : m_connections) {
-        const bool isUnnoticed = connection->currentState() == backend_connection::state::closed;
-        if (isUnnoticed)
-            later([this, closed = id] { perform(m_scheduler.onClosed(closed, monotonicNow())); });
+    for (const auto id : closedAndNotLeased()) {
+        perform(m_scheduler.onClosed(id, now));
+        perform(close_connection{id});
     }
     perform(m_scheduler.onTimer(now));
 }
 
+/** The holder of a lease notices by itself, when it uses the connection. */
+std::vector<connection_id> member_pool::closedAndNotLeased() const
+{
+    std::vector<connection_id> result;
+    for (const auto &[id, connection] : m_connections) {
+        const auto isOfThis = [id = id](const auto &lease) { return lease.second == id; };
+        const bool isClosed = connection->currentState() == backend_connection::state::closed;
+        if (isClosed && std::ranges::none_of(m_leases, isOfThis))
+            result.push_back(id);
+    }
+    return result;
+}
+
 void member_pool::later(std::function<void()> work)
 {
     m_later.push_back(std::move(work));
--- a/programs/proxy/member_pool.h
+++ b/programs/proxy/member_pool.h
@@ -65,6 +65,7 @@
     void perform(const abandon_request &action);
     void connected(connection_id id, bool success);
     void handleTimer();
+    std::vector<connection_id> closedAndNotLeased() const;
     void later(std::function<void()> work);
     void runLater();
 
