Suspect a primary only after a second round of observers agrees

Ruled out: a majority of all data centres, which leaves a group without a primary while a region with half of them is cut off. A second round with 200 ms patience must now agree. The unit test of the detector asked for one round and asks for two now, which is stricter; one was added for a second round that is answered.

Tokens of a supervisor also carry a random number, so that an agent that makes its supervisors anew when the members change never repeats a token.

--- a/sycamorespan/src/Failover/failure_detector.cpp
+++ b/sycamorespan/src/Failover/failure_detector.cpp
@@ -61,13 +61,13 @@
 }
 
 std::vector<failure_detector_action> failure_detector::handle(const observer_report &event,
-                                                              time_point /*now*/)
+                                                              time_point now)
 {
     actions out;
     if (event.round != m_round || event.dataCentre == m_ownDataCentre)
         return out;
     m_reports.insert_or_assign(event.dataCentre, event.health);
-    decide(out);
+    decide(now, out);
     return out;
 }
 
@@ -86,7 +86,8 @@
         probeFailed(now, out);
         break;
     case phase::confirmed:
-        startConfirming(now, out);
+        m_isVerifying = false;
+        startConfirming(patience(), now, out);
         break;
     }
     return out;
@@ -130,24 +131,24 @@
     sendProbe(false, now, m_settings.probeTimeout, out);
 }
 
-void failure_detector::startConfirming(time_point now, actions &out)
+void failure_detector::startConfirming(duration patience, time_point now, actions &out)
 {
     m_phase = phase::confirming;
     m_reports.clear();
-    sendProbe(true, now, patience(), out);
-    out.emplace_back(ask_observers{++m_round, m_view.primary, m_view.term, patience()});
+    sendProbe(true, now, patience, out);
+    out.emplace_back(ask_observers{++m_round, m_view.primary, m_view.term, patience});
 }
 
 void failure_detector::probeFailed(time_point now, actions &out)
 {
     if (m_phase == phase::probing)
-        return startConfirming(now, out);
+        return startConfirming(patience(), now, out);
     if (m_phase != phase::confirming)
         return;
     m_phase = phase::confirmed;
     m_deadline = now + m_settings.probeInterval;
     m_reports.insert_or_assign(m_ownDataCentre, primary_health::silent);
-    decide(out);
+    decide(now, out);
 }
 
 void failure_detector::takeStatus(const call_returned &event, time_point now, actions &out)
@@ -162,6 +163,7 @@
     m_phase = phase::idle;
     m_deadline = now + m_settings.probeInterval;
     m_reports.clear();
+    m_isVerifying = false;
     if (healthOf(event.answer, m_view.term) == primary_health::deposed)
         return suspect(suspicion_cause::deposed, out);
     takeHealthy(std::get<member_status>(event.answer), now, out);
@@ -193,15 +195,18 @@
         suspect(suspicion_cause::stalled, out);
 }
 
-void failure_detector::decide(actions &out)
+void failure_detector::decide(time_point now, actions &out)
 {
     if (m_phase != phase::confirmed)
         return;
     const auto healthyCount = static_cast<std::size_t>(std::ranges::count(
             m_reports, primary_health::healthy, [](const auto &entry) { return entry.second; }));
     const auto unhealthyCount = m_reports.size() - healthyCount;
-    if (unhealthyCount >= m_settings.requiredDataCentres && unhealthyCount > healthyCount)
-        suspect(suspicion_cause::silent, out);
+    if (unhealthyCount < m_settings.requiredDataCentres || unhealthyCount <= healthyCount)
+        return;
+    if (std::exchange(m_isVerifying, true))
+        return suspect(suspicion_cause::silent, out);
+    startConfirming(m_settings.verificationPatience, now, out);
 }
 
 void failure_detector::suspect(suspicion_cause cause, actions &out)
--- a/sycamorespan/src/Failover/failure_detector.h
+++ b/sycamorespan/src/Failover/failure_detector.h
@@ -21,6 +21,7 @@
     duration minimumPatience = 700ms; ///< with a fresh connection
     duration maximumPatience = 4s;
     unsigned patienceFactor = 4; ///< patience in units of the slowest recent answer
+    duration verificationPatience = 200ms; ///< of the second round that must agree
     duration stallTime = 3s; ///< without any majority-held progress
     std::size_t requiredDataCentres = 2; ///< that must agree on a suspicion
 };
@@ -85,8 +86,10 @@
  *
  * Probes the primary over a kept connection. Without an answer it tries a fresh one and asks
  * observers of other data centres at the same time; only if the fresh one fails too, and at
- * least the required number of data centres agree, and more find it silent than healthy, the
- * primary is suspected. The patience grows with the primary's recent answer times.
+ * least the required number of data centres agree, and more find it silent than healthy, and a
+ * second, shorter round says the same, the primary is suspected. The second round keeps losses that
+ * hit several data centres one after the other from adding up. The patience grows with the
+ * primary's recent answer times.
  */
 class failure_detector
 {
@@ -121,12 +124,12 @@
 
     void sendProbe(bool freshConnection, time_point now, duration timeout, actions &out);
     void startProbing(time_point now, actions &out);
-    void startConfirming(time_point now, actions &out);
+    void startConfirming(duration patience, time_point now, actions &out);
     void probeFailed(time_point now, actions &out);
     void takeStatus(const call_returned &event, time_point now, actions &out);
     void takeHealthy(const member_status &status, time_point now, actions &out);
     void watchProgress(const member_status &status, time_point now, actions &out);
-    void decide(actions &out);
+    void decide(time_point now, actions &out);
     void suspect(suspicion_cause cause, actions &out);
 
     failure_detector_settings m_settings;
@@ -136,6 +139,7 @@
     std::uint64_t m_series;
     phase m_phase = phase::idle;
     bool m_suspected = false;
+    bool m_isVerifying = false;
     std::uint64_t m_lastNumber = 0;
     std::uint64_t m_round = 0;
     time_point m_sentAt;
--- a/sycamorespan/src/Failover/supervisor.cpp
+++ b/sycamorespan/src/Failover/supervisor.cpp
@@ -242,7 +242,8 @@
 {
     m_changeAt.reset();
     const auto series = ++m_lastSeries;
-    const auto token = m_self.str() + '/' + m_boot + '/' + std::to_string(series);
+    const auto attempt = std::to_string(series) + '/' + std::to_string(m_random());
+    const auto token = m_self.str() + '/' + m_boot + '/' + attempt;
     enter(supervisor_state::changing, "looks for a primary or makes one", out);
     m_change.emplace(m_settings.change, m_group, m_request, token, m_highestTerm, series);
     forward(m_change->start(now), now, out);
--- a/sycamorespan/src/Failover/supervisor.h
+++ b/sycamorespan/src/Failover/supervisor.h
@@ -111,7 +111,8 @@
      * \param self  this agent's instance
      * \param boot  unique to this start of the agent; part of every token
      * \param dataCentre  of this agent
-     * \param random  for the jitter of the backoff
+     * \param random  for the jitter of the backoff and the last part of every token, which keeps
+     *     the tokens of two objects of one start apart
      */
     supervisor(const supervisor_settings &settings, group_configuration group, instance_id self,
                std::string boot, data_centre_id dataCentre, random_source random);
--- a/test/failover_detector.cpp
+++ b/test/failover_detector.cpp
@@ -87,15 +87,31 @@
     return detector;
 }
 
-TEST(failure_detector, needsAnotherDataCentreToSuspect)
+TEST(failure_detector, needsAnotherDataCentreInTwoRoundsToSuspect)
 {
     auto detector = unansweredDetector();
     const observer_report own{1, data_centre_id("a"), primary_health::silent};
     EXPECT_FALSE(isSuspected(detector.handle(own, time_point())));
     const observer_report late{0, data_centre_id("b"), primary_health::silent};
     EXPECT_FALSE(isSuspected(detector.handle(late, time_point())));
-    const observer_report other{1, data_centre_id("b"), primary_health::silent};
-    EXPECT_TRUE(isSuspected(detector.handle(other, time_point())));
+    const observer_report first{1, data_centre_id("b"), primary_health::silent};
+    EXPECT_FALSE(isSuspected(detector.handle(first, time_point())));
+    const observer_report second{2, data_centre_id("b"), primary_health::silent};
+    EXPECT_FALSE(isSuspected(detector.handle(second, time_point())));
+    const call_returned failed{{call_purpose::probe, 1, 3}, server_id("s0"), call_failed{}};
+    EXPECT_TRUE(isSuspected(detector.handle(failed, time_point())));
+}
+
+TEST(failure_detector, forgetsTheFirstRoundWhereTheSecondIsAnswered)
+{
+    auto detector = unansweredDetector();
+    const observer_report first{1, data_centre_id("b"), primary_health::silent};
+    detector.handle(first, time_point());
+    const member_status status{3, member_role::primary, {3, 1}, {}, {{server_id("s1"), {3, 1}}}};
+    const call_returned answered{{call_purpose::probe, 1, 3}, server_id("s0"), status};
+    EXPECT_FALSE(isSuspected(detector.handle(answered, time_point())));
+    const observer_report second{2, data_centre_id("b"), primary_health::silent};
+    EXPECT_FALSE(isSuspected(detector.handle(second, time_point())));
 }
 
 TEST(failure_detector, doesNotSuspectAgainstHalfOfTheDataCentres)
--- a/test/failover_upkeep.cpp
+++ b/test/failover_upkeep.cpp
@@ -160,6 +160,35 @@
     }
 }
 
+/** The token under which a new supervisor of a group without a primary fences. */
+std::string tokenOfNewSupervisor(const random_source &random)
+{
+    supervisor machine({}, group, instance_id("i"), "boot", data_centre_id("a"), random);
+    const time_point now;
+    std::string token;
+    for (const auto &survey : machine.handle(instances_changed{}, now)) {
+        const auto *call = std::get_if<call_member>(&survey);
+        if (!call)
+            continue;
+        const member_status fenced{1, member_role::fenced, {1, 4}, {}, {}};
+        for (const auto &action :
+             machine.handle(call_returned{call->id, call->server, fenced}, now)) {
+            const auto *fence = std::get_if<call_member>(&action);
+            token = fence ? std::get<fence_operation>(fence->operation).token : token;
+        }
+    }
+    return token;
+}
+
+TEST(supervisor, tokensDifferAlsoWithinOneStart)
+{
+    std::mt19937_64 random(1);
+    const auto source = [&random] { return random(); };
+    const auto first = tokenOfNewSupervisor(source);
+    EXPECT_FALSE(first.empty());
+    EXPECT_NE(first, tokenOfNewSupervisor(source));
+}
+
 TEST(group_json, viewsAndFollowersSurviveARoundTrip)
 {
     EXPECT_EQ(groupViewFromJson(groupViewToJson(viewOf(7))), viewOf(7));
