Know the members by gossip with bounded fan-out, and drain without a cut

Cause: the platform's list lags, and a node has 2 KB/s for control. Ruled out: relays for each data centre, as a relay of 82 members sends 82 digests a second; a beat counter for each data centre, as lagging instances' beats hide that they live (false silences at 60 instances); counting bytes of urgent news, which delayed a leaving member beyond 3 s.

--- a/sycamorespan/src/Membership/membership_message.h
+++ b/sycamorespan/src/Membership/membership_message.h
@@ -3,6 +3,7 @@
 
 #include "sycamorespan/src/Membership/member.h"
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -21,13 +22,13 @@
     auto operator<=>(const suspicion &) const = default;
 };
 
-/** \brief Counter that rises as long as some instance of the data centre is heard from. */
-struct data_centre_beat
+/** \brief How long ago anything was heard from a data centre, by the sender or through others. */
+struct data_centre_silence
 {
     data_centre_id dataCentre;
-    std::uint64_t beat = 0;
+    std::chrono::milliseconds length{};
 
-    auto operator<=>(const data_centre_beat &) const = default;
+    auto operator<=>(const data_centre_silence &) const = default;
 };
 
 /** \brief What one agent sends to another: heartbeat, news and repair in one. */
@@ -36,10 +37,12 @@
     member_id sender;
     std::uint64_t boot = 0;
     std::uint64_t version = 0;
+    member_state state = member_state::live; ///< of the sender
     std::uint64_t digest = 0; ///< of all records that the sender knows
-    std::vector<data_centre_beat> beats;
+    std::vector<data_centre_silence> silences;
     std::vector<member> updates;
     std::vector<suspicion> suspicions;
+    bool isPage = false; ///< updates answer pageAfter and are not passed on
     std::optional<member_id> pageAfter; ///< asks for the records that follow this one
 
     bool operator==(const membership_message &) const = default;
--- /dev/null
+++ b/sycamorespan/src/Membership/membership_view.cpp
@@ -0,0 +1,44 @@
+#include "sycamorespan/src/Membership/membership_view.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace sycamorespan {
+
+membership_view::membership_view(std::vector<member> members,
+                                 std::vector<data_centre_id> silentCentres)
+    : m_members(std::move(members))
+    , m_silentCentres(std::move(silentCentres))
+{
+    if (!std::ranges::is_sorted(m_members, {}, &member::id))
+        std::ranges::sort(m_members, {}, &member::id);
+    std::ranges::sort(m_silentCentres);
+}
+
+const member *membership_view::find(const member_id &id) const
+{
+    const auto found = std::ranges::lower_bound(m_members, id, {}, &member::id);
+    return found != m_members.end() && found->id == id ? &*found : nullptr;
+}
+
+bool membership_view::takesNewWork(const member_id &id) const
+{
+    const auto *found = find(id);
+    return found != nullptr && available(*found);
+}
+
+std::vector<member> membership_view::available(member_kind kind) const
+{
+    std::vector<member> result;
+    std::ranges::copy_if(m_members, std::back_inserter(result),
+                         [&](const member &each) { return each.kind == kind && available(each); });
+    return result;
+}
+
+bool membership_view::available(const member &of) const
+{
+    return of.state == member_state::live
+           && !std::ranges::binary_search(m_silentCentres, of.dataCentre);
+}
+
+} // namespace sycamorespan
