Lend what an idle holder once needed

Cause: a holder kept back what its last measured demand would need, also long after its requests had ended: with sessions that roam every 5 s, 9,094 of 15,310 requests within the rate were refused. Ruled out: loans too small or too slow, as the same load at one fixed holder loses 45. Now an old measurement gives way to what arrived since.

--- a/sycamorespan/src/Quota/quota_holder.cpp
+++ b/sycamorespan/src/Quota/quota_holder.cpp
@@ -391,7 +391,12 @@
 
 token_amount quota_holder::expectedDemand() const
 {
-    return fromTokens(m_demandTokensPerSecond * toSeconds(m_policy.lookahead));
+    // Demand is measured when requests arrive; once they end, the last measurement is too old.
+    const auto elapsed = m_handled - m_demandSince;
+    const bool outdated = elapsed >= 2 * demandPeriod;
+    const auto demand =
+            outdated ? m_demandCounted.asTokens() / toSeconds(elapsed) : m_demandTokensPerSecond;
+    return fromTokens(demand * toSeconds(m_policy.lookahead));
 }
 
 void quota_holder::countDemand(token_amount cost, time_point now)
