--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -88,7 +88,7 @@
     std::vector<duration> latencies;
     for (auto _ : state) {
         const time_point now = wroteAt + fromSeconds(gapSeconds(random));
-        group_view view{database_id("sales"), 1, server_id("primary"), {}};
+        routing_view view{database_id("sales"), 1, server_id("primary"), {}};
         view.members.push_back({.server = server_id("primary"),
                                 .distance = remote,
                                 .outstanding = static_cast<std::size_t>(state.range(2)),
@@ -98,7 +98,7 @@
         for (const auto *name : {"near", "far"}) {
             const duration lag = fromSeconds(lagSeconds(random));
             const member_report report{server_id(name),
-                                       member_role::replica,
+                                       reported_role::replica,
                                        1,
                                        {1, wroteAt + lag <= now ? 10U : 9U},
                                        lag,
