--- a/tools/measure_agents.py
+++ b/tools/measure_agents.py
@@ -14,13 +14,16 @@
 from cluster import Cluster  # pylint: disable=wrong-import-position
 
 SETTLE_SECONDS = 3
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+NANOSECONDS = 1e9
 
 
 def processor_seconds(pid):
-    with open(f"/proc/{pid}/stat", encoding="ascii") as stat:
-        fields = stat.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+    """Time that all threads of the process have run."""
+    total = 0
+    for thread in os.listdir(f"/proc/{pid}/task"):
+        with open(f"/proc/{pid}/task/{thread}/schedstat", encoding="ascii") as statistics:
+            total += int(statistics.read().split()[0])
+    return total / NANOSECONDS
 
 
 def resident_kilobytes(pid):
