--- a/tools/measure_agents.py
+++ b/tools/measure_agents.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
-"""Processor time, memory and bytes of the agents against their number and that of the databases.
+"""Processor time, memory and bytes of agents and proxies without callers, against the number of
+agents, databases and workspaces.
 
-usage: tools/measure_agents.py BUILD SECONDS AGENTS_PER_DATA_CENTRE:DATABASES ...
+usage: tools/measure_agents.py BUILD SECONDS AGENTS_PER_DATA_CENTRE:DATABASES:WORKSPACES ...
 Three data centres, one proxy in each; nothing but control work runs. Bytes are those of the
 accepted links; the agents' requests to the platform and to backend servers aren't in them.
 """
@@ -38,29 +39,40 @@
                + sample["sycamorespan_agent_sent_bytes_total"] for sample in samples)
 
 
-def measure(build, seconds, agents, databases):
+def processes_of(group):
+    return [process.popen.pid for process in group.values()]
+
+
+def columns(pids, before, seconds):
+    """Mean and worst processor time in percent, median and worst memory in kB."""
+    used = sorted(processor_seconds(pid) - start for pid, start in zip(pids, before))
+    memory = sorted(resident_kilobytes(pid) for pid in pids)
+    return [f"{100 * sum(used) / len(pids) / seconds:.3f}", f"{100 * used[-1] / seconds:.3f}",
+            memory[len(memory) // 2], memory[-1]]
+
+
+def measure(build, seconds, agents, databases, workspaces):
     names = [f"cribs{number}" for number in range(databases)]
-    with Cluster(build, databases=names, agents=agents, proxies=1) as cluster:
-        pids = [process.popen.pid for process in cluster.agents.values()]
+    entries = {f"workspace{number}": {"plan": "shop"} for number in range(workspaces)}
+    with Cluster(build, databases=names, agents=agents, proxies=1, workspaces=entries) as cluster:
+        groups = [processes_of(cluster.agents), processes_of(cluster.proxies)]
         time.sleep(SETTLE_SECONDS)
         bytes_before = link_bytes(cluster)
-        before = [processor_seconds(pid) for pid in pids]
+        before = [[processor_seconds(pid) for pid in pids] for pids in groups]
         time.sleep(seconds)
-        used = sorted(processor_seconds(pid) - start for pid, start in zip(pids, before))
+        results = [columns(pids, start, seconds) for pids, start in zip(groups, before)]
         sent = link_bytes(cluster) - bytes_before
-        memory = sorted(resident_kilobytes(pid) for pid in pids)
-        print(len(pids), databases, f"{100 * sum(used) / len(pids) / seconds:.3f}",
-              f"{100 * used[-1] / seconds:.3f}", memory[len(memory) // 2], memory[-1],
-              f"{sent / len(pids) / seconds:.0f}", flush=True)
+        print(len(groups[0]), databases, workspaces, *results[0],
+              f"{sent / len(groups[0]) / seconds:.0f}", *results[1], flush=True)
 
 
 def main():
     build, seconds = sys.argv[1], float(sys.argv[2])
-    print("agents databases cpu_percent_mean cpu_percent_worst rss_kB_median rss_kB_worst "
-          "link_bytes_per_s_mean")
+    print("agents databases workspaces agent:cpu_percent_mean agent:cpu_percent_worst "
+          "agent:rss_kB_median agent:rss_kB_worst agent:link_bytes_per_s proxy:cpu_percent_mean "
+          "proxy:cpu_percent_worst proxy:rss_kB_median proxy:rss_kB_worst")
     for point in sys.argv[3:]:
-        agents, databases = point.split(":")
-        measure(build, seconds, int(agents), int(databases))
+        measure(build, seconds, *(int(number) for number in point.split(":")))
 
 
 if __name__ == "__main__":
