Hold each workspace to its rate in the proxy

quota_task runs the Quota module's holder and lease: rows of shares are read and written through the agent, loans between proxies are handed on by the agents. A refusal is 53400, not run; a statement that certainly did not run gives its token back.

--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -70,6 +70,8 @@
     , m_table(m_platform)
     , m_objects(m_platform)
     , m_instanceList(m_platform)
+    , m_quota(m_table, m_proxies,
+              [this](const messages::message &message) { m_peers.broadcast(message); })
     , m_peers(loop, agentSettings.timing.heartbeatInterval,
               {[this] { return hello(); }, [this] { return heartbeat(); }}, outboundHandlers(),
               random)
@@ -202,6 +204,11 @@
                     [&](const messages::suspicion_answer &answer) {
                         m_supervisors.received(link, answer);
                     },
+                    [&](const messages::share_read &request) { m_quota.received(link, request); },
+                    [&](const messages::share_write &request) { m_quota.received(link, request); },
+                    [&](const messages::loan_transfer &transfer) {
+                        m_quota.received(link, transfer);
+                    },
                     [&](const messages::state_request &) {
                         link.send(messages::state_reply{state().dump()});
                     },
--- a/programs/agent/agent.h
+++ b/programs/agent/agent.h
@@ -7,6 +7,7 @@
 #include "programs/agent/link_server_task.h"
 #include "programs/agent/peer_task.h"
 #include "programs/agent/proxy_link_task.h"
+#include "programs/agent/quota_relay_task.h"
 #include "programs/agent/supervisor_task.h"
 
 #include "sycamorespan/Logging"
@@ -69,6 +70,7 @@
     instance_list_client m_instanceList;
 
     proxy_link_task m_proxies;
+    quota_relay_task m_quota;
     peer_task m_peers;
     link_server_task m_server;
     supervisor_task m_supervisors;
--- a/programs/agent/proxy_link_task.cpp
+++ b/programs/agent/proxy_link_task.cpp
@@ -32,6 +32,14 @@
     std::ranges::for_each(proxies, [&](const auto &entry) { entry.second.send(message); });
 }
 
+bool proxy_link_task::send(const instance_id &instance, const messages::message &message) const
+{
+    const auto found = std::ranges::find_if(m_proxies, [&instance](const auto &entry) {
+        return entry.second.remote().instance == instance;
+    });
+    return found != m_proxies.end() && found->second.send(message);
+}
+
 void proxy_link_task::setConfiguration(const messages::configuration_body &configuration)
 {
     m_configuration = configuration;
--- a/programs/agent/proxy_link_task.h
+++ b/programs/agent/proxy_link_task.h
@@ -25,6 +25,9 @@
     /** \brief Sends to every proxy. */
     void broadcast(const messages::message &message) const;
 
+    /** \brief Sends to one proxy. \returns false when it isn't connected */
+    bool send(const instance_id &instance, const messages::message &message) const;
+
     /** \brief Sends the configuration to every proxy, and to those that connect later. */
     void setConfiguration(const messages::configuration_body &configuration);
 
--- a/programs/proxy/caller_connection.cpp
+++ b/programs/proxy/caller_connection.cpp
@@ -75,14 +75,41 @@
     const auto refusal = ends ? std::nullopt
                               : m_services.access.refusalOf(*m_grant, m_session.isInTransaction(),
                                                             monotonicNow());
-    if (!refusal) {
-        return m_flow->start(action.request, [this](statement_flow::outcome outcome) {
-            finished(std::move(outcome));
-        });
+
+    if (refusal)
+        return refuse(*refusal);
+    const bool isFree = ends || action.request.step == transaction_step::commit || !m_grant->guard;
+    m_charged = !isFree;
+    if (isFree)
+        return admitted(action.request, true);
+    m_admission = 0;
+    const auto request = m_services.quota.admit(
+            m_grant->workspace, [this, statement = action.request](bool isAdmitted) {
+                m_admission.reset();
+                admitted(statement, isAdmitted);
+            });
+    if (m_admission)
+        m_admission = request;
+}
+
+void caller_connection::admitted(const statement_request &request, bool isAdmitted)
+{
+    if (!isAdmitted) {
+        return refuse({"ERROR",
+                       std::string(sqlstate::configurationLimitExceeded),
+                       "the workspace's rate is used up: not run",
+                       {},
+                       "Retry later."});
     }
+    m_flow->start(request,
+                  [this](statement_flow::outcome outcome) { finished(std::move(outcome)); });
+}
+
+void caller_connection::refuse(const error_report &report)
+{
     m_flow->abandon();
     statement_finished event;
-    event.result.error = refusal;
+    event.result.error = report;
     event.result.transactionLost = true;
     handle(event);
 }
@@ -94,6 +121,9 @@
 
 void caller_connection::perform(const abandon_work &)
 {
+
+    if (m_admission)
+        m_services.quota.cancel(m_grant->workspace, *std::exchange(m_admission, std::nullopt));
     if (m_flow)
         m_flow->abandon();
 }
@@ -106,9 +136,9 @@
 
 void caller_connection::closed()
 {
+
     m_startupTimer.stop();
-    if (m_flow)
-        m_flow->abandon();
+    perform(abandon_work{});
     m_onClosed();
 }
 
@@ -120,6 +150,9 @@
 
 void caller_connection::finished(statement_flow::outcome outcome)
 {
+
+    if (std::exchange(m_charged, false) && outcome.notRun)
+        m_services.quota.giveBack(m_grant->workspace);
     statement_finished event{std::move(outcome.result), outcome.position, {}};
     if (outcome.position)
         event.positionToken = m_services.access.positionToken(m_grant->database, *outcome.position);
--- a/programs/proxy/caller_connection.h
+++ b/programs/proxy/caller_connection.h
@@ -8,6 +8,7 @@
 #include <ev++.h>
 
 #include "programs/proxy/access_control.h"
+#include "programs/proxy/quota_task.h"
 #include "programs/proxy/statement_flow.h"
 #include "sycamorespan/Net"
 #include "sycamorespan/Session"
@@ -20,6 +21,7 @@
     ev::loop_ref loop;
     statement_classifier &classifier;
     access_control &access;
+    quota_task &quota;
     statement_counters &statements;
     session_limits limits;
     statement_bounds bounds;
@@ -54,6 +56,8 @@
     void perform(const close_session &action);
     void closed();
     void startupTimedOut();
+    void admitted(const statement_request &request, bool isAdmitted);
+    void refuse(const error_report &report);
     void finished(statement_flow::outcome outcome);
 
     const caller_services &m_services;
@@ -63,6 +67,8 @@
     caller_session m_session;
     std::optional<caller_grant> m_grant;
     std::unique_ptr<statement_flow> m_flow;
+    std::optional<std::uint64_t> m_admission; ///< waits for a token
+    bool m_charged = false; ///< the running statement cost a token
     byte_stream m_stream;
     loop_timer m_startupTimer;
 };
--- a/programs/proxy/proxy.cpp
+++ b/programs/proxy/proxy.cpp
@@ -22,9 +22,12 @@
             {}};
 }
 
-std::string makeBoot(const random_source &random)
+/** \returns a number for this run that is greater than that of any run before. */
+std::uint64_t newBoot()
 {
-    return std::to_string(random());
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
 }
 
 group_view toView(const messages::group_view_update &update)
@@ -51,8 +54,11 @@
     : m_loop(loop)
     , m_settings(proxySettings)
     , m_random(random)
-    , m_boot(makeBoot(random))
+    , m_boot(std::to_string(newBoot()))
     , m_log("proxy")
+    , m_quota(
+              loop, {holder_id(proxySettings.instance.str()), std::stoull(m_boot)},
+              [this](const messages::message &message) { m_agent.send(message); }, random)
     , m_services(services())
     , m_reaper(loop, [this] { removeClosed(); })
     , m_drainTimer(loop, [this] { endWhenDrained(); })
@@ -109,6 +115,7 @@
     return {m_loop,
             m_classifier,
             m_access,
+            m_quota,
             m_statements,
             {limits.messageBytes},
             {limits.queueDeadline, limits.statementTimeout},
@@ -146,14 +153,17 @@
 
 void proxy::received(const messages::message &message)
 {
-    std::visit(overloaded{
-                       [this](const messages::configuration_body &body) { take(body); },
-                       [this](const messages::group_view_update &update) { take(update); },
-                       [this](const messages::freshness_update &update) { take(update); },
-                       [this](const messages::drain_request &) { drain(); },
-                       [](const auto &) {},
-               },
-               message);
+    std::visit(
+            overloaded{
+                    [this](const messages::configuration_body &body) { take(body); },
+                    [this](const messages::group_view_update &update) { take(update); },
+                    [this](const messages::freshness_update &update) { take(update); },
+                    [this](const messages::share_answer &answer) { m_quota.received(answer); },
+                    [this](const messages::loan_transfer &transfer) { m_quota.received(transfer); },
+                    [this](const messages::drain_request &) { drain(); },
+                    [](const auto &) {},
+            },
+            message);
 }
 
 void proxy::take(const messages::configuration_body &body)
@@ -173,6 +183,7 @@
         }
         task->setMembers(group.members);
     }
+    m_quota.setPlans(lists);
     endWithdrawn();
     m_agent.send(messages::configuration_in_force{m_settings.instance, body.version});
     m_log.write(log_level::info, "configuration in force",
@@ -246,14 +257,15 @@
             {"fresh", m_access.isFresh(monotonicNow())},
             {"agent_connected", m_agent.isConnected()},
             {"sessions", m_callers.size()},
+            {"quota", m_quota.state()},
             {"databases", databases}};
 }
 
 std::shared_ptr<prometheus::Collectable> proxy::metrics()
 {
     return std::make_shared<proxy_metrics>([this] {
-        return proxy_readings{m_statements, m_callerCounters, m_callers.size(), m_access.version(),
-                              m_classifier.counters()};
+        return proxy_readings{m_statements,       m_callerCounters,        m_callers.size(),
+                              m_access.version(), m_classifier.counters(), m_quota.counters()};
     });
 }
 
--- a/programs/proxy/proxy.h
+++ b/programs/proxy/proxy.h
@@ -13,6 +13,7 @@
 #include "programs/proxy/agent_link_task.h"
 #include "programs/proxy/caller_connection.h"
 #include "programs/proxy/proxy_metrics.h"
+#include "programs/proxy/quota_task.h"
 #include "sycamorespan/Logging"
 #include "sycamorespan/Settings"
 
@@ -61,6 +62,7 @@
     logger m_log;
     statement_classifier m_classifier;
     access_control m_access;
+    quota_task m_quota;
     statement_counters m_statements;
     caller_counters m_callerCounters;
     std::map<database_id, std::unique_ptr<database_task>> m_databases;
--- a/programs/proxy/proxy_metrics.h
+++ b/programs/proxy/proxy_metrics.h
@@ -7,6 +7,7 @@
 
 #include <prometheus/collectable.h>
 
+#include "programs/proxy/quota_task.h"
 #include "programs/proxy/statement_flow.h"
 #include "sycamorespan/Routing"
 
@@ -28,6 +29,7 @@
     std::size_t sessions = 0;
     std::uint64_t configurationVersion = 0;
     statement_cache_counters classifier;
+    quota_counters quota;
 };
 
 /** \brief Shows the readings as Prometheus metrics. */
--- /dev/null
+++ b/programs/proxy/quota_task.h
@@ -0,0 +1,93 @@
+#ifndef SYCAMORESPAN_PROGRAMS_PROXY_QUOTA_TASK_H
+#define SYCAMORESPAN_PROGRAMS_PROXY_QUOTA_TASK_H
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <ev++.h>
+#include <nlohmann/json_fwd.hpp>
+
+#include "sycamorespan/Configuration"
+#include "sycamorespan/Messages"
+#include "sycamorespan/Net"
+#include "sycamorespan/Quota"
+
+namespace sycamorespan::proxy {
+
+/** \brief Totals since the start. */
+struct quota_counters
+{
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t loanMessages = 0;
+    std::uint64_t shareRequests = 0;
+};
+
+/** \brief This proxy's share of each workspace's rate: kept in the table through the agent, spent
+ * here, and lent to and borrowed from the other proxies.
+ */
+class quota_task
+{
+public:
+    using send_handler = std::function<void(const messages::message &)>;
+    /** Gets whether the request may run. */
+    using admitted_handler = std::function<void(bool)>;
+
+    /** \param self     this run of the proxy; boots of one name rise
+     * \param toAgent  sends to the agent; messages may be lost
+     */
+    quota_task(ev::loop_ref loop, holder_run self, send_handler toAgent, random_source random);
+
+    void setPlans(const configuration::configuration_lists &lists);
+
+    /** \brief Asks for one token. The handler is called at once or later, from the loop.
+     * \returns a number to cancel with
+     */
+    std::uint64_t admit(const workspace_id &workspace, admitted_handler onDecided);
+    void cancel(const workspace_id &workspace, std::uint64_t request);
+    /** \brief An admitted request certainly did not run. */
+    void giveBack(const workspace_id &workspace);
+
+    void received(const messages::share_answer &answer);
+    void received(const messages::loan_transfer &transfer);
+
+    const quota_counters &counters() const noexcept { return m_counters; }
+    nlohmann::json state() const;
+
+private:
+    struct workspace_quota
+    {
+        quota_limit limit;
+        time_point validUntil;
+        std::unique_ptr<allotment_lease> lease;
+        std::unique_ptr<quota_holder> holder;
+    };
+
+    void add(const workspace_id &workspace, const quota_limit &limit);
+    void step(const workspace_id &workspace, const allotment_input &input);
+    void step(const workspace_id &workspace, const quota_input &input);
+    void perform(const workspace_id &workspace, const allotment_action::read_row &action);
+    void perform(const workspace_id &workspace, const allotment_action::write_row &action);
+    void perform(const workspace_id &workspace, const allotment_action::share_changed &action);
+    void perform(const workspace_id &workspace, const allotment_action::drained &action);
+    void perform(const workspace_id &workspace, const quota_action::admit &action);
+    void perform(const workspace_id &workspace, const quota_action::refuse &action);
+    void perform(const workspace_id &workspace, const quota_action::send_message &action);
+    void decide(std::uint64_t request, bool isAdmitted);
+    void tick();
+
+    holder_run m_self;
+    send_handler m_toAgent;
+    random_source m_random;
+    std::map<workspace_id, workspace_quota> m_workspaces;
+    std::map<std::uint64_t, admitted_handler> m_waiting;
+    std::uint64_t m_lastRequest = 0;
+    quota_counters m_counters;
+    loop_timer m_timer;
+};
+
+} // namespace sycamorespan::proxy
+
+#endif
--- a/programs/proxy/statement_flow.cpp
+++ b/programs/proxy/statement_flow.cpp
@@ -316,22 +316,30 @@
 void statement_flow::refuse(std::string_view code, const std::string &reason)
 {
     ++m_counters.refusedNotRun;
-    fail(code, m_mayHaveRun ? reason : reason + ": not run", true);
+
+    const bool notRun = !m_mayHaveRun;
+    fail(code, notRun ? reason + ": not run" : reason, true, notRun);
 }
 
-void statement_flow::fail(std::string_view code, const std::string &reason, bool transactionLost)
+void statement_flow::fail(std::string_view code, const std::string &reason, bool transactionLost,
+                          bool notRun)
 {
     sql_result result;
     result.error = errorOf(code, reason);
     result.transactionLost = transactionLost;
-    finish(std::move(result), std::nullopt);
+    end({std::move(result), std::nullopt, notRun});
 }
 
 void statement_flow::finish(sql_result result, std::optional<log_position> position)
+{
+    end({std::move(result), position, false});
+}
+
+void statement_flow::end(outcome result)
 {
     m_request.reset();
     const auto onFinished = std::exchange(m_onFinished, nullptr);
-    onFinished({std::move(result), position});
+    onFinished(std::move(result));
 }
 
 void statement_flow::releaseConnection()
--- a/programs/proxy/statement_flow.h
+++ b/programs/proxy/statement_flow.h
@@ -41,6 +41,7 @@
     {
         sql_result result;
         std::optional<log_position> position;
+        bool notRun = false;
     };
     using finished_handler = std::function<void(outcome)>;
 
@@ -77,8 +78,10 @@
     void waitForMajority(sql_result result, const log_position &position);
     void retryLater(std::string_view code, const std::string &reason);
     void refuse(std::string_view code, const std::string &reason);
-    void fail(std::string_view code, const std::string &reason, bool transactionLost);
+    void fail(std::string_view code, const std::string &reason, bool transactionLost,
+              bool notRun = false);
     void finish(sql_result result, std::optional<log_position> position);
+    void end(outcome result);
     void releaseConnection();
     bool isRead() const;
     bool isPinned() const;
