--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -83,7 +83,7 @@
     , m_admin(loop, parseEndpoint(agentSettings.admin),
               {std::make_shared<agent_metrics>([this] { return readings(); }),
                [this] { return state(); },
-               [this] { return m_state == messages::process_state::live; }})
+               [this] { return m_state == messages::process_state::live; }, [this] { drain(); }})
     , m_drainTimer(loop, [this] { handleDrainTick(); })
 {
     m_peers.setPeers(m_seedPeers);
--- a/programs/sycamorespanctl/commands.cpp
+++ b/programs/sycamorespanctl/commands.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t positionSecretDigits = 64;
 constexpr std::size_t requestDigits = 16;
 constexpr int ok = 200;
+constexpr int accepted = 202;
 constexpr int jsonIndent = 2;
 
 std::string randomDigits(const random_source &random, std::size_t count)
@@ -29,6 +30,11 @@
     return text.str().substr(0, count);
 }
 
+report reportBadAddress(const std::string &address)
+{
+    return {exit_status::usage, address + " is not of the form IP:port\n", {{"result", "usage"}}};
+}
+
 /** \returns the version that \a state names as the one in force; 0 for none. */
 configuration_version versionIn(const nlohmann::json &state)
 {
@@ -131,10 +137,10 @@
 
 report commands::inForce() const
 {
-    const auto accepted = m_store.currentDocument().version;
+    const auto newest = m_store.currentDocument().version;
     report result{exit_status::success,
-                  "accepted: version " + std::to_string(accepted) + '\n',
-                  {{"accepted", accepted}, {"processes", nlohmann::json::array()}}};
+                  "accepted: version " + std::to_string(newest) + '\n',
+                  {{"accepted", newest}, {"processes", nlohmann::json::array()}}};
     auto addresses = m_settings.agents;
     addresses.insert(addresses.end(), m_settings.proxies.begin(), m_settings.proxies.end());
     for (const auto &address : addresses) {
@@ -145,7 +151,7 @@
         result.text += ": " + shown + '\n';
         result.json["processes"].push_back(
                 {{"address", address}, {"answered", state.has_value()}, {"version", version}});
-        if (version < accepted)
+        if (version < newest)
             result.status = exit_status::notInForce;
     }
     return result;
@@ -154,15 +160,24 @@
 report commands::state(const std::string &address) const
 {
     if (!schema::isSocketAddress(address))
-        return {exit_status::usage,
-                address + " is not of the form IP:port\n",
-                {{"result", "usage"}}};
+        return reportBadAddress(address);
     const auto found = stateOf(address);
     if (!found)
         return {exit_status::failure, address + " doesn't answer\n", {{"result", "no_answer"}}};
     return {exit_status::success, found->dump(jsonIndent) + '\n', *found};
 }
 
+report commands::drain(const std::string &address) const
+{
+    if (!schema::isSocketAddress(address))
+        return reportBadAddress(address);
+    const auto response =
+            sendRequest("http://" + address, {"POST", "/drain", ""}, m_settings.requestTimeout);
+    if (!response || response->status != accepted)
+        return {exit_status::failure, address + " didn't accept\n", {{"result", "no_answer"}}};
+    return {exit_status::success, address + " is draining\n", {{"result", "draining"}}};
+}
+
 edit_action commands::run(edit_request request) const
 {
     return runEdit(m_store, std::move(request), editDeadline);
--- a/programs/sycamorespanctl/commands.h
+++ b/programs/sycamorespanctl/commands.h
@@ -40,6 +40,9 @@
     /** \brief Dumps the state of the process whose admin port is at \a address. */
     report state(const std::string &address) const;
 
+    /** \brief Asks the process whose admin port is at \a address for a graceful shutdown. */
+    report drain(const std::string &address) const;
+
 private:
     configuration::edit_action run(configuration::edit_request request) const;
     std::string newRequest() const;
--- a/programs/sycamorespanctl/main.cpp
+++ b/programs/sycamorespanctl/main.cpp
@@ -29,6 +29,7 @@
   key withdraw WORKSPACE KEY   withdraw a key by its identifier
   key list                     show the identifiers of the keys
   in-force                     show the version in force in each process
+  drain ADDRESS                ask the process with this admin port for a graceful shutdown
   state ADDRESS                dump the state of the process with this admin port
 
 Exit status: 0 done, 1 failed and nothing changed, 2 options, settings or a file are not valid,
@@ -136,6 +137,8 @@
         return commands.inForce();
     if (isCommand("state", 2))
         return commands.state(words[1]);
+    if (isCommand("drain", 2))
+        return commands.drain(words[1]);
     throw usage_error("unknown command; see --help");
 }
 
--- a/sycamorespan/src/Net/admin_server.cpp
+++ b/sycamorespan/src/Net/admin_server.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr int accepted = 202;
 constexpr int notFound = 404;
 constexpr int methodNotAllowed = 405;
 constexpr int serviceUnavailable = 503;
@@ -37,6 +38,8 @@
 
 http_response admin_server::answer(const http_request &request) const
 {
+    if (request.method == "POST" && request.path == "/drain" && m_sources.drain)
+        return drain();
     if (request.method != "GET")
         return {methodNotAllowed, "text/plain", "only GET\n"};
     if (request.path == "/metrics")
@@ -66,4 +69,10 @@
     return {serviceUnavailable, "text/plain", "unhealthy\n"};
 }
 
+http_response admin_server::drain() const
+{
+    m_sources.drain();
+    return {accepted, "text/plain", "draining\n"};
+}
+
 } // namespace sycamorespan
--- a/sycamorespan/src/Net/admin_server.h
+++ b/sycamorespan/src/Net/admin_server.h
@@ -21,9 +21,11 @@
     std::function<nlohmann::json()> state;
     /** Whether /healthz answers 200 or 503. */
     std::function<bool()> isHealthy;
+    /** Begins a graceful shutdown on POST /drain; without it there is no such route. */
+    std::function<void()> drain = {};
 };
 
-/** \brief The operators' port: GET /metrics, /state and /healthz. */
+/** \brief The operators' port: GET /metrics, /state and /healthz, POST /drain. */
 class admin_server
 {
 public:
@@ -38,6 +40,7 @@
     http_response metrics() const;
     http_response state() const;
     http_response health() const;
+    http_response drain() const;
 
     admin_sources m_sources;
     web_endpoint m_endpoint;
--- a/test/process_ctl.py
+++ b/test/process_ctl.py
@@ -1,9 +1,11 @@
 """sycamorespanctl against the platform stand-in: edits, conflicts, keys, lost answers, an outage."""
 import json
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 import urllib.request
 
@@ -11,6 +13,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LISTS = ROOT / "examples" / "brandon-hollow" / "lists.yaml"
 COMMAND_TIMEOUT_SECONDS = 60
+IN_FORCE_SECONDS = 5
 
 SUCCESS, FAILURE, USAGE, CONFLICT, NOT_IN_FORCE = 0, 1, 2, 3, 5
 
@@ -110,6 +113,41 @@
         self.assertEqual(self.ctl("edit").returncode, USAGE)
         self.assertEqual(self.ctl("--colour").returncode, USAGE)
 
+    def start_agent(self):
+        """Starts an agent on free ports; returns its admin address and the process."""
+        with socket.socket() as listen, socket.socket() as admin:
+            for probe in (listen, admin):
+                probe.bind(("127.0.0.1", 0))
+            listen_port, admin_port = listen.getsockname()[1], admin.getsockname()[1]
+        settings = pathlib.Path(self.folder.name) / "agent.yaml"
+        settings.write_text(
+            f"instance: i1\ndata_centre: regina\nlisten: '127.0.0.1:{listen_port}'\n"
+            f"admin: '127.0.0.1:{admin_port}'\nplatform: {self.url}\nbackend_password: none\n",
+            encoding="utf-8")
+        agent = subprocess.Popen(
+            [BUILD / "programs" / "agent" / "sycamorespan-agent", "--settings", settings],
+            stderr=subprocess.DEVNULL)
+        self.addCleanup(agent.wait)
+        self.addCleanup(agent.kill)
+        return f"127.0.0.1:{admin_port}", agent
+
+    def test_accepted_version_is_in_force_within_the_bound_and_drain_ends_the_agent(self):
+        self.ctl_json(SUCCESS, "init", LISTS)
+        admin, agent = self.start_agent()
+        self.settings.write_text(f"platform: {self.url}\nagents: ['{admin}']\n", encoding="utf-8")
+        self.wait_until_in_force()
+        self.ctl_json(SUCCESS, "key", "grant", "shop-regina")
+        self.wait_until_in_force()
+        self.assertEqual(self.ctl_json(SUCCESS, "state", admin)["configuration_version"], 2)
+        self.ctl_json(SUCCESS, "drain", admin)
+        self.assertEqual(agent.wait(timeout=IN_FORCE_SECONDS), 0)
+
+    def wait_until_in_force(self):
+        deadline = time.monotonic() + IN_FORCE_SECONDS
+        while self.ctl("in-force").returncode != SUCCESS:
+            self.assertLess(time.monotonic(), deadline)
+            time.sleep(0.05)
+
     def test_in_force_and_state_say_who_does_not_answer(self):
         self.ctl_json(SUCCESS, "init", LISTS)
         report = self.ctl_json(NOT_IN_FORCE, "in-force")
