--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -51,10 +51,10 @@
 {
     const replica_selector selector{selection_policy{}};
     const time_point now{1h};
-    group_view view{database_id("sales"), 1, server_id("member-0"), {}};
+    routing_view view{database_id("sales"), 1, server_id("member-0"), {}};
     for (std::int64_t number = 0; number < state.range(0); ++number) {
         const server_id server("member-" + std::to_string(number));
-        const auto role = number == 0 ? member_role::primary : member_role::replica;
+        const auto role = number == 0 ? reported_role::primary : reported_role::replica;
         const member_report report{server, role, 1, {1, 100}, duration{0}, now};
         view.members.push_back({.server = server, .slots = 5, .report = report});
     }
@@ -88,7 +88,7 @@
     std::vector<duration> latencies;
     for (auto _ : state) {
         const time_point now = wroteAt + fromSeconds(gapSeconds(random));
-        group_view view{database_id("sales"), 1, server_id("primary"), {}};
+        routing_view view{database_id("sales"), 1, server_id("primary"), {}};
         view.members.push_back({.server = server_id("primary"),
                                 .distance = remote,
                                 .outstanding = static_cast<std::size_t>(state.range(2)),
@@ -98,7 +98,7 @@
         for (const auto *name : {"near", "far"}) {
             const duration lag = fromSeconds(lagSeconds(random));
             const member_report report{server_id(name),
-                                       member_role::replica,
+                                       reported_role::replica,
                                        1,
                                        {1, wroteAt + lag <= now ? 10U : 9U},
                                        lag,
