Count data centres over two rounds in the detector's test

Taking out the rule against half of the data centres no longer failed a test once a second round was needed, for the test ended after the first. countsDataCentres plays both rounds; the rule's sabotage fails it (run), as does one data centre being enough.

--- a/test/failover_detector.cpp
+++ b/test/failover_detector.cpp
@@ -114,15 +114,35 @@
     EXPECT_FALSE(isSuspected(detector.handle(second, time_point())));
 }
 
-TEST(failure_detector, doesNotSuspectAgainstHalfOfTheDataCentres)
+using reports = std::vector<std::pair<std::string, primary_health>>;
+
+/** The supervisor's own probes fail; the observers say the same in each of two rounds. */
+bool isSuspectedAfterTwoRounds(const reports &observed)
 {
     auto detector = unansweredDetector();
-    const observer_report healthyB{1, data_centre_id("b"), primary_health::healthy};
-    const observer_report healthyC{1, data_centre_id("c"), primary_health::healthy};
-    const observer_report silentD{1, data_centre_id("d"), primary_health::silent};
-    EXPECT_FALSE(isSuspected(detector.handle(healthyB, time_point())));
-    EXPECT_FALSE(isSuspected(detector.handle(healthyC, time_point())));
-    EXPECT_FALSE(isSuspected(detector.handle(silentD, time_point())));
+    bool suspected = false;
+    for (std::uint64_t round = 1; round <= 2; ++round) {
+        const call_returned failed{
+                {call_purpose::probe, 1, round + 1}, server_id("s0"), call_failed{}};
+        suspected = isSuspected(detector.handle(failed, time_point())) || suspected;
+        for (const auto &[dataCentre, health] : observed) {
+            const observer_report report{round, data_centre_id(dataCentre), health};
+            suspected = isSuspected(detector.handle(report, time_point())) || suspected;
+        }
+    }
+    return suspected;
+}
+
+TEST(failure_detector, countsDataCentres)
+{
+    const auto healthy = primary_health::healthy;
+    const auto silent = primary_health::silent;
+    EXPECT_FALSE(isSuspectedAfterTwoRounds({}));
+    EXPECT_FALSE(isSuspectedAfterTwoRounds({{"a", silent}}));
+    EXPECT_FALSE(isSuspectedAfterTwoRounds({{"b", healthy}}));
+    EXPECT_FALSE(isSuspectedAfterTwoRounds({{"b", healthy}, {"c", healthy}, {"d", silent}}));
+    EXPECT_TRUE(isSuspectedAfterTwoRounds({{"b", silent}}));
+    EXPECT_TRUE(isSuspectedAfterTwoRounds({{"b", healthy}, {"c", silent}, {"d", silent}}));
 }
 
 /** Answers every probe of \a detector for \a time; \a offsetAt gives what the follower holds. */
