Write again where an unanswered reduction holds a share back

Cause: after a reduction without answer, a holder that wanted its units again had nothing different to write and stayed reduced until its renewal, up to 3 h. Found by the direct test of the rule, which is added with those for inherited shares, units in use, validity at the point of use, unit_budget and fair division. 6 tests pass.

--- a/sycamorespan/src/Quota/allotment_lease.cpp
+++ b/sycamorespan/src/Quota/allotment_lease.cpp
@@ -274,7 +274,9 @@
     const bool sameShare = before != nullptr && before->run == after->run
                            && before->units == after->units && before->wanted == after->wanted;
     const bool renewalDue = !m_renewed || now - *m_renewed >= m_policy.renewInterval;
-    return !sameShare || renewalDue || next.shares().size() != m_row.shares().size();
+    // Only a later write rules out that an unanswered reduction still takes effect.
+    const bool heldBack = m_unresolvedBase && m_usable < after->units;
+    return !sameShare || renewalDue || heldBack || next.shares().size() != m_row.shares().size();
 }
 
 void allotment_lease::fail(time_point now)
