Give up a silent link after the agent's peer_timeout_ms

Links had fixed bounds of 3 s to a ping and 10 s to the end of silence, and the settings heartbeat_interval_ms and peer_timeout_ms were read and not used. Links now take both. The new test parts two agents by the relay's silent mode: new connections work, the old one says nothing.

--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -49,6 +49,11 @@
     return result;
 }
 
+web_limits limitsOf(const settings::agent_timing &timing)
+{
+    return linkLimits(timing.heartbeatInterval, timing.peerTimeout);
+}
+
 nlohmann::json describe(const messages::hello &process)
 {
     return {{"instance", process.instance.str()},
@@ -70,12 +75,12 @@
     , m_table(m_platform)
     , m_objects(m_platform)
     , m_instanceList(m_platform)
-    , m_peers(loop, agentSettings.timing.heartbeatInterval,
+    , m_peers(loop, limitsOf(agentSettings.timing), agentSettings.timing.heartbeatInterval,
               {[this] { return hello(); }, [this] { return heartbeat(); }}, outboundHandlers(),
               random)
     , m_server(
-              loop, parseEndpoint(agentSettings.listen), [this] { return hello(); },
-              inboundHandlers())
+              loop, parseEndpoint(agentSettings.listen), limitsOf(agentSettings.timing),
+              [this] { return hello(); }, inboundHandlers())
     , m_supervisors(loop, supervisorSettings(agentSettings.timing),
                     {agentSettings.instance, agentSettings.dataCentre, m_boot},
                     agentSettings.backendPassword, m_table,
--- a/programs/agent/link_server_task.cpp
+++ b/programs/agent/link_server_task.cpp
@@ -7,12 +7,13 @@
 namespace sycamorespan::agent {
 
 link_server_task::link_server_task(ev::loop_ref loop, const endpoint &address,
+                                   const web_limits &limits,
                                    std::function<messages::hello()> ownHello,
                                    link_handlers handlers)
     : m_ownHello(std::move(ownHello))
     , m_handlers(std::move(handlers))
     , m_log("links")
-    , m_endpoint(loop, address, linkLimits(), webHandlers())
+    , m_endpoint(loop, address, limits, webHandlers())
 { }
 
 void link_server_task::stop()
--- a/programs/agent/link_server_task.h
+++ b/programs/agent/link_server_task.h
@@ -22,7 +22,7 @@
     /** \param ownHello  what this agent says about itself, at the time of asking
      * \throws error when \a address can't be listened on
      */
-    link_server_task(ev::loop_ref loop, const endpoint &address,
+    link_server_task(ev::loop_ref loop, const endpoint &address, const web_limits &limits,
                      std::function<messages::hello()> ownHello, link_handlers handlers);
 
     /** \brief Stops accepting and closes every link. */
--- a/programs/agent/peer_task.cpp
+++ b/programs/agent/peer_task.cpp
@@ -16,7 +16,7 @@
 struct peer_task::peer
 {
     peer(peer_task &owner, const endpoint &address)
-        : client(owner.m_loop, linkLimits(), handlers(owner, address))
+        : client(owner.m_loop, owner.m_limits, handlers(owner, address))
         , backoff(firstReconnect, longestReconnect, owner.m_random)
         , reconnect(owner.m_loop, [&owner, address] { owner.connect(address); })
     { }
@@ -36,9 +36,10 @@
     std::optional<process_link> link;
 };
 
-peer_task::peer_task(ev::loop_ref loop, duration heartbeatInterval, self_description self,
-                     link_handlers handlers, random_source random)
+peer_task::peer_task(ev::loop_ref loop, const web_limits &limits, duration heartbeatInterval,
+                     self_description self, link_handlers handlers, random_source random)
     : m_loop(loop)
+    , m_limits(limits)
     , m_self(std::move(self))
     , m_handlers(std::move(handlers))
     , m_random(std::move(random))
--- a/programs/agent/peer_task.h
+++ b/programs/agent/peer_task.h
@@ -30,8 +30,8 @@
         std::function<messages::heartbeat()> heartbeat;
     };
 
-    peer_task(ev::loop_ref loop, duration heartbeatInterval, self_description self,
-              link_handlers handlers, random_source random);
+    peer_task(ev::loop_ref loop, const web_limits &limits, duration heartbeatInterval,
+              self_description self, link_handlers handlers, random_source random);
     ~peer_task();
 
     /** \brief Keeps connections to exactly these agents. */
@@ -68,6 +68,7 @@
     void sendHeartbeats();
 
     ev::loop_ref m_loop;
+    web_limits m_limits;
     self_description m_self;
     link_handlers m_handlers;
     random_source m_random;
--- a/programs/agent/process_link.cpp
+++ b/programs/agent/process_link.cpp
@@ -27,11 +27,13 @@
     return messages::decodeMessage(std::span(first, bytes.size()));
 }
 
-web_limits linkLimits()
+web_limits linkLimits(duration pingInterval, duration idleTimeout)
 {
     web_limits limits;
     limits.maxMessageBytes = messages::codec_limits{}.maximumBytes;
     limits.maxWriteBufferBytes = 2 * limits.maxMessageBytes;
+    limits.pingInterval = pingInterval;
+    limits.idleTimeout = idleTimeout;
     return limits;
 }
 
--- a/programs/agent/process_link.h
+++ b/programs/agent/process_link.h
@@ -45,8 +45,11 @@
 /** \throws decode_error when \a bytes is no message */
 messages::message receivedMessage(std::string_view bytes);
 
-/** \returns the bounds on connections between the system's processes. */
-web_limits linkLimits();
+/** \returns the bounds on connections between the system's processes.
+ * \param pingInterval  silence after which the other process is pinged
+ * \param idleTimeout   silence after which the connection is closed
+ */
+web_limits linkLimits(duration pingInterval, duration idleTimeout);
 
 } // namespace sycamorespan::agent
 
--- a/test/process_agent.py
+++ b/test/process_agent.py
@@ -9,8 +9,10 @@
 import tempfile
 import unittest
 
-from running_programs import BOUND_SECONDS, Agent, BackendServer, Platform, free_port, wait_until
+from running_programs import BOUND_SECONDS, Agent, BackendServer, Platform, Relay, free_port, wait_until
 
+# The agents' default peer_timeout_ms, and a second for detecting and connecting again.
+PEER_TIMEOUT_SECONDS = 3 + 1
 # The users' bounds on a change of the configuration and of the primary.
 IN_FORCE_SECONDS = 5
 CHANGE_OF_PRIMARY_SECONDS = 11
@@ -137,6 +139,18 @@
         wait_until(lambda: len(second.state()["peers"]) == 1)
         self.assertNotEqual(second.state()["peers"][0]["boot"], boot)
 
+    def test_a_silent_link_is_replaced(self):
+        first = self.start("i1")
+        relay = Relay(self.build, first.port)
+        self.addCleanup(relay.stop)
+        second = self.start("i2", peers=[relay.port], platform=f"http://127.0.0.1:{free_port()}")
+        wait_until(lambda: len(second.state()["peers"]) == 1)
+        relay.switch(mode="silent")
+        took = wait_until(lambda: "peer disconnected" in second.log(), PEER_TIMEOUT_SECONDS)
+        print(f"a silent link was given up after {took:.2f} s")
+        accept(self.platform, 1)
+        wait_until(lambda: is_in_force(second, 1))
+
     def test_instances_of_the_list_become_peers(self):
         first = self.start("i1")
         second = self.start("i2")
