--- a/programs/proxy/quota_task.cpp
+++ b/programs/proxy/quota_task.cpp
@@ -14,8 +14,16 @@
 /** Units into which each rate is divided; many divisors, so that equal shares come out even. */
 constexpr std::int64_t unitsPerRate = 5040;
 constexpr duration tickInterval = 20ms;
+constexpr duration sharePollInterval = 1s;
 constexpr std::string_view keyPrefix = "quota/rate/";
 
+allotment_policy leasePolicy()
+{
+    allotment_policy policy;
+    policy.pollInterval = sharePollInterval;
+    return policy;
+}
+
 std::string keyOf(const workspace_id &workspace)
 {
     return std::string(keyPrefix) + workspace.str();
@@ -66,7 +74,7 @@
     added.limit = limit;
     added.holder = std::make_unique<quota_holder>(workspace, m_self, quota_policy{}, now);
     added.lease = std::make_unique<allotment_lease>(keyOf(workspace), unitsPerRate, m_self,
-                                                    allotment_policy{}, m_random, now);
+                                                    leasePolicy(), m_random, now);
     step(workspace, allotment_input(allotment_event::tick{}));
 }
 
