--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -49,6 +49,11 @@
     return result;
 }
 
+web_limits limitsOf(const settings::agent_timing &timing)
+{
+    return linkLimits(timing.heartbeatInterval, timing.peerTimeout);
+}
+
 nlohmann::json describe(const messages::hello &process)
 {
     return {{"instance", process.instance.str()},
@@ -70,12 +75,14 @@
     , m_table(m_platform)
     , m_objects(m_platform)
     , m_instanceList(m_platform)
-    , m_peers(loop, agentSettings.timing.heartbeatInterval,
+    , m_quota(m_table, m_proxies,
+              [this](const messages::message &message) { m_peers.broadcast(message); })
+    , m_peers(loop, limitsOf(agentSettings.timing), agentSettings.timing.heartbeatInterval,
               {[this] { return hello(); }, [this] { return heartbeat(); }}, outboundHandlers(),
               random)
     , m_server(
-              loop, parseEndpoint(agentSettings.listen), [this] { return hello(); },
-              inboundHandlers())
+              loop, parseEndpoint(agentSettings.listen), limitsOf(agentSettings.timing),
+              [this] { return hello(); }, inboundHandlers())
     , m_supervisors(loop, supervisorSettings(agentSettings.timing),
                     {agentSettings.instance, agentSettings.dataCentre, m_boot},
                     agentSettings.backendPassword, m_table,
@@ -98,7 +105,7 @@
     , m_admin(loop, parseEndpoint(agentSettings.admin),
               {std::make_shared<agent_metrics>([this] { return readings(); }),
                [this] { return state(); },
-               [this] { return m_state == messages::process_state::live; }})
+               [this] { return m_state == messages::process_state::live; }, [this] { drain(); }})
     , m_drainTimer(loop, [this] { handleDrainTick(); })
 {
     m_peers.setPeers(m_seedPeers);
@@ -202,6 +209,11 @@
                     [&](const messages::suspicion_answer &answer) {
                         m_supervisors.received(link, answer);
                     },
+                    [&](const messages::share_read &request) { m_quota.received(link, request); },
+                    [&](const messages::share_write &request) { m_quota.received(link, request); },
+                    [&](const messages::loan_transfer &transfer) {
+                        m_quota.received(link, transfer);
+                    },
                     [&](const messages::state_request &) {
                         link.send(messages::state_reply{state().dump()});
                     },
