--- a/programs/proxy/database_task.h
+++ b/programs/proxy/database_task.h
@@ -76,7 +76,7 @@
     void noteProof(const server_id &server, const member_proof &proof);
 
     /** \brief Waits until a majority holds \a position. \returns a number to abandon the wait. */
-    waiter_id waitUntilHeld(const log_position &position, time_point deadline,     held_handler onHeld);
+    waiter_id waitUntilHeld(const log_position &position, time_point deadline, held_handler onHeld);
     void abandonWait(waiter_id waiter);
 
     const database_counters &counters() const noexcept { return m_counters; }
--- a/programs/proxy/proxy.cpp
+++ b/programs/proxy/proxy.cpp
@@ -69,7 +69,8 @@
                  [this](file_descriptor socket) { accept(std::move(socket)); })
     , m_admin(loop, parseEndpoint(proxySettings.admin),
               {metrics(), [this] { return state(); },
-               [this] { return !m_draining && m_access.version() > 0; }, [this] { drain(); }})
+               [this] { return !m_draining && m_access.version() > 0 && m_quota.isReady(); },
+               [this] { drain(); }})
 {
     m_log.write(log_level::info, "listening",
                 {{"callers", proxySettings.listen}, {"boot", m_boot}});
--- a/programs/proxy/quota_task.cpp
+++ b/programs/proxy/quota_task.cpp
@@ -1,5 +1,6 @@
 #include "programs/proxy/quota_task.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -210,6 +211,14 @@
     }
 }
 
+bool quota_task::isReady() const
+{
+    const auto now = monotonicNow();
+    return std::ranges::all_of(m_workspaces, [now](const auto &entry) {
+        return entry.second.lease->usableUnits(now) > 0;
+    });
+}
+
 nlohmann::json quota_task::state() const
 {
     const auto now = monotonicNow();
--- a/programs/proxy/quota_task.h
+++ b/programs/proxy/quota_task.h
@@ -53,6 +53,9 @@
     void received(const messages::share_answer &answer);
     void received(const messages::loan_transfer &transfer);
 
+    /** \returns whether this proxy has a share of every workspace's rate. */
+    bool isReady() const;
+
     const quota_counters &counters() const noexcept { return m_counters; }
     nlohmann::json state() const;
 
