--- a/sycamorespan/src/Membership/drain.cpp
+++ b/sycamorespan/src/Membership/drain.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace sycamorespan {
 
@@ -67,7 +66,7 @@
     if (found == m_sessions.end() || found->second == session_state::closing)
         return;
     if (event.inTransaction)
-        setState(event.session, session_state::in_transaction);
+        setState(event.session, session_state::inTransaction);
     else if (draining())
         close(event.session, actions);
     else
@@ -99,7 +98,7 @@
 {
     m_nextGroup = now + m_policy.closeInterval;
     std::vector<session_id> group;
-    std::ranges::copy(m_idle | std::views::take(m_groupSize), std::back_inserter(group));
+    std::copy_n(m_idle.begin(), std::min(m_groupSize, m_idle.size()), std::back_inserter(group));
     for (const auto &session : group)
         close(session, actions);
 }
--- a/sycamorespan/src/Membership/drain.h
+++ b/sycamorespan/src/Membership/drain.h
@@ -128,7 +128,7 @@
 
 private:
     using outputs = std::vector<drain_output>;
-    enum class session_state : std::uint8_t { idle, running, in_transaction, closing };
+    enum class session_state : std::uint8_t { idle, running, inTransaction, closing };
 
     void on(const drain_event::stop_requested &event, time_point now, outputs &actions);
     void on(const drain_event::session_requested &event, time_point now, outputs &actions);
--- a/sycamorespan/src/Membership/member.h
+++ b/sycamorespan/src/Membership/member.h
@@ -12,7 +12,7 @@
 /** \brief An instance or a backend server, by its name. */
 using member_id = identifier<struct member_tag>;
 
-enum class member_kind : std::uint8_t { instance, backend_server };
+enum class member_kind : std::uint8_t { instance, backendServer };
 
 /** \brief State of a member, in the order in which a state replaces another of the same version. */
 enum class member_state : std::uint8_t {
--- a/sycamorespan/src/Membership/membership.cpp
+++ b/sycamorespan/src/Membership/membership.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 
 namespace sycamorespan {
 
@@ -135,7 +134,7 @@
     auto &record = m_records[event.server];
     if (record.known.id.empty()) {
         record.known.id = event.server;
-        record.known.kind = member_kind::backend_server;
+        record.known.kind = member_kind::backendServer;
     }
     if (record.known.state == event.state && record.known.version > 0)
         return;
@@ -352,9 +351,11 @@
     auto page = newMessage(false);
     page.isPage = true;
     const auto first = m_records.upper_bound(*request.pageAfter);
-    for (const auto &[id, record] :
-         std::ranges::subrange(first, m_records.end()) | std::views::take(m_policy.recordsPerPage))
-        page.updates.push_back(record.known);
+    for (auto next = first; next != m_records.end(); ++next) {
+        if (page.updates.size() == m_policy.recordsPerPage)
+            break;
+        page.updates.push_back(next->second.known);
+    }
     send(request.sender, std::move(page), actions);
 }
 
@@ -485,15 +486,17 @@
     std::ranges::stable_partition(ids, [&](const member_id &id) {
         return m_records.at(id).known.state != member_state::live;
     });
-    for (const auto &id : ids | std::views::take(m_policy.recordsPerMessage)) {
+    ids.resize(std::min(ids.size(), m_policy.recordsPerMessage));
+    for (const auto &id : ids) {
         auto &record = m_records.at(id);
         message.updates.push_back(record.known);
         if (--record.newsLeft == 0)
             m_news.erase(id);
     }
-    for (auto &pending : m_suspicions | std::views::take(m_policy.recordsPerMessage)) {
-        message.suspicions.push_back(pending.news);
-        --pending.newsLeft;
+    const auto suspicions = std::min(m_suspicions.size(), m_policy.recordsPerMessage);
+    for (std::size_t index = 0; index < suspicions; ++index) {
+        message.suspicions.push_back(m_suspicions[index].news);
+        --m_suspicions[index].newsLeft;
     }
     std::erase_if(m_suspicions,
                   [](const pending_suspicion &pending) { return pending.newsLeft == 0; });
--- a/sycamorespan/src/Membership/membership_message.cpp
+++ b/sycamorespan/src/Membership/membership_message.cpp
@@ -85,7 +85,7 @@
 member decodeRecord(const json &encoded)
 {
     return {member_id(encoded.at(idField).get<std::string>()),
-            decodeEnum(encoded.at(kindField), member_kind::backend_server),
+            decodeEnum(encoded.at(kindField), member_kind::backendServer),
             data_centre_id(encoded.at(dataCentreField).get<std::string>()),
             encoded.at(addressField).get<std::string>(),
             encoded.at(bootField).get<std::uint64_t>(),
--- a/sycamorespan/src/Quota/allotment_lease.cpp
+++ b/sycamorespan/src/Quota/allotment_lease.cpp
@@ -149,7 +149,7 @@
         write(next, now, actions);
 }
 
-void allotment_lease::write(allotment next, time_point now, outputs &actions)
+void allotment_lease::write(const allotment &next, time_point now, outputs &actions)
 {
     const auto unique = uniqueId();
     const auto value = next.withRequest(unique);
--- a/sycamorespan/src/Quota/allotment_lease.h
+++ b/sycamorespan/src/Quota/allotment_lease.h
@@ -177,7 +177,7 @@
 
     void read(time_point now, outputs &actions);
     void considerWrite(time_point now, outputs &actions);
-    void write(allotment next, time_point now, outputs &actions);
+    void write(const allotment &next, time_point now, outputs &actions);
     void confirm(const pending_write &written, time_point now);
     void resolvePending(std::uint64_t revision, const allotment &row, time_point now);
     void adopt(std::uint64_t revision, allotment row, time_point now);
--- a/sycamorespan/src/Quota/quota_holder.cpp
+++ b/sycamorespan/src/Quota/quota_holder.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
-#include <ranges>
 
 namespace sycamorespan {
 
@@ -231,8 +230,10 @@
     const auto idle = [&](const voucher &held) {
         return now >= held.validUntil - m_policy.voucherValidity / idlePart;
     };
-    for (const auto &held : m_vouchers | std::views::filter(idle))
-        close(held, now);
+    for (const auto &held : m_vouchers) {
+        if (idle(held))
+            close(held, now);
+    }
     if (std::erase_if(m_vouchers, idle) > 0)
         m_nextSettlement = now;
 }
@@ -366,9 +367,10 @@
         if (level > token_amount{})
             byLevel.emplace_back(level, id);
     }
-    std::ranges::sort(byLevel, std::ranges::greater{});
+    std::ranges::sort(byLevel, std::greater{});
     std::vector<holder_id> result;
-    for (const auto &entry : byLevel | std::views::take(m_policy.lendersPerRound))
+    byLevel.resize(std::min(byLevel.size(), m_policy.lendersPerRound));
+    for (const auto &entry : byLevel)
         result.push_back(entry.second);
     return result;
 }
--- a/test/membership_views.cpp
+++ b/test/membership_views.cpp
@@ -18,7 +18,7 @@
     fleet.loseMessage = 0.02;
     fleet.events.runUntil(settleTime);
     const member server{member_id("server-a1"),
-                        member_kind::backend_server,
+                        member_kind::backendServer,
                         simulated_members::centreId(0),
                         "10.1.0.1:5432",
                         0,
