Settle each admitted statement's token, and report a silent primary

The holder needs to hear once for each admitted request whether it ran; the proxy tells its agent when the primary gives no answer, so that the supervisor probes at once.

--- a/programs/proxy/caller_connection.cpp
+++ b/programs/proxy/caller_connection.cpp
@@ -79,17 +79,23 @@
     if (refusal)
         return refuse(*refusal);
     const bool isFree = ends || action.request.step == transaction_step::commit || !m_grant->guard;
-    m_charged = !isFree;
+
     if (isFree)
         return admitted(action.request, true);
-    m_admission = 0;
-    const auto request = m_services.quota.admit(
-            m_grant->workspace, [this, statement = action.request](bool isAdmitted) {
-                m_admission.reset();
-                admitted(statement, isAdmitted);
-            });
-    if (m_admission)
-        m_admission = request;
+    m_admission = m_services.quota.nextRequest();
+    m_services.quota.admit(m_grant->workspace, *m_admission,
+                           [this, statement = action.request](bool isAdmitted) {
+                               const auto request = std::exchange(m_admission, std::nullopt);
+                               if (isAdmitted)
+                                   m_charged = request;
+                               admitted(statement, isAdmitted);
+                           });
+}
+
+void caller_connection::settleToken(bool mayHaveRun)
+{
+    if (const auto request = std::exchange(m_charged, std::nullopt))
+        m_services.quota.settle(m_grant->workspace, *request, mayHaveRun);
 }
 
 void caller_connection::admitted(const statement_request &request, bool isAdmitted)
@@ -122,6 +128,7 @@
 void caller_connection::perform(const abandon_work &)
 {
 
+    settleToken(true);
     if (m_admission)
         m_services.quota.cancel(m_grant->workspace, *std::exchange(m_admission, std::nullopt));
     if (m_flow)
@@ -151,8 +158,7 @@
 void caller_connection::finished(statement_flow::outcome outcome)
 {
 
-    if (std::exchange(m_charged, false) && outcome.notRun)
-        m_services.quota.giveBack(m_grant->workspace);
+    settleToken(!outcome.notRun);
     statement_finished event{std::move(outcome.result), outcome.position, {}};
     if (outcome.position)
         event.positionToken = m_services.access.positionToken(m_grant->database, *outcome.position);
--- a/programs/proxy/caller_connection.h
+++ b/programs/proxy/caller_connection.h
@@ -57,6 +57,7 @@
     void closed();
     void startupTimedOut();
     void admitted(const statement_request &request, bool isAdmitted);
+    void settleToken(bool mayHaveRun);
     void refuse(const error_report &report);
     void finished(statement_flow::outcome outcome);
 
@@ -68,7 +69,7 @@
     std::optional<caller_grant> m_grant;
     std::unique_ptr<statement_flow> m_flow;
     std::optional<std::uint64_t> m_admission; ///< waits for a token
-    bool m_charged = false; ///< the running statement cost a token
+    std::optional<std::uint64_t> m_charged; ///< token of the running statement
     byte_stream m_stream;
     loop_timer m_startupTimer;
 };
--- a/programs/proxy/database_task.cpp
+++ b/programs/proxy/database_task.cpp
@@ -94,10 +94,12 @@
 }
 
 database_task::database_task(ev::loop_ref loop, database_id database,
-                             const database_options &options, const random_source &random)
+                             const database_options &options, suspect_handler onSuspect,
+                             const random_source &random)
     : m_loop(loop)
     , m_database(std::move(database))
     , m_options(options)
+    , m_onSuspect(std::move(onSuspect))
     , m_random(random)
     , m_tracker({}, emptyView(m_database))
     , m_trackerTimer(loop, [this] { step(time_passed{}); })
@@ -269,7 +271,10 @@
     finishWait(action.waiter, false);
 }
 
-void database_task::perform(const suspect_primary &) { }
+void database_task::perform(const suspect_primary &action)
+{
+    m_onSuspect(action);
+}
 
 void database_task::finishWait(waiter_id waiter, bool isHeld)
 {
--- a/programs/proxy/database_task.h
+++ b/programs/proxy/database_task.h
@@ -60,9 +60,11 @@
 public:
     /** Called once: true when a majority holds the position, false when that stays unknown. */
     using held_handler = std::function<void(bool)>;
+    using suspect_handler = std::function<void(const suspect_primary &)>;
 
+    /** \param onSuspect  the primary gave no answer to this proxy */
     database_task(ev::loop_ref loop, database_id database, const database_options &options,
-                  const random_source &random);
+                  suspect_handler onSuspect, const random_source &random);
     ~database_task();
 
     void setMembers(const std::vector<configuration::member_entry> &members);
@@ -105,6 +107,7 @@
     ev::loop_ref m_loop;
     database_id m_database;
     database_options m_options;
+    suspect_handler m_onSuspect;
     random_source m_random;
     std::map<server_id, member> m_members;
     std::vector<std::unique_ptr<member_pool>> m_leavingPools; ///< until their last lease ends
--- a/programs/proxy/proxy.cpp
+++ b/programs/proxy/proxy.cpp
@@ -179,7 +179,12 @@
                     m_loop, database,
                     database_options{m_settings.backendPassword,
                                      m_settings.instance.str() + '/' + m_boot,
+
                                      m_settings.dataCentre},
+                    [this, database = database](const suspect_primary &suspicion) {
+                        m_agent.send(messages::suspicion_report{database, suspicion.server,
+                                                                suspicion.term});
+                    },
                     m_random);
         }
         task->setMembers(group.members);
--- a/programs/proxy/quota_task.cpp
+++ b/programs/proxy/quota_task.cpp
@@ -79,15 +79,15 @@
     step(workspace, allotment_input(allotment_event::tick{}));
 }
 
-std::uint64_t quota_task::admit(const workspace_id &workspace, admitted_handler onDecided)
+void quota_task::admit(const workspace_id &workspace, std::uint64_t request,
+                       admitted_handler onDecided)
 {
-    const auto request = ++m_lastRequest;
     m_waiting.emplace(request, std::move(onDecided));
     if (m_workspaces.contains(workspace))
         step(workspace, quota_input(quota_event::request_arrived{request}));
     else
+
         decide(request, false);
-    return request;
 }
 
 void quota_task::cancel(const workspace_id &workspace, std::uint64_t request)
@@ -96,10 +96,14 @@
         step(workspace, quota_input(quota_event::request_cancelled{request}));
 }
 
-void quota_task::giveBack(const workspace_id &workspace)
+void quota_task::settle(const workspace_id &workspace, std::uint64_t request, bool mayHaveRun)
 {
-    if (m_workspaces.contains(workspace))
-        step(workspace, quota_input(quota_event::request_not_run{}));
+    if (!m_workspaces.contains(workspace))
+        return;
+    if (mayHaveRun)
+        step(workspace, quota_input(quota_event::request_ran{request}));
+    else
+        step(workspace, quota_input(quota_event::request_not_run{request}));
 }
 
 void quota_task::received(const messages::share_answer &answer)
--- a/programs/proxy/quota_task.h
+++ b/programs/proxy/quota_task.h
@@ -42,13 +42,14 @@
 
     void setPlans(const configuration::configuration_lists &lists);
 
-    /** \brief Asks for one token. The handler is called at once or later, from the loop.
-     * \returns a number to cancel with
-     */
-    std::uint64_t admit(const workspace_id &workspace, admitted_handler onDecided);
+    /** \returns the number of a new request. */
+    std::uint64_t nextRequest() { return ++m_lastRequest; }
+
+    /** \brief Asks for one token. The handler is called at once or later, from the loop. */
+    void admit(const workspace_id &workspace, std::uint64_t request, admitted_handler onDecided);
     void cancel(const workspace_id &workspace, std::uint64_t request);
-    /** \brief An admitted request certainly did not run. */
-    void giveBack(const workspace_id &workspace);
+    /** \brief How an admitted request ended: it may have run, or it certainly did not. */
+    void settle(const workspace_id &workspace, std::uint64_t request, bool mayHaveRun);
 
     void received(const messages::share_answer &answer);
     void received(const messages::loan_transfer &transfer);
