--- a/programs/proxy/database_task.h
+++ b/programs/proxy/database_task.h
@@ -60,9 +60,11 @@
 public:
     /** Called once: true when a majority holds the position, false when that stays unknown. */
     using held_handler = std::function<void(bool)>;
+    using suspect_handler = std::function<void(const suspect_primary &)>;
 
+    /** \param onSuspect  the primary gave no answer to this proxy */
     database_task(ev::loop_ref loop, database_id database, const database_options &options,
-                  const random_source &random);
+                  suspect_handler onSuspect, const random_source &random);
     ~database_task();
 
     void setMembers(const std::vector<configuration::member_entry> &members);
@@ -76,7 +78,7 @@
     void noteProof(const server_id &server, const member_proof &proof);
 
     /** \brief Waits until a majority holds \a position. \returns a number to abandon the wait. */
-    waiter_id waitUntilHeld(const log_position &position, time_point deadline,     held_handler onHeld);
+    waiter_id waitUntilHeld(const log_position &position, time_point deadline, held_handler onHeld);
     void abandonWait(waiter_id waiter);
 
     const database_counters &counters() const noexcept { return m_counters; }
@@ -105,6 +107,7 @@
     ev::loop_ref m_loop;
     database_id m_database;
     database_options m_options;
+    suspect_handler m_onSuspect;
     random_source m_random;
     std::map<server_id, member> m_members;
     std::vector<std::unique_ptr<member_pool>> m_leavingPools; ///< until their last lease ends
--- a/programs/proxy/proxy.cpp
+++ b/programs/proxy/proxy.cpp
@@ -69,7 +69,8 @@
                  [this](file_descriptor socket) { accept(std::move(socket)); })
     , m_admin(loop, parseEndpoint(proxySettings.admin),
               {metrics(), [this] { return state(); },
-               [this] { return !m_draining && m_access.version() > 0; }, [this] { drain(); }})
+               [this] { return !m_draining && m_access.version() > 0 && m_quota.isReady(); },
+               [this] { drain(); }})
 {
     m_log.write(log_level::info, "listening",
                 {{"callers", proxySettings.listen}, {"boot", m_boot}});
@@ -178,7 +179,12 @@
                     m_loop, database,
                     database_options{m_settings.backendPassword,
                                      m_settings.instance.str() + '/' + m_boot,
+
                                      m_settings.dataCentre},
+                    [this, database = database](const suspect_primary &suspicion) {
+                        m_agent.send(messages::suspicion_report{database, suspicion.server,
+                                                                suspicion.term});
+                    },
                     m_random);
         }
         task->setMembers(group.members);
