--- a/programs/proxy/caller_connection.cpp
+++ b/programs/proxy/caller_connection.cpp
@@ -18,8 +18,7 @@
     , m_onClosed(std::move(onClosed))
     , m_session(services.limits, services.classifier)
     , m_stream(services.loop, std::move(socket),
-               {[this](std::string_view bytes) { handle(caller_bytes{bytes}); },
-                [this] { closed(); }})
+               {[this](std::string_view bytes) { received(bytes); }, [this] { closed(); }})
     , m_startupTimer(services.loop, [this] { startupTimedOut(); })
 {
     m_startupTimer.startOnce(services.startupTimeout);
@@ -44,13 +43,41 @@
 
 void caller_connection::perform(const send_bytes &action)
 {
-    m_stream.write(action.bytes);
+
+    write(action.bytes);
     m_stream.pauseReading(m_stream.pendingBytes() > pausedWriteBytes);
 }
 
 void caller_connection::perform(const negotiate_tls &)
 {
-    m_stream.write("N");
+    const bool isOffered = m_services.tls != nullptr && !m_tls;
+    m_stream.write(isOffered ? "S" : "N");
+    if (isOffered)
+        m_tls = std::make_unique<tls_channel>(*m_services.tls);
+}
+
+void caller_connection::received(std::string_view bytes)
+{
+    if (!m_tls)
+        return handle(caller_bytes{bytes});
+    try {
+        const auto plainText = m_tls->receive(bytes);
+        m_stream.write(m_tls->takeOutput());
+        if (!plainText.empty())
+            handle(caller_bytes{plainText});
+    } catch (const error &) {
+        // The peer does not speak TLS any more: nothing readable can be sent to it.
+        perform(abandon_work{});
+        m_stream.closeAfterWrite();
+    }
+}
+
+void caller_connection::write(std::string_view bytes)
+{
+    if (!m_tls)
+        return m_stream.write(bytes);
+    m_tls->send(bytes);
+    m_stream.write(m_tls->takeOutput());
 }
 
 void caller_connection::perform(const authenticate_caller &action)
--- a/programs/proxy/caller_connection.h
+++ b/programs/proxy/caller_connection.h
@@ -26,6 +26,7 @@
     session_limits limits;
     statement_bounds bounds;
     duration startupTimeout = 5s;
+    const tls_context *tls = nullptr; ///< nullptr: callers connect in clear text
     std::function<database_task *(const database_id &)> findDatabase;
     std::function<void(std::int32_t processId, std::int32_t secret)> cancel;
 };
@@ -54,6 +55,8 @@
     void perform(const cancel_statement &action);
     void perform(const abandon_work &action);
     void perform(const close_session &action);
+    void received(std::string_view bytes);
+    void write(std::string_view bytes);
     void closed();
     void startupTimedOut();
     void admitted(const statement_request &request, bool isAdmitted);
@@ -70,6 +73,7 @@
     std::unique_ptr<statement_flow> m_flow;
     std::optional<std::uint64_t> m_admission; ///< waits for a token
     std::optional<std::uint64_t> m_charged; ///< token of the running statement
+    std::unique_ptr<tls_channel> m_tls;
     byte_stream m_stream;
     loop_timer m_startupTimer;
 };
--- a/programs/proxy/proxy.cpp
+++ b/programs/proxy/proxy.cpp
@@ -56,6 +56,9 @@
     , m_random(random)
     , m_boot(std::to_string(newBoot()))
     , m_log("proxy")
+    , m_tls(proxySettings.tls ? std::make_unique<tls_context>(proxySettings.tls->certificate,
+                                                              proxySettings.tls->privateKey)
+                              : nullptr)
     , m_quota(
               loop, {holder_id(proxySettings.instance.str()), std::stoull(m_boot)},
               [this](const messages::message &message) { m_agent.send(message); }, random)
@@ -121,6 +124,7 @@
             {limits.messageBytes},
             {limits.queueDeadline, limits.statementTimeout},
             limits.startupTimeout,
+            m_tls.get(),
             [this](const database_id &database) { return findDatabase(database); },
             [this](std::int32_t processId, std::int32_t secret) { cancel(processId, secret); }};
 }
--- a/programs/proxy/proxy.h
+++ b/programs/proxy/proxy.h
@@ -62,6 +62,7 @@
     logger m_log;
     statement_classifier m_classifier;
     access_control m_access;
+    std::unique_ptr<tls_context> m_tls;
     quota_task m_quota;
     statement_counters m_statements;
     caller_counters m_callerCounters;
