--- /dev/null
+++ b/test/session_caller.cpp
@@ -0,0 +1,271 @@
+#include "sycamorespan/Session"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sycamorespan {
+namespace {
+
+std::string bigEndian(std::uint32_t value)
+{
+    return {static_cast<char>(value >> 24U), static_cast<char>(value >> 16U),
+            static_cast<char>(value >> 8U), static_cast<char>(value)};
+}
+
+std::string encode(char type, const std::string &payload)
+{
+    return type + bigEndian(static_cast<std::uint32_t>(payload.size() + 4)) + payload;
+}
+
+std::string text(const std::string &value)
+{
+    return value + '\0';
+}
+
+std::string query(const std::string &sql)
+{
+    return encode('Q', text(sql));
+}
+
+/** Parse, bind and execute of the unnamed statement, without Sync. */
+std::string execute(const std::string &sql)
+{
+    return encode('P', text("") + text(sql) + std::string(2, '\0'))
+           + encode('B', text("") + text("") + std::string(6, '\0'))
+           + encode('E', text("") + bigEndian(0));
+}
+
+/** A session behind its start-up, with what it sent and wanted run. */
+class session_driver
+{
+public:
+    session_driver()
+        : m_session({}, m_classifier)
+    {
+        const auto parameters = text("user") + text("shop") + text("database") + text("cribs");
+        const auto startup = bigEndian(196608) + parameters + '\0';
+        feed(bigEndian(static_cast<std::uint32_t>(startup.size() + 4)) + startup);
+        feed(encode('p', text("key")));
+        handle(caller_accepted{log_position{}, std::nullopt, false, 1, 2});
+        m_sent.clear();
+    }
+
+    void feed(const std::string &bytes) { handle(caller_bytes{bytes}); }
+
+    void finish(const std::string &tag)
+    {
+        statement_finished event;
+        event.result.tag = tag;
+        handle(event);
+    }
+
+    void fail(const std::string &code, bool transactionLost = false)
+    {
+        statement_finished event;
+        event.result.error = error_report{"ERROR", code, "failed", {}, {}};
+        event.result.transactionLost = transactionLost;
+        handle(event);
+    }
+
+    void end(ending_mode mode)
+    {
+        handle(session_ending{{"FATAL", "57P01", "shutdown", {}, {}}, mode});
+    }
+
+    /** Types of the messages sent since the last call. */
+    std::string takeSentTypes()
+    {
+        frame_decoder decoder(1U << 20U);
+        decoder.startupFinished();
+        decoder.feed(std::exchange(m_sent, {}));
+        std::string types;
+        while (const auto next = decoder.next())
+            types.push_back(next->type);
+        return types;
+    }
+
+    /** The statement that waits for its result. */
+    std::optional<statement_request> running;
+    bool closed = false;
+
+private:
+    void handle(const session_event &event)
+    {
+        running.reset();
+        for (const auto &action : m_session.handle(event)) {
+            if (const auto *bytes = std::get_if<send_bytes>(&action))
+                m_sent += bytes->bytes;
+            if (const auto *start = std::get_if<start_statement>(&action))
+                running = start->request;
+            if (std::holds_alternative<close_session>(action))
+                closed = true;
+        }
+    }
+
+    statement_classifier m_classifier;
+    caller_session m_session;
+    std::string m_sent;
+};
+
+TEST(caller_session, holdsBeginBackUntilTheFirstStatement)
+{
+    session_driver driver;
+    driver.feed(query("BEGIN"));
+    EXPECT_FALSE(driver.running);
+    EXPECT_EQ(driver.takeSentTypes(), "CZ");
+    driver.feed(query("INSERT INTO t VALUES (1)"));
+    ASSERT_TRUE(driver.running);
+    EXPECT_EQ(driver.running->step, transaction_step::start);
+    EXPECT_EQ(driver.running->beginText, "BEGIN");
+    driver.finish("INSERT 0 1");
+    driver.feed(query("COMMIT"));
+    ASSERT_TRUE(driver.running);
+    EXPECT_EQ(driver.running->step, transaction_step::commit);
+    driver.finish("COMMIT");
+    EXPECT_EQ(driver.takeSentTypes(), "CZCZ");
+}
+
+TEST(caller_session, answersSeveralStatementsOnlyAfterTheirCommit)
+{
+    session_driver driver;
+    driver.feed(query("INSERT INTO t VALUES (1); INSERT INTO t VALUES (2)"));
+    EXPECT_EQ(driver.running->step, transaction_step::start);
+    driver.finish("INSERT 0 1");
+    EXPECT_EQ(driver.running->step, transaction_step::inside);
+    driver.finish("INSERT 0 1");
+    EXPECT_EQ(driver.running->step, transaction_step::commit);
+    EXPECT_EQ(driver.takeSentTypes(), "") << "nothing is acknowledged before the commit";
+    driver.fail("08007", true);
+    EXPECT_EQ(driver.takeSentTypes(), "EZ") << "a commit of unknown outcome acknowledges nothing";
+}
+
+TEST(caller_session, statementsBeforeOneSyncAreOneTransaction)
+{
+    session_driver driver;
+    driver.feed(execute("INSERT INTO t VALUES (1)") + execute("INSERT INTO t VALUES (2)")
+                + encode('S', ""));
+    EXPECT_EQ(driver.running->step, transaction_step::start);
+    driver.finish("INSERT 0 1");
+    driver.fail("23505");
+    ASSERT_TRUE(driver.running);
+    EXPECT_EQ(driver.running->step, transaction_step::rollback);
+    driver.finish("ROLLBACK");
+    EXPECT_EQ(driver.takeSentTypes(), "EZ");
+}
+
+TEST(caller_session, refusesByNameWhatItDoesNotSupport)
+{
+    for (const std::string sql :
+         {"COPY t FROM STDIN", "LISTEN c", "SET search_path = x", "BEGIN; SELECT 1; COMMIT",
+          "PREPARE TRANSACTION 'x'", "CREATE TEMP TABLE t (a int)"}) {
+        session_driver driver;
+        driver.feed(query(sql));
+        EXPECT_FALSE(driver.running) << sql;
+        EXPECT_EQ(driver.takeSentTypes(), "EZ") << sql;
+    }
+}
+
+TEST(caller_session, aFailedTransactionRunsNothingUntilItsEnd)
+{
+    session_driver driver;
+    driver.feed(query("BEGIN"));
+    driver.feed(query("INSERT INTO t VALUES (1)"));
+    driver.fail("08006", true);
+    driver.takeSentTypes();
+    driver.feed(query("INSERT INTO t VALUES (2)"));
+    EXPECT_FALSE(driver.running);
+    EXPECT_EQ(driver.takeSentTypes(), "EZ");
+    driver.feed(query("COMMIT"));
+    EXPECT_FALSE(driver.running) << "the server has rolled back already";
+    EXPECT_EQ(driver.takeSentTypes(), "CZ");
+}
+
+TEST(caller_session, aPlannedEndWaitsForTheTransaction)
+{
+    session_driver driver;
+    driver.feed(query("BEGIN"));
+    driver.feed(query("INSERT INTO t VALUES (1)"));
+    driver.finish("INSERT 0 1");
+    driver.end(ending_mode::whenIdle);
+    EXPECT_FALSE(driver.closed);
+    driver.feed(query("COMMIT"));
+    driver.takeSentTypes();
+    driver.finish("COMMIT");
+    EXPECT_TRUE(driver.closed);
+    EXPECT_EQ(driver.takeSentTypes(), "CZE");
+}
+
+TEST(caller_session, aWithdrawnKeyEndsTheSessionAfterTheRunningStatement)
+{
+    session_driver driver;
+    driver.feed(query("BEGIN"));
+    driver.feed(query("INSERT INTO t VALUES (1)"));
+    driver.end(ending_mode::afterStatement);
+    EXPECT_FALSE(driver.closed);
+    driver.finish("INSERT 0 1");
+    EXPECT_TRUE(driver.closed);
+}
+
+/** Any mix of statements and outcomes: one ReadyForQuery for each query, none lost or doubled. */
+RC_GTEST_PROP(caller_session, everyQueryGetsOneReadyForQuery, ())
+{
+    const std::vector<std::string> statements{"SELECT 1",
+                                              "INSERT INTO t VALUES (1)",
+                                              "BEGIN",
+                                              "COMMIT",
+                                              "ROLLBACK",
+                                              "SAVEPOINT s",
+                                              "ROLLBACK TO s",
+                                              "SELECT 1; INSERT INTO t VALUES (1)",
+                                              "",
+                                              "SET x = 1",
+                                              "nonsense(",
+                                              "SET sycamorespan.max_staleness = '1s'",
+                                              "DISCARD ALL",
+                                              "COPY t TO STDOUT"};
+    session_driver driver;
+    const auto count = *rc::gen::inRange<std::size_t>(1, 20);
+    std::string bytes;
+    for (std::size_t number = 0; number < count; ++number)
+        bytes += query(*rc::gen::elementOf(statements));
+    driver.feed(bytes);
+    std::string sent = driver.takeSentTypes();
+    while (driver.running) {
+        switch (*rc::gen::inRange(0, 3)) {
+        case 0:
+            driver.finish("TAG");
+            break;
+        case 1:
+            driver.fail("23505");
+            break;
+        default:
+            driver.fail("08006", true);
+        }
+        sent += driver.takeSentTypes();
+    }
+    RC_ASSERT(std::ranges::count(sent, 'Z') == static_cast<std::ptrdiff_t>(count));
+    RC_ASSERT(sent.back() == 'Z');
+}
+
+RC_GTEST_PROP(caller_session, garbageEndsTheSessionOrIsAnswered, ())
+{
+    session_driver driver;
+    driver.feed(*rc::gen::arbitrary<std::string>());
+    driver.feed(encode('X', ""));
+    SUCCEED();
+}
+
+TEST(session_options, readsIntervalsAndOptions)
+{
+    EXPECT_EQ(parseInterval("250ms"), 250ms);
+    EXPECT_EQ(parseInterval("5 s"), 5s);
+    EXPECT_EQ(parseInterval("1500"), 1500ms);
+    EXPECT_EQ(parseInterval("-1s"), std::nullopt);
+    EXPECT_EQ(parseInterval("99999999999h"), std::nullopt);
+    const auto options = parseSessionOptions("-c a.b=c\\ d --e=f");
+    EXPECT_EQ(options, (std::map<std::string, std::string>{{"a.b", "c d"}, {"e", "f"}}));
+    EXPECT_THROW(parseSessionOptions("-x"), decode_error);
+}
+
+} // namespace
+} // namespace sycamorespan
