End what runs on an old primary, and pass over a dead replica

A change of primary now closes the connections lent at the old one: their writes are reported as unknown, their reads go elsewhere.

--- a/programs/proxy/backend_connection.cpp
+++ b/programs/proxy/backend_connection.cpp
@@ -1,7 +1,6 @@
 #include "programs/proxy/backend_connection.h"
 
 #include <algorithm>
-#include <ranges>
 #include <thread>
 #include <utility>
 
@@ -47,7 +46,7 @@
 std::vector<column_description> columnsOf(const PGresult *result)
 {
     std::vector<column_description> columns;
-    for (const int index : std::views::iota(0, PQnfields(result))) {
+    for (int index = 0; index < PQnfields(result); ++index) {
         columns.push_back({PQfname(result, index), PQftable(result, index),
                            static_cast<std::int16_t>(PQftablecol(result, index)),
                            PQftype(result, index),
@@ -61,8 +60,8 @@
 {
     backend_writer writer;
     row_values row(static_cast<std::size_t>(PQnfields(result)));
-    for (const int rowIndex : std::views::iota(0, PQntuples(result))) {
-        for (const int column : std::views::iota(0, PQnfields(result))) {
+    for (int rowIndex = 0; rowIndex < PQntuples(result); ++rowIndex) {
+        for (int column = 0; column < PQnfields(result); ++column) {
             const auto length = static_cast<std::size_t>(PQgetlength(result, rowIndex, column));
             auto &value = row[static_cast<std::size_t>(column)];
             if (PQgetisnull(result, rowIndex, column) != 0)
@@ -78,7 +77,7 @@
 std::vector<std::uint32_t> parameterTypesOf(const PGresult *result)
 {
     std::vector<std::uint32_t> types;
-    for (const int index : std::views::iota(0, PQnparams(result)))
+    for (int index = 0; index < PQnparams(result); ++index)
         types.push_back(PQparamtype(result, index));
     return types;
 }
@@ -93,7 +92,7 @@
         values.push_back(parameter ? parameter->data() : nullptr);
         lengths.push_back(parameter ? static_cast<int>(parameter->size()) : 0);
     }
-    for (const auto index : std::views::iota(std::size_t{0}, sql.parameters.size())) {
+    for (std::size_t index = 0; index < sql.parameters.size(); ++index) {
         const auto &given = sql.parameterFormats;
         const auto format = given.empty()       ? std::int16_t{0}
                             : given.size() == 1 ? given.front()
@@ -154,6 +153,13 @@
     send();
 }
 
+void backend_connection::abort()
+{
+    if (m_lastError.empty())
+        m_lastError = "aborted";
+    fail();
+}
+
 void backend_connection::cancelRunning()
 {
     if (m_state != state::busy)
--- a/programs/proxy/backend_connection.h
+++ b/programs/proxy/backend_connection.h
@@ -55,6 +55,9 @@
     /** \brief Sends \a steps; no answer within \a timeout closes the connection. */
     void run(std::vector<backend_step> steps, duration timeout, reply_handler onReply);
 
+    /** \brief Closes the connection; what runs on it is reported as lost. */
+    void abort();
+
     /** \brief Asks the server to cancel what runs; its answer arrives as usual. */
     void cancelRunning();
 
--- a/programs/proxy/database_task.cpp
+++ b/programs/proxy/database_task.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr duration statusTimeout = 300ms;
+constexpr duration unreachablePause = 1s;
 
 group_view emptyView(const database_id &database)
 {
@@ -139,10 +140,16 @@
 
 void database_task::learnView(const group_view &view)
 {
-    const auto before = m_tracker.view().term;
+
+    const auto before = m_tracker.view();
     step(view_learned{view});
-    if (m_tracker.view().term != before)
-        ++m_counters.viewChanges;
+    if (m_tracker.view().term == before.term)
+        return;
+    ++m_counters.viewChanges;
+    // The old primary's majority is fenced: a frozen one would keep its callers waiting for
+    // nothing.
+    if (auto *oldPool = before.primary == m_tracker.view().primary ? nullptr : pool(before.primary))
+        oldPool->abortLeased();
 }
 
 member_pool *database_task::pool(const server_id &server)
@@ -164,7 +171,8 @@
     for (const auto &[server, target] : m_members) {
         const bool behind = target.hint && target.hint->position < floor
                             && monotonicNow() - target.hint->askedAt < 5ms;
-        if (server != view().primary && !behind)
+
+        if (server != view().primary && !behind && target.avoidUntil <= monotonicNow())
             candidates.push_back({target.entry.dataCentre != m_options.dataCentre,
                                   target.pool->leasedConnections() + target.pool->waiting(),
                                   server});
@@ -175,6 +183,13 @@
     return servers;
 }
 
+void database_task::noteUnreachable(const server_id &server)
+{
+    const auto found = m_members.find(server);
+    if (found != m_members.end())
+        found->second.avoidUntil = monotonicNow() + unreachablePause;
+}
+
 void database_task::noteProof(const server_id &server, const member_proof &proof)
 {
     const auto found = m_members.find(server);
--- a/programs/proxy/database_task.h
+++ b/programs/proxy/database_task.h
@@ -75,6 +75,8 @@
 
     /** \returns replicas that may be worth trying for a read, the preferred one first. */
     std::vector<server_id> replicaCandidates(const log_position &floor) const;
+    /** \brief The member gave this proxy no connection: it is passed over for a while. */
+    void noteUnreachable(const server_id &server);
     void noteProof(const server_id &server, const member_proof &proof);
 
     /** \brief Waits until a majority holds \a position. \returns a number to abandon the wait. */
@@ -90,6 +92,7 @@
         configuration::member_entry entry;
         std::unique_ptr<member_pool> pool;
         std::optional<member_proof> hint;
+        time_point avoidUntil;
     };
 
     void retire(member &target);
--- a/programs/proxy/member_pool.cpp
+++ b/programs/proxy/member_pool.cpp
@@ -67,6 +67,17 @@
                                    monotonicNow()));
 }
 
+void member_pool::abortLeased()
+{
+    for (const auto &[lease, id] : m_leases) {
+        later([this, connection = id] {
+            const auto found = m_connections.find(connection);
+            if (found != m_connections.end())
+                found->second->abort();
+        });
+    }
+}
+
 void member_pool::perform(const actions &list)
 {
     for (const auto &action : list)
--- a/programs/proxy/member_pool.h
+++ b/programs/proxy/member_pool.h
@@ -43,6 +43,9 @@
     /** \brief Withdraws a request, or gives a granted connection back. */
     void release(lease_number lease, lease_use use);
 
+    /** \brief Closes every lent connection: the server is known to complete nothing on it. */
+    void abortLeased();
+
     std::size_t openConnections() const noexcept { return m_scheduler.connections(); }
     std::size_t leasedConnections() const noexcept { return m_leases.size(); }
     std::size_t waiting() const noexcept { return m_waiting.size(); }
--- a/programs/proxy/statement_flow.cpp
+++ b/programs/proxy/statement_flow.cpp
@@ -8,6 +8,8 @@
 
 constexpr duration retryInterval = 20ms;
 constexpr std::size_t maximumReplicaTries = 2;
+/** Longest wait for a replica's slot, while others could answer. */
+constexpr duration replicaSlotWait = 100ms;
 
 error_report errorOf(std::string_view code, const std::string &message)
 {
@@ -123,8 +125,11 @@
         return retryLater(sqlstate::cannotConnectNow, "the primary is not configured");
     m_server = server;
     m_kind = kind;
+    const auto slotDeadline = kind == target_kind::primary
+                                      ? m_deadline
+                                      : std::min(m_deadline, monotonicNow() + replicaSlotWait);
     m_lease = m_pool->acquire(
-            m_workspace, m_deadline,
+            m_workspace, slotDeadline,
             [this, alive = m_alive](backend_connection *connection, slot_refusal reason) {
                 if (*alive)
                     granted(connection, reason);
@@ -137,8 +142,11 @@
     if (connection != nullptr)
         return send();
     m_lease = 0;
-    if (m_kind == target_kind::replica)
+
+    if (m_kind == target_kind::replica) {
+        m_database.noteUnreachable(m_server);
         return choose();
+    }
     if (reason != slot_refusal::memberUnreachable)
         return refuse(sqlstate::tooManyConnections, "no slot of the database was free in time");
     retryLater(sqlstate::cannotConnectNow, "the primary can't be reached");
--- a/standins/backend_server/sql_engine.cpp
+++ b/standins/backend_server/sql_engine.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
-#include <ranges>
 
 #include <sqlite3.h>
 
@@ -121,14 +120,13 @@
 
 std::string firstWord(const std::string &text)
 {
-    std::string word;
-    for (const char character : text | std::views::drop_while([](unsigned char c) {
-                                    return std::isspace(c) != 0 || c == '(';
-                                })) {
-        if (std::isalpha(static_cast<unsigned char>(character)) == 0)
-            break;
-        word.push_back(static_cast<char>(std::toupper(static_cast<unsigned char>(character))));
-    }
+    const auto isLetter = [](unsigned char character) { return std::isalpha(character) != 0; };
+    const auto first = std::ranges::find_if(text, isLetter);
+    const auto last = std::find_if_not(first, text.end(), isLetter);
+    std::string word(first, last);
+    std::ranges::transform(word, word.begin(), [](unsigned char character) {
+        return static_cast<char>(std::toupper(character));
+    });
     return word;
 }
 
--- a/sycamorespan/src/Protocol/internal/byte_reader.h
+++ b/sycamorespan/src/Protocol/internal/byte_reader.h
@@ -29,7 +29,7 @@
         const auto end = m_rest.find('\0');
         if (end == std::string_view::npos)
             throw decode_error("string without terminator");
-        const std::string result(m_rest.substr(0, end));
+        std::string result(m_rest.substr(0, end));
         m_rest.remove_prefix(end + 1);
         return result;
     }
--- a/sycamorespan/src/Session/session_options.cpp
+++ b/sycamorespan/src/Session/session_options.cpp
@@ -62,9 +62,7 @@
             if (++word == words.end())
                 throw decode_error("option -c without a value");
             addAssignment(options, *word);
-        } else if (word->starts_with("--")) {
-            addAssignment(options, word->substr(2));
-        } else if (word->starts_with("-c")) {
+        } else if (word->starts_with("--") || word->starts_with("-c")) {
             addAssignment(options, word->substr(2));
         } else {
             throw decode_error("invalid option '" + *word + "'");
