--- /dev/null
+++ b/test/process_failover_in_flight.py
@@ -0,0 +1,30 @@
+"""Writes in flight on a primary that goes silent are answered within the bound of the change."""
+import sys
+import time
+
+from cluster import Cluster, run
+from process_failover_faults import ANSWER_BOUND_SECONDS, FAILOVER_BOUND_SECONDS, Stream
+
+SECONDS_BEFORE_FAULT = 1
+
+
+def main(build):
+    with Cluster(build) as cluster:
+        run(cluster.connect("regina-proxy-1"), "CREATE TABLE sale (id TEXT)")
+        stream = Stream(cluster, "in-flight")
+        time.sleep(SECONDS_BEFORE_FAULT)
+        fault = time.monotonic()
+        cluster.members[cluster.primary()].stop()
+        for writer in stream.writers:
+            writer.stopping.set()
+        for writer in stream.writers:
+            writer.join(ANSWER_BOUND_SECONDS)
+            assert not writer.is_alive(), f"{writer.name}: a statement got no answer"
+        seconds = time.monotonic() - fault
+        print(f"{len(stream.all('unknown'))} writes with unknown outcome; "
+              f"the last answer came after {seconds:.2f} s")
+        assert not stream.all("unexpected"), stream.all("unexpected")[:5]
+        assert seconds < FAILOVER_BOUND_SECONDS, f"the last answer came after {seconds:.2f} s"
+
+
+main(sys.argv[1])
