--- a/test/process_failover_in_flight.py
+++ b/test/process_failover_in_flight.py
@@ -6,6 +6,8 @@
 from process_failover_faults import ANSWER_BOUND_SECONDS, FAILOVER_BOUND_SECONDS, Stream
 
 SECONDS_BEFORE_FAULT = 1
+# For each session to have a write under way; shorter than any detection.
+IN_FLIGHT_SECONDS = 0.3
 
 
 def main(build):
@@ -15,6 +17,7 @@
         time.sleep(SECONDS_BEFORE_FAULT)
         fault = time.monotonic()
         cluster.members[cluster.primary()].stop()
+        time.sleep(IN_FLIGHT_SECONDS)
         for writer in stream.writers:
             writer.stopping.set()
         for writer in stream.writers:
@@ -23,6 +26,7 @@
         seconds = time.monotonic() - fault
         print(f"{len(stream.all('unknown'))} writes with unknown outcome; "
               f"the last answer came after {seconds:.2f} s")
+        assert stream.all("unknown"), "no write was in flight"
         assert not stream.all("unexpected"), stream.all("unexpected")[:5]
         assert seconds < FAILOVER_BOUND_SECONDS, f"the last answer came after {seconds:.2f} s"
 
