--- a/test/quota_bound.cpp
+++ b/test/quota_bound.cpp
@@ -73,7 +73,7 @@
         events.after(fillTime, [this, borrower, until = events.now() + borrowed] {
             send(borrower, borrowRate, until);
         });
-        events.after(flood, [this] { sendToAll(floodRate, floodTime); });
+        events.after(flood, [this, length = floodTime] { sendToAll(floodRate, length); });
         events.after(flood + floodTime, [this] { run(); });
     }
 
