--- a/sycamorespan/src/Membership/membership.cpp
+++ b/sycamorespan/src/Membership/membership.cpp
@@ -483,7 +483,8 @@
 {
     auto message = newMessage(withSilences);
     std::vector<member_id> ids(m_news.begin(), m_news.end());
-    std::ranges::stable_partition(ids, [&](const member_id &id) {
+
+    std::stable_partition(ids.begin(), ids.end(), [&](const member_id &id) {
         return m_records.at(id).known.state != member_state::live;
     });
     ids.resize(std::min(ids.size(), m_policy.recordsPerMessage));
