--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -1,5 +1,7 @@
 #include "programs/agent/agent.h"
 
+#include "programs/common/boot_number.h"
+
 #include "sycamorespan/Core"
 
 #include <nlohmann/json.hpp>
@@ -17,13 +19,6 @@
 constexpr duration drainTick = 20ms;
 constexpr duration drainTimeout = 2s;
 
-/** \returns a name for this run that is greater than that of any run before. */
-std::string newBoot()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 std::set<endpoint> endpoints(const std::vector<std::string> &addresses)
 {
     std::set<endpoint> result;
@@ -68,7 +63,7 @@
              const random_source &random)
     : m_loop(loop)
     , m_settings(agentSettings)
-    , m_boot(newBoot())
+    , m_boot(std::to_string(programs::newBootNumber()))
     , m_seedPeers(endpoints(agentSettings.peers))
     , m_log("agent")
     , m_platform(loop, agentSettings.platform, agentSettings.timing.requestTimeout)
--- a/programs/proxy/proxy.cpp
+++ b/programs/proxy/proxy.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "programs/common/boot_number.h"
 #include "programs/proxy/proxy_metrics.h"
 #include "sycamorespan/src/Core/overloaded.h"
 
@@ -22,14 +23,6 @@
             {}};
 }
 
-/** \returns a number for this run that is greater than that of any run before. */
-std::uint64_t newBoot()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
-}
-
 group_view toView(const messages::group_view_update &update)
 {
     group_view view;
@@ -54,7 +47,7 @@
     : m_loop(loop)
     , m_settings(proxySettings)
     , m_random(random)
-    , m_boot(std::to_string(newBoot()))
+    , m_boot(std::to_string(programs::newBootNumber()))
     , m_log("proxy")
     , m_tls(proxySettings.tls ? std::make_unique<tls_context>(proxySettings.tls->certificate,
                                                               proxySettings.tls->privateKey)
--- /dev/null
+++ b/sycamorespan/src/Session/caller_session_messages.cpp
@@ -0,0 +1,310 @@
+#include "sycamorespan/src/Session/caller_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sycamorespan/src/Core/error.h"
+#include "sycamorespan/src/Core/overloaded.h"
+#include "sycamorespan/src/Protocol/sqlstate.h"
+#include "sycamorespan/src/Session/internal/session_errors.h"
+#include "sycamorespan/src/Session/session_options.h"
+
+// From the caller's bytes to the queue of operations; what they do is in caller_session.cpp.
+
+namespace sycamorespan {
+namespace {
+
+using internal::errorOf;
+
+constexpr std::string_view programLimitExceeded = "54000";
+
+bool isTransactionControl(const classified_statement &statement)
+{
+    return statement.kind == statement_kind::begin || statement.kind == statement_kind::commit
+           || statement.kind == statement_kind::rollback;
+}
+
+std::string statementText(const std::string &text, const classified_statement &statement)
+{
+    return text.substr(statement.offset, statement.length);
+}
+
+std::int16_t commonFormat(const std::vector<std::int16_t> &formats)
+{
+    return formats.empty() ? std::int16_t{0} : formats.front();
+}
+
+bool isMixed(const std::vector<std::int16_t> &formats)
+{
+    return std::ranges::any_of(
+            formats, [&formats](std::int16_t format) { return format != formats.front(); });
+}
+
+} // namespace
+
+void caller_session::decodeFrames()
+{
+    while (m_phase == phase::startup || m_phase == phase::password || m_phase == phase::ready) {
+        const auto next = m_decoder.next();
+        if (!next)
+            return;
+        if (m_phase == phase::startup)
+            takeStartup(*next);
+        else
+            takeMessage(decodeFrontend(*next));
+    }
+}
+
+void caller_session::takeStartup(const frame &opening)
+{
+    const auto request = decodeStartup(opening);
+    if (std::holds_alternative<ssl_request>(request)) {
+        if (m_decoder.bufferedBytes() > 0)
+            throw decode_error("data after the request for TLS");
+        m_actions.emplace_back(negotiate_tls{});
+        return;
+    }
+    if (std::holds_alternative<gss_request>(request)) {
+        m_actions.emplace_back(send_bytes{"N"});
+        return;
+    }
+    if (const auto *cancel = std::get_if<cancel_request>(&request)) {
+        m_actions.emplace_back(cancel_statement{cancel->processId, cancel->secret});
+        m_actions.emplace_back(close_session{});
+        m_phase = phase::closed;
+        return;
+    }
+    const auto &parameters = std::get<startup_message>(request).parameters;
+    const auto valueOf = [&parameters](const std::string &name) {
+        const auto found = parameters.find(name);
+        return found == parameters.end() ? std::string() : found->second;
+    };
+    m_decoder.startupFinished();
+    m_identity = {valueOf("user"), valueOf("database"), valueOf("application_name"),
+                  parseSessionOptions(valueOf("options"))};
+    if (m_identity.user.empty())
+        throw decode_error("no user name");
+    if (m_identity.database.empty())
+        m_identity.database = m_identity.user;
+    if (parameters.contains("replication")) {
+        return closeWith({"FATAL",
+                          std::string(sqlstate::featureNotSupported),
+                          "replication connections are not supported",
+                          {},
+                          {}});
+    }
+    if (m_identity.user == anonymousUser) {
+        m_phase = phase::deciding;
+        m_actions.emplace_back(authenticate_caller{m_identity, {}});
+        return;
+    }
+    m_phase = phase::password;
+    m_writer.authenticationCleartextPassword();
+}
+
+void caller_session::takeMessage(const frontend_message &message)
+{
+    if (m_phase == phase::password) {
+        const auto *password = std::get_if<password_message>(&message);
+        if (password == nullptr)
+            throw decode_error("a password was expected");
+        m_phase = phase::deciding;
+        m_actions.emplace_back(authenticate_caller{m_identity, password->password});
+        return;
+    }
+    if (m_operations.size() > m_limits.queuedOperations
+        || m_batch.size() > m_limits.queuedOperations)
+        throw decode_error("too many messages without an answer");
+    std::visit(overloaded{
+                       [this](const query_message &value) { takeQuery(value); },
+                       [this](const parse_message &value) { takeParse(value); },
+                       [this](const bind_message &value) { takeBind(value); },
+                       [this](const describe_message &value) { takeDescribe(value); },
+                       [this](const execute_message &value) { takeExecute(value); },
+                       [this](const close_message &value) { takeClose(value); },
+                       [this](const sync_message &) { takeSync(); },
+                       [this](const flush_message &) { takeFlush(); },
+                       [this](const terminate_message &) {
+                           m_actions.emplace_back(abandon_work{});
+                           m_actions.emplace_back(close_session{});
+                           m_phase = phase::closed;
+                       },
+                       [](const password_message &) {
+                           throw decode_error("a password was not expected");
+                       },
+                       [](const unsupported_message &) {
+                           throw decode_error("COPY data and function calls are not supported");
+                       },
+               },
+               message);
+}
+
+void caller_session::takeQuery(const query_message &message)
+{
+    const auto classification = m_classifier.classify(message.text);
+    const auto &statements = classification->statements;
+    if (classification->isEmpty()) {
+        backend_writer empty;
+        empty.emptyQueryResponse();
+        m_operations.emplace_back(reply_operation{empty.release()});
+    } else if (statements.empty()) {
+        m_operations.emplace_back(run_operation{{message.text}, result_form::full, std::nullopt});
+    } else if (statements.size() == 1) {
+        m_operations.emplace_back(
+                run_operation{{message.text}, result_form::full, statements.front()});
+    } else if (std::ranges::any_of(statements, isTransactionControl)) {
+        m_operations.emplace_back(fail_operation{
+                errorOf(sqlstate::featureNotSupported,
+                        "BEGIN, COMMIT and ROLLBACK are not supported among several statements "
+                        "of one query")});
+    } else {
+        m_operations.emplace_back(begin_group_operation{});
+        std::ranges::transform(statements, std::back_inserter(m_operations),
+                               [&message](const classified_statement &statement) -> operation {
+                                   return run_operation{{statementText(message.text, statement)},
+                                                        result_form::full,
+                                                        statement};
+                               });
+        m_operations.emplace_back(end_group_operation{});
+    }
+    m_operations.emplace_back(ready_operation{});
+}
+
+void caller_session::takeParse(const parse_message &message)
+{
+    if (m_statements.size() >= m_limits.preparedStatements && !message.statement.empty())
+        return queueError(programLimitExceeded, "too many prepared statements");
+    if (m_classifier.classify(message.text)->statements.size() > 1)
+        return queueError(sqlstate::syntaxError,
+                          "cannot insert multiple commands into a prepared statement");
+    m_statements[message.statement] = {message.text, message.parameterTypes};
+    backend_writer reply;
+    reply.parseComplete();
+    queue(reply_operation{reply.release()});
+}
+
+void caller_session::takeBind(const bind_message &message)
+{
+    const auto statement = m_statements.find(message.statement);
+    if (statement == m_statements.end())
+        return queueError(sqlstate::invalidStatementName,
+                          "prepared statement \"" + message.statement + "\" does not exist");
+    if (isMixed(message.resultFormats))
+        return queueError(sqlstate::featureNotSupported,
+                          "result columns of different formats are not supported");
+    m_portals[message.portal] = {statement->second, message};
+    backend_writer reply;
+    reply.bindComplete();
+    queue(reply_operation{reply.release()});
+}
+
+void caller_session::takeDescribe(const describe_message &message)
+{
+    if (message.kind == target_kind::portal) {
+        if (!m_portals.contains(message.name))
+            return queueError(sqlstate::invalidCursorName,
+                              "portal \"" + message.name + "\" does not exist");
+        m_describedPortal = message.name;
+        return;
+    }
+    const auto statement = m_statements.find(message.name);
+    if (statement == m_statements.end())
+        return queueError(sqlstate::invalidStatementName,
+                          "prepared statement \"" + message.name + "\" does not exist");
+    run_operation describe{{statement->second.text, statement->second.parameterTypes},
+                           result_form::statementDescription,
+                           std::nullopt};
+    describe.sql.describeOnly = true;
+    queue(std::move(describe));
+}
+
+void caller_session::takeExecute(const execute_message &message)
+{
+    const auto found = m_portals.find(message.portal);
+    if (found == m_portals.end())
+        return queueError(sqlstate::invalidCursorName,
+                          "portal \"" + message.portal + "\" does not exist");
+    if (message.maximumRows != 0)
+        return queueError(sqlstate::featureNotSupported,
+                          "fetching a portal in parts is not supported");
+    const bool described = m_describedPortal == message.portal;
+    m_describedPortal.reset();
+    const auto &[statement, bound] = found->second;
+    const auto classification = m_classifier.classify(statement.text);
+    if (classification->isEmpty()) {
+        backend_writer empty;
+        if (described)
+            empty.noData();
+        empty.emptyQueryResponse();
+        return queue(reply_operation{empty.release()});
+    }
+    run_operation run{{statement.text, statement.parameterTypes, bound.parameters,
+                       bound.parameterFormats, commonFormat(bound.resultFormats), false},
+                      described ? result_form::describedRows : result_form::rows,
+                      std::nullopt};
+    if (!classification->statements.empty())
+        run.statement = classification->statements.front();
+    ++m_batchStatements;
+    queue(std::move(run));
+}
+
+void caller_session::takeClose(const close_message &message)
+{
+    if (message.kind == target_kind::statement)
+        m_statements.erase(message.name);
+    else
+        m_portals.erase(message.name);
+    backend_writer reply;
+    reply.closeComplete();
+    queue(reply_operation{reply.release()});
+}
+
+void caller_session::takeSync()
+{
+    releaseBatch(true);
+    m_operations.emplace_back(ready_operation{});
+}
+
+void caller_session::takeFlush()
+{
+    releaseBatch(false);
+}
+
+void caller_session::queue(operation next)
+{
+    if (m_describedPortal) {
+        const auto &[statement, bound] = m_portals[*m_describedPortal];
+        run_operation describe{{statement.text, statement.parameterTypes},
+                               result_form::portalDescription,
+                               std::nullopt};
+        describe.sql.describeOnly = true;
+        describe.sql.resultFormat = commonFormat(bound.resultFormats);
+        m_describedPortal.reset();
+        m_batch.emplace_back(std::move(describe));
+    }
+    m_batch.push_back(std::move(next));
+}
+
+void caller_session::queueError(std::string_view code, const std::string &message)
+{
+    queue(fail_operation{errorOf(code, message)});
+}
+
+/** Statements before one Sync are one transaction; after a Flush more of them may follow. */
+void caller_session::releaseBatch(bool complete)
+{
+    if (m_describedPortal)
+        queue(reply_operation{});
+    const bool needsGroup = m_batchStatements > 1 || (!complete && m_batchStatements > 0);
+    if (needsGroup && !m_batchGroupOpen) {
+        m_operations.emplace_back(begin_group_operation{});
+        m_batchGroupOpen = true;
+    }
+    std::ranges::move(m_batch, std::back_inserter(m_operations));
+    m_batch.clear();
+    m_batchStatements = 0;
+    if (complete && std::exchange(m_batchGroupOpen, false))
+        m_operations.emplace_back(end_group_operation{});
+}
+
+} // namespace sycamorespan
