--- a/programs/proxy/caller_connection.cpp
+++ b/programs/proxy/caller_connection.cpp
@@ -92,8 +92,12 @@
                                               m_grant->planStaleness, m_services.bounds,
                                               m_services.statements);
     m_startupTimer.stop();
-    handle(caller_accepted{m_grant->position, m_grant->maxStaleness, !m_grant->guard, m_processId,
-                           m_secret});
+
+    const auto token = m_grant->position ? m_services.access.positionToken(m_grant->database,
+                                                                           *m_grant->position)
+                                         : std::string();
+    handle(caller_accepted{m_grant->position, token, m_grant->maxStaleness, !m_grant->guard,
+                           m_processId, m_secret});
 }
 
 void caller_connection::perform(const start_statement &action)
--- a/sycamorespan/src/Session/caller_session.cpp
+++ b/sycamorespan/src/Session/caller_session.cpp
@@ -77,6 +77,8 @@
     m_writer.parameterStatus("integer_datetimes", "on");
     m_writer.parameterStatus("standard_conforming_strings", "on");
     m_writer.parameterStatus("application_name", m_identity.applicationName);
+    if (!event.positionToken.empty())
+        m_writer.parameterStatus(positionParameter, event.positionToken);
     m_writer.backendKeyData(event.processId, event.secret);
     m_writer.readyForQuery(status());
     take(caller_bytes{});
--- a/sycamorespan/src/Session/caller_session.h
+++ b/sycamorespan/src/Session/caller_session.h
@@ -42,6 +42,9 @@
 {
     /** Position that the caller handed in, checked; empty: only the primary serves its reads. */
     std::optional<log_position> position;
+    /** \a position as text, told to the caller at once so that it can go on elsewhere; may be
+     * empty. */
+    std::string positionToken;
     std::optional<duration> maxStaleness;
     /** The caller's key isn't asked for, and the session is read only. */
     bool readOnly = false;
--- a/test/session_caller.cpp
+++ b/test/session_caller.cpp
@@ -46,7 +46,7 @@
         const auto startup = bigEndian(196608) + parameters + '\0';
         feed(bigEndian(static_cast<std::uint32_t>(startup.size() + 4)) + startup);
         feed(encode('p', text("key")));
-        handle(caller_accepted{log_position{}, std::nullopt, false, 1, 2});
+        handle(caller_accepted{log_position{}, "token", std::nullopt, false, 1, 2});
         m_sent.clear();
     }
 
@@ -107,6 +107,22 @@
     std::string m_sent;
 };
 
+TEST(caller_session, reportsThePositionThatItStartsFrom)
+{
+    constexpr std::string_view positionParameter = "sycamorespan.position";
+    caller_accepted accepted;
+    accepted.positionToken = "cribs:1:2:signature";
+    statement_classifier classifier;
+    caller_session session({}, classifier);
+    std::string sent;
+    for (const auto &action : session.handle(accepted)) {
+        if (const auto *bytes = std::get_if<send_bytes>(&action))
+            sent += bytes->bytes;
+    }
+    const auto expected = std::string(positionParameter) + '\0' + accepted.positionToken + '\0';
+    EXPECT_NE(sent.find(expected), std::string::npos);
+}
+
 TEST(caller_session, holdsBeginBackUntilTheFirstStatement)
 {
     session_driver driver;
