Keep six proxies within a member's 30 connections

Six pools of 4, six status connections and the agents' own made up to 32 at a member that accepts 30. With 3 they stay at 26 (worked out, not run at the limit).

--- a/programs/proxy/database_task.h
+++ b/programs/proxy/database_task.h
@@ -40,7 +40,7 @@
     std::string applicationName;
     data_centre_id dataCentre;
     /** Slots and connections of this proxy at each member. */
-    slot_budget budget{4, 4};
+    slot_budget budget{3, 3};
 };
 
 /** \brief Totals since the start. */
--- a/programs/proxy/member_pool.h
+++ b/programs/proxy/member_pool.h
@@ -26,7 +26,7 @@
     struct options
     {
         backend_connection::options connection;
-        slot_budget budget{4, 4};
+        slot_budget budget{3, 3};
     };
     /** Gets the connection, or nullptr and the reason; nothing was sent to the server then. */
     using granted_handler = std::function<void(backend_connection *, slot_refusal)>;
