--- a/standins/backend_server/sql_engine.cpp
+++ b/standins/backend_server/sql_engine.cpp
@@ -132,7 +132,7 @@
 
 std::string tagOf(sqlite3 *handle, const std::string &text, std::size_t rowCount)
 {
-    const auto word = firstWord(text);
+    auto word = firstWord(text);
     if (word == "INSERT")
         return "INSERT 0 " + std::to_string(sqlite3_changes(handle));
     if (word == "UPDATE" || word == "DELETE")
