Keep a portal that was bound while the last batch still ran

Cause: portals were dropped when ReadyForQuery was sent, not when its Sync was read, so a Bind that arrived in between lost its portal and the Execute behind it got 34000. aPortalBoundWhileTheLastBatchStillRunsIsKept failed before and passes after; session_caller: 12 of 12.

--- a/sycamorespan/src/Session/caller_session.cpp
+++ b/sycamorespan/src/Session/caller_session.cpp
@@ -222,7 +222,6 @@
 void caller_session::perform(const ready_operation &)
 {
     m_skipUntilReady = false;
-    m_portals.clear();
     m_writer.readyForQuery(status());
 }
 
--- a/sycamorespan/src/Session/caller_session_messages.cpp
+++ b/sycamorespan/src/Session/caller_session_messages.cpp
@@ -262,6 +262,7 @@
 void caller_session::takeSync()
 {
     releaseBatch(true);
+    m_portals.clear();
     m_operations.emplace_back(ready_operation{});
 }
 
--- a/test/session_caller.cpp
+++ b/test/session_caller.cpp
@@ -169,6 +169,20 @@
     EXPECT_EQ(driver.takeSentTypes(), "EZ");
 }
 
+TEST(caller_session, aPortalBoundWhileTheLastBatchStillRunsIsKept)
+{
+    session_driver driver;
+    driver.feed(execute("INSERT INTO t VALUES (1)") + encode('S', ""));
+    const auto next = execute("INSERT INTO t VALUES (2)");
+    const auto executeBytes = encode('E', text("") + bigEndian(0));
+    driver.feed(next.substr(0, next.size() - executeBytes.size()));
+    driver.finish("INSERT 0 1");
+    driver.takeSentTypes();
+    driver.feed(executeBytes + encode('S', ""));
+    ASSERT_TRUE(driver.running);
+    EXPECT_EQ(driver.running->sql.text, "INSERT INTO t VALUES (2)");
+}
+
 TEST(caller_session, refusesByNameWhatItDoesNotSupport)
 {
     for (const std::string sql :
