Revert "Linger on a closed caller's socket (a try)"

The supposed cause is ruled out: with the socket lingering, psycopg2 shows the same words as before, while a bare socket reads the whole FATAL report (28000, the key was withdrawn) with and without it. The report reaches the client; the driver takes it while idle and does not show it.

--- a/sycamorespan/src/Net/byte_stream.cpp
+++ b/sycamorespan/src/Net/byte_stream.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <cerrno>
-#include <utility>
 
 #include <sys/socket.h>
 
@@ -10,7 +9,6 @@
 namespace {
 
 constexpr std::size_t readChunkBytes = 16384;
-constexpr double lingerSeconds = 1.0;
 
 bool isTransient(int code)
 {
@@ -23,11 +21,9 @@
     : m_socket(std::move(socket))
     , m_handlers(std::move(callbacks))
     , m_watcher(loop)
-    , m_lingerTimer(loop)
 {
     m_watcher.set<byte_stream, &byte_stream::onReady>(this);
     m_watcher.start(m_socket.get(), ev::READ);
-    m_lingerTimer.set<byte_stream, &byte_stream::onLingerTimeout>(this);
 }
 
 void byte_stream::write(std::string_view bytes)
@@ -87,13 +83,13 @@
     m_pending.clear();
     m_written = 0;
     if (m_closing)
-        return finishWriting();
+        return fail();
     updateWatcher();
 }
 
 void byte_stream::updateWatcher()
 {
-    const int reading = m_paused && !m_lingering ? 0 : ev::READ;
+    const int reading = m_paused ? 0 : ev::READ;
     const int writing = pendingBytes() > 0 ? ev::WRITE : 0;
     if ((reading | writing) == 0)
         m_watcher.stop();
@@ -101,23 +97,8 @@
         m_watcher.start(m_socket.get(), reading | writing);
 }
 
-void byte_stream::finishWriting()
-{
-    if (std::exchange(m_lingering, true))
-        return;
-    ::shutdown(m_socket.get(), SHUT_WR);
-    m_lingerTimer.start(lingerSeconds);
-    updateWatcher();
-}
-
-void byte_stream::onLingerTimeout(ev::timer &, int)
-{
-    fail();
-}
-
 void byte_stream::fail()
 {
-    m_lingerTimer.stop();
     m_watcher.stop();
     m_socket = file_descriptor();
     m_handlers.onClosed();
--- a/sycamorespan/src/Net/byte_stream.h
+++ b/sycamorespan/src/Net/byte_stream.h
@@ -31,10 +31,7 @@
     /** \brief Queues \a bytes and writes what the socket takes. */
     void write(std::string_view bytes);
 
-    /** \brief Closes once everything queued is written, and the peer has closed, too, or had a
-     * second to read it: what the peer sends meanwhile is dropped. An immediate close would answer
-     * it with a reset, which can cost the peer the last message.
-     */
+    /** \brief Closes once everything queued is written; nothing more is read. */
     void closeAfterWrite();
 
     /** \brief Stops reading while \a paused, so that a slow consumer slows its peer. */
@@ -50,8 +47,6 @@
     void readAvailable();
     void flush();
     void updateWatcher();
-    void finishWriting();
-    void onLingerTimeout(ev::timer &watcher, int events);
     void fail();
 
     file_descriptor m_socket;
@@ -61,8 +56,6 @@
     std::size_t m_written = 0;
     bool m_closing = false;
     bool m_paused = false;
-    bool m_lingering = false;
-    ev::timer m_lingerTimer;
 };
 
 } // namespace sycamorespan
