Call Routing's boundedStaleness in the proxy, and end a rollback in one place

statement_flow worked the staleness bound out by itself, twice, beside the library's boundedStaleness, and built the answer to a rollback twice. Behaviour is unchanged.

--- a/programs/proxy/statement_flow.cpp
+++ b/programs/proxy/statement_flow.cpp
@@ -88,8 +88,7 @@
     const bool readOnly =
             m_request->step == transaction_step::none
             || (m_request->step == transaction_step::start && m_request->readOnlyTransaction);
-    const auto staleness =
-            std::min(m_request->maxStaleness.value_or(m_planStaleness), m_planStaleness);
+    const auto staleness = boundedStaleness(m_request->maxStaleness, m_planStaleness);
     return readOnly && isRead() && m_request->position && staleness > duration::zero()
            && m_triedReplicas.size() < maximumReplicaTries;
 }
@@ -142,7 +141,6 @@
     if (connection != nullptr)
         return send();
     m_lease = 0;
-
     if (m_kind == target_kind::replica) {
         m_database.noteUnreachable(m_server);
         return choose();
@@ -230,8 +228,7 @@
 
 bool statement_flow::isProved(const member_proof &proof) const
 {
-    const auto staleness =
-            std::min(m_request->maxStaleness.value_or(m_planStaleness), m_planStaleness);
+    const auto staleness = boundedStaleness(m_request->maxStaleness, m_planStaleness);
     return proof.role == member_role::replica && proof.staleness && *proof.staleness <= staleness
            && proof.position >= *m_request->position;
 }
@@ -241,9 +238,7 @@
     const auto step = m_request->step;
     if (step == transaction_step::rollback) {
         releaseConnection();
-        sql_result result;
-        result.tag = "ROLLBACK";
-        return finish(std::move(result), std::nullopt);
+        return finishRollback();
     }
     if (step == transaction_step::start && reply.results.front().error)
         reply.results.back().error = reply.results.front().error;
@@ -275,9 +270,7 @@
     releaseConnection();
     const auto step = m_request->step;
     if (step == transaction_step::rollback) {
-        sql_result result;
-        result.tag = "ROLLBACK";
-        return finish(std::move(result), std::nullopt);
+        return finishRollback();
     }
     if (step == transaction_step::start || step == transaction_step::inside)
         return fail(sqlstate::connectionFailure,
@@ -324,7 +317,6 @@
 void statement_flow::refuse(std::string_view code, const std::string &reason)
 {
     ++m_counters.refusedNotRun;
-
     const bool notRun = !m_mayHaveRun;
     fail(code, notRun ? reason + ": not run" : reason, true, notRun);
 }
@@ -343,6 +335,14 @@
     end({std::move(result), position, false});
 }
 
+/** The server keeps nothing of the transaction, whether or not it answered. */
+void statement_flow::finishRollback()
+{
+    sql_result result;
+    result.tag = "ROLLBACK";
+    finish(std::move(result), std::nullopt);
+}
+
 void statement_flow::end(outcome result)
 {
     m_request.reset();
--- a/programs/proxy/statement_flow.h
+++ b/programs/proxy/statement_flow.h
@@ -81,6 +81,7 @@
     void fail(std::string_view code, const std::string &reason, bool transactionLost,
               bool notRun = false);
     void finish(sql_result result, std::optional<log_position> position);
+    void finishRollback();
     void end(outcome result);
     void releaseConnection();
     bool isRead() const;
