--- /dev/null
+++ b/programs/node/caller_channel.h
@@ -0,0 +1,45 @@
+#ifndef SYCAMORESPAN_PROGRAMS_NODE_CALLER_CHANNEL_H
+#define SYCAMORESPAN_PROGRAMS_NODE_CALLER_CHANNEL_H
+
+#include "platform/caller_codec.h"
+#include "platform/line_reader.h"
+
+#include "sycamorespan/src/Dispatch/dispatch_action.h"
+#include "sycamorespan/src/Net/byte_stream.h"
+
+#include <functional>
+
+namespace sycamorespan::node {
+
+/** \brief The socket of one caller. */
+class caller_channel
+{
+public:
+    struct handlers
+    {
+        std::function<void(session_number, platform::caller_message)> onMessage;
+        /** The caller left, or sent what can't be decoded. Called once. */
+        std::function<void(session_number, std::string_view reason)> onClosed;
+    };
+
+    caller_channel(ev::loop_ref loop, file_descriptor socket, session_number session,
+                   const handlers &callbacks);
+
+    void write(std::string_view lines) { m_stream.write(lines); }
+    void closeAfterWrite() { m_stream.closeAfterWrite(); }
+    bool isOpen() const { return m_stream.isOpen(); }
+
+private:
+    void handleBytes(std::string_view bytes);
+    void close(std::string_view reason);
+
+    session_number m_session;
+    const handlers &m_handlers;
+    platform::line_reader m_lines;
+    bool m_closed = false;
+    byte_stream m_stream;
+};
+
+} // namespace sycamorespan::node
+
+#endif
--- /dev/null
+++ b/programs/node/coordination_rows.cpp
@@ -0,0 +1,113 @@
+#include "programs/node/coordination_rows.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sycamorespan::node::coordination_rows {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view viewPrefix = "primary/";
+constexpr std::string_view instancePrefix = "instance/";
+
+/** Decodes by \a read; a value of another form gives nothing. */
+template<typename Result, typename Read>
+std::optional<Result> decode(std::string_view value, Read read)
+{
+    const auto fields = json::parse(value, nullptr, false);
+    if (!fields.is_object())
+        return std::nullopt;
+    try {
+        return read(fields);
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string viewKey(const database_id &database)
+{
+    return std::string(viewPrefix) + database.str();
+}
+
+std::string instanceKey(const instance_id &instance)
+{
+    return std::string(instancePrefix) + instance.str();
+}
+
+bool isViewKey(std::string_view key)
+{
+    return key.starts_with(viewPrefix);
+}
+
+bool isInstanceKey(std::string_view key)
+{
+    return key.starts_with(instancePrefix);
+}
+
+std::string encode(const primary_view &view)
+{
+    return json{{"database", view.database.str()},
+                {"primary", view.primary.str()},
+                {"term", view.term},
+                {"phase", static_cast<int>(view.phase)},
+                {"planned", view.planned},
+                {"fence", view.fence}}
+            .dump();
+}
+
+std::string encode(const supervisor_claim &claim)
+{
+    return json{{"holder", claim.holder.str()}, {"boot", claim.boot}, {"fence", claim.fence}}
+            .dump();
+}
+
+std::string encode(const instance_run &run)
+{
+    return json{{"instance", run.instance.str()},
+                {"boot", run.boot},
+                {"address", run.address},
+                {"data_centre", run.dataCentre.str()}}
+            .dump();
+}
+
+std::optional<primary_view> decodeView(std::string_view value, std::uint64_t revision)
+{
+    return decode<primary_view>(value, [&](const json &fields) -> std::optional<primary_view> {
+        const auto phase = fields.at("phase").get<int>();
+        if (phase < 0 || phase > static_cast<int>(view_phase::ordered))
+            return std::nullopt;
+        return primary_view{database_id(fields.at("database").get<std::string>()),
+                            revision,
+                            server_id(fields.at("primary").get<std::string>()),
+                            fields.at("term").get<term_number>(),
+                            static_cast<view_phase>(phase),
+                            fields.at("planned").get<bool>(),
+                            fields.at("fence").get<std::uint64_t>()};
+    });
+}
+
+std::optional<supervisor_claim> decodeClaim(std::string_view value, std::uint64_t revision)
+{
+    return decode<supervisor_claim>(value, [&](const json &fields) {
+        return std::optional(supervisor_claim{revision,
+                                              instance_id(fields.at("holder").get<std::string>()),
+                                              fields.at("boot").get<std::uint64_t>(),
+                                              fields.at("fence").get<std::uint64_t>()});
+    });
+}
+
+std::optional<instance_run> decodeInstance(std::string_view value)
+{
+    return decode<instance_run>(value, [&](const json &fields) {
+        return std::optional(
+                instance_run{instance_id(fields.at("instance").get<std::string>()),
+                             fields.at("boot").get<std::uint64_t>(),
+                             fields.at("address").get<std::string>(),
+                             data_centre_id(fields.at("data_centre").get<std::string>())});
+    });
+}
+
+} // namespace sycamorespan::node::coordination_rows
--- /dev/null
+++ b/programs/node/coordination_rows.h
@@ -0,0 +1,38 @@
+#ifndef SYCAMORESPAN_PROGRAMS_NODE_COORDINATION_ROWS_H
+#define SYCAMORESPAN_PROGRAMS_NODE_COORDINATION_ROWS_H
+
+#include "sycamorespan/src/Failover/primary_view.h"
+#include "sycamorespan/src/Failover/supervisor_election.h"
+#include "sycamorespan/src/Membership/peer_report.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sycamorespan::node {
+
+/** \brief Rows that the instances keep in the store, in a table of their own. */
+namespace coordination_rows {
+
+inline const std::string table = "sycamorespan";
+inline const std::string claimKey = "supervisor";
+
+std::string viewKey(const database_id &database);
+std::string instanceKey(const instance_id &instance);
+bool isViewKey(std::string_view key);
+bool isInstanceKey(std::string_view key);
+
+std::string encode(const primary_view &view);
+std::string encode(const supervisor_claim &claim);
+std::string encode(const instance_run &run);
+
+/** \returns nothing when \a value has another form, such as one of a later version. */
+std::optional<primary_view> decodeView(std::string_view value, std::uint64_t revision);
+std::optional<supervisor_claim> decodeClaim(std::string_view value, std::uint64_t revision);
+std::optional<instance_run> decodeInstance(std::string_view value);
+
+} // namespace coordination_rows
+
+} // namespace sycamorespan::node
+
+#endif
--- /dev/null
+++ b/programs/node/main.cpp
@@ -0,0 +1,82 @@
+#include "programs/common/daemon_main.h"
+#include "programs/node/node.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace {
+
+using namespace sycamorespan;
+
+/** Settings of the log: text lines to standard output, which the platform collects. */
+settings::log_settings nodeLogSettings()
+{
+    return {settings::log_level::info, settings::log_format::text};
+}
+
+std::string readSettingsFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw error("settings file \"" + path + "\" can't be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+void runNode(const std::string &path)
+{
+    setUpLogging(nodeLogSettings(), std::cout);
+    std::signal(SIGPIPE, SIG_IGN);
+    ev::default_loop loop;
+    node::node program(loop, platform::parseSettings(readSettingsFile(path)), path,
+                       programs::systemRandom());
+    const auto stop = [&program] { program.stop(); };
+    const signal_watcher terminate(loop, SIGTERM, stop);
+    const signal_watcher interrupt(loop, SIGINT, stop);
+    const signal_watcher reload(loop, SIGHUP, [&program] { program.reload(); });
+    const signal_watcher dump(loop, SIGUSR1, [&program] { program.logState(); });
+    loop.run();
+}
+
+void showHelp()
+{
+    std::cout << "usage: sycamorespan-node [--settings FILE] [--check-settings]\n"
+                 "       sycamorespan-node --help | --version\n"
+                 "FILE is by default the one that the platform names in the environment.\n"
+                 "Signals: TERM and INT end gracefully, HUP reads the settings again, USR1 logs "
+                 "the state.\n"
+                 "Exit codes: 0 success, 1 error.\n";
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    using programs::daemon_command;
+    try {
+        const auto options = programs::readDaemonOptions(argc, argv);
+        if (options.action == daemon_command::showHelp) {
+            showHelp();
+            return EXIT_SUCCESS;
+        }
+        if (options.action == daemon_command::showVersion) {
+            std::cout << "sycamorespan-node " << SYCAMORESPAN_VERSION << '\n';
+            return EXIT_SUCCESS;
+        }
+        const auto path =
+                options.settingsFile.empty() ? platform::settingsPath() : options.settingsFile;
+        if (path.empty())
+            throw error("--settings is missing; see --help");
+        if (options.action == daemon_command::checkSettings) {
+            static_cast<void>(platform::parseSettings(readSettingsFile(path)));
+            std::cout << "valid\n";
+            return EXIT_SUCCESS;
+        }
+        runNode(path);
+        return EXIT_SUCCESS;
+    } catch (const std::exception &failure) {
+        std::cerr << "sycamorespan-node: " << failure.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/programs/node/member_channel.cpp
@@ -0,0 +1,81 @@
+#include "programs/node/member_channel.h"
+
+#include "sycamorespan/src/Core/error.h"
+#include "sycamorespan/src/Net/tcp_socket.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamorespan::node {
+
+namespace {
+
+/** A member whose machine is gone is noticed after it, also on connections without traffic. */
+constexpr duration silenceLimit = 3s;
+
+} // namespace
+
+member_channel::member_channel(ev::loop_ref loop, const endpoint &address,
+                               const database_id &database, const workspace_id &workspace,
+                               const server_id &server, handlers callbacks)
+    : m_handlers(std::move(callbacks))
+{
+    auto socket = connectTo(address);
+    detectSilence(socket, silenceLimit);
+    m_stream = std::make_unique<byte_stream>(
+            loop, std::move(socket),
+            byte_stream::handlers{[this](std::string_view bytes) { handleBytes(bytes); },
+                                  [this] { handleClosed(); }});
+    m_stream->write(platform::encodeConnect(database, workspace, server));
+}
+
+void member_channel::send(const std::vector<outgoing_statement> &statements)
+{
+    std::string lines;
+    std::ranges::for_each(statements, [&](const outgoing_statement &each) {
+        lines += platform::encodeStatement(each);
+    });
+    m_stream->write(lines);
+}
+
+void member_channel::close()
+{
+    if (std::exchange(m_closed, true))
+        return;
+    // Bytes that still wait must not reach the member later.
+    m_stream->abandon();
+}
+
+void member_channel::handleBytes(std::string_view bytes)
+{
+    if (m_closed)
+        return;
+    try {
+        m_answers.append(bytes);
+        while (const auto answer = m_answers.next()) {
+            if (!std::exchange(m_opened, true)) {
+                if (answer->succeeded())
+                    m_handlers.onOpened(answer->position);
+                else
+                    return handleClosed();
+            } else {
+                m_handlers.onAnswer(*answer);
+            }
+            if (m_closed)
+                return;
+        }
+    } catch (const decode_error &) {
+        handleClosed();
+    }
+}
+
+void member_channel::handleClosed()
+{
+    if (std::exchange(m_closed, true))
+        return;
+    m_stream->abandon();
+    const auto refusal = m_opened ? std::nullopt : m_answers.refusal();
+    m_handlers.onClosed(refusal);
+}
+
+} // namespace sycamorespan::node
--- /dev/null
+++ b/programs/node/node.h
@@ -0,0 +1,137 @@
+#ifndef SYCAMORESPAN_PROGRAMS_NODE_NODE_H
+#define SYCAMORESPAN_PROGRAMS_NODE_NODE_H
+
+#include "platform/documents.h"
+#include "platform/settings.h"
+
+#include "programs/node/caller_channel.h"
+#include "programs/node/node_metrics.h"
+#include "programs/node/quota_gate.h"
+#include "programs/node/table_follower.h"
+#include "programs/node/view_keeper.h"
+
+#include "sycamorespan/src/Membership/server_roster.h"
+#include "sycamorespan/src/Net/admin_server.h"
+#include "sycamorespan/src/Net/datagram_socket.h"
+#include "sycamorespan/src/Net/loop_timer.h"
+#include "sycamorespan/src/Net/tcp_listener.h"
+
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+namespace sycamorespan::node {
+
+/** \brief One instance on the users' platform: callers' sessions, connections to members, views,
+ * rates and reports, in one process and one event loop.
+ */
+class node
+{
+public:
+    node(ev::loop_ref loop, platform::node_settings settings, std::string settingsFile,
+         random_source random);
+
+    /** \brief Begins a graceful stop, which ends the loop. */
+    void stop();
+    /** \brief Reads the settings file again. */
+    void reload();
+    void logState();
+
+private:
+    // Callers and members.
+    void accept(file_descriptor socket);
+    void handleCaller(session_number session, const platform::caller_message &message);
+    void connectCaller(session_number session, const platform::connect_message &message);
+    void closeCaller(session_number session, std::string_view reason);
+    void apply(dispatch_outputs outputs);
+    void perform(const dispatch_action::reply_to_caller &action);
+    void perform(const dispatch_action::accept_caller &action);
+    void perform(const dispatch_action::reject_caller &action);
+    void perform(const dispatch_action::close_caller &action);
+    void perform(const dispatch_action::open_member &action);
+    void perform(const dispatch_action::send_to_member &action);
+    void perform(const dispatch_action::close_member &action);
+    void perform(const dispatch_action::request_admission &action);
+    void perform(const dispatch_action::settle_admission &action);
+    void perform(const dispatch_action::cancel_admission &action);
+    void perform(const dispatch_action::record_outcome &action);
+    void perform(const dispatch_action::record_step &action);
+
+    // What the store says.
+    void takeConfiguration(const platform::store_rows &content);
+    void takeServers(const platform::store_rows &content, bool whole);
+    void noteContact(bool answered);
+    void applyServers();
+
+    // Other instances.
+    void receiveDatagram(std::string_view bytes);
+    void receiveReport(std::string_view bytes);
+    void sendReports();
+    peer_report makeReport(time_point now) const;
+    void updatePeers(time_point now);
+    void fetchFromPeer(const peer_report &report, time_point now);
+    endpoint reportAddress() const;
+
+    // Readiness and stop.
+    bool isReady(time_point now) const;
+    bool isIsolated(time_point now);
+    void updateReadiness(time_point now);
+    void advanceStop(time_point now);
+    void finish();
+
+    void tick();
+    nlohmann::json state() const;
+    web_handlers readinessHandlers();
+
+    ev::loop_ref m_loop;
+    platform::node_settings m_settings;
+    std::string m_settingsFile;
+    random_source m_random;
+    instance_run m_self;
+    event_log m_log;
+    node_metrics m_metrics;
+    dispatcher m_dispatcher;
+    peer_table m_peers;
+    server_roster m_roster;
+    store_client m_store;
+    view_keeper m_views;
+    quota_gate m_quota;
+
+    std::shared_ptr<const service_directory> m_directory;
+    std::string m_configurationText;
+    std::map<std::string, std::string> m_serverTexts;
+    std::uint64_t m_serversRevision = 0;
+    table_follower m_configuration;
+    table_follower m_servers;
+    std::unique_ptr<http_client> m_peerClient;
+    time_point m_peerFetched;
+    std::optional<bool> m_storeAnswers;
+
+    caller_channel::handlers m_callerHandlers;
+    std::unordered_map<session_number, std::unique_ptr<caller_channel>> m_callers;
+    std::unordered_map<connection_id, std::unique_ptr<member_channel>> m_members;
+    std::vector<std::unique_ptr<caller_channel>> m_closedCallers;
+    std::vector<std::unique_ptr<member_channel>> m_closedMembers;
+    std::map<session_number, platform::connect_message> m_waitingConnects;
+    session_number m_lastSession = 0;
+    std::deque<dispatch_output> m_outputs;
+    bool m_applying = false;
+
+    datagram_socket m_reports;
+    tcp_listener m_callerListener;
+    web_endpoint m_readiness;
+    admin_server m_admin;
+    loop_timer m_tick;
+    loop_timer m_reportTimer;
+    loop_timer m_newsTimer;
+
+    bool m_ready = false;
+    bool m_isolated = false;
+    std::optional<time_point> m_apartSince;
+    std::optional<time_point> m_stopping;
+    bool m_finishing = false;
+};
+
+} // namespace sycamorespan::node
+
+#endif
--- /dev/null
+++ b/programs/node/node_metrics.cpp
@@ -0,0 +1,75 @@
+#include "programs/node/node_metrics.h"
+
+namespace sycamorespan::node {
+
+namespace {
+
+/** From a round trip to the longest statement timeout in use, in seconds. */
+const prometheus::Histogram::BucketBoundaries latencyBuckets{0.005, 0.01, 0.025, 0.05, 0.1,
+                                                             0.2,   0.4,  0.8,   1.6,  3.2};
+
+} // namespace
+
+node_metrics::node_metrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_statements(prometheus::BuildCounter()
+                           .Name("sycamorespan_statements_total")
+                           .Help("Statements that ended, by database and outcome")
+                           .Register(*m_registry))
+    , m_steps(prometheus::BuildCounter()
+                      .Name("sycamorespan_statement_steps_total")
+                      .Help("Statements that were repeated, by step")
+                      .Register(*m_registry))
+    , m_latency(prometheus::BuildHistogram()
+                        .Name("sycamorespan_statement_seconds")
+                        .Help("Time from a statement's arrival to its success, by database")
+                        .Register(*m_registry))
+    , m_state(prometheus::BuildGauge()
+                      .Name("sycamorespan_node")
+                      .Help("State of the instance, by item")
+                      .Register(*m_registry))
+    , m_malformed(prometheus::BuildCounter()
+                          .Name("sycamorespan_malformed_messages_total")
+                          .Help("Messages of callers and instances that could not be decoded")
+                          .Register(*m_registry)
+                          .Add({}))
+{ }
+
+void node_metrics::count(const dispatch_action::record_outcome &outcome)
+{
+    auto *&counter = m_outcomes[{outcome.database.str(), outcome.outcome}];
+    if (!counter)
+        counter = &m_statements.Add(
+                {{"database", outcome.database.str()}, {"outcome", outcome.outcome}});
+    counter->Increment();
+    if (!outcome.cause.empty())
+        return;
+    auto *&histogram = m_latencies[outcome.database.str()];
+    if (!histogram)
+        histogram = &m_latency.Add({{"database", outcome.database.str()}}, latencyBuckets);
+    histogram->Observe(toSeconds(outcome.latency));
+}
+
+void node_metrics::count(const dispatch_action::record_step &step)
+{
+    m_steps.Add({{"step", step.step}}).Increment();
+}
+
+void node_metrics::set(const node_gauges &gauges)
+{
+    const auto write = [this](const char *item, double value) {
+        m_state.Add({{"item", item}}).Set(value);
+    };
+    write("sessions", static_cast<double>(gauges.sessions));
+    write("queued_statements", static_cast<double>(gauges.queuedStatements));
+    write("member_connections", static_cast<double>(gauges.memberConnections));
+    write("live_instances", static_cast<double>(gauges.liveInstances));
+    write("configuration_version", static_cast<double>(gauges.configurationVersion));
+    write("store_calls", static_cast<double>(gauges.storeCalls));
+    write("store_failures", static_cast<double>(gauges.storeFailures));
+    write("log_lines_dropped", static_cast<double>(gauges.logLinesDropped));
+    write("ready", gauges.isReady ? 1 : 0);
+    write("supervisor", gauges.isSupervisor ? 1 : 0);
+}
+
+} // namespace sycamorespan::node
--- /dev/null
+++ b/programs/node/node_metrics.h
@@ -0,0 +1,60 @@
+#ifndef SYCAMORESPAN_PROGRAMS_NODE_NODE_METRICS_H
+#define SYCAMORESPAN_PROGRAMS_NODE_NODE_METRICS_H
+
+#include "sycamorespan/src/Dispatch/dispatch_action.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sycamorespan::node {
+
+/** \brief Gauges that are set when the metrics are read. */
+struct node_gauges
+{
+    std::size_t sessions = 0;
+    std::size_t queuedStatements = 0;
+    std::size_t memberConnections = 0;
+    std::size_t liveInstances = 0;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t storeCalls = 0;
+    std::uint64_t storeFailures = 0;
+    std::uint64_t logLinesDropped = 0;
+    bool isReady = false;
+    bool isSupervisor = false;
+
+    auto operator<=>(const node_gauges &) const = default;
+};
+
+/** \brief Counters and histograms of a node. */
+class node_metrics
+{
+public:
+    node_metrics();
+
+    void count(const dispatch_action::record_outcome &outcome);
+    void count(const dispatch_action::record_step &step);
+    void countMalformedMessage() { m_malformed.Increment(); }
+    void set(const node_gauges &gauges);
+
+    std::shared_ptr<prometheus::Registry> registry() const { return m_registry; }
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter> &m_statements;
+    prometheus::Family<prometheus::Counter> &m_steps;
+    prometheus::Family<prometheus::Histogram> &m_latency;
+    prometheus::Family<prometheus::Gauge> &m_state;
+    prometheus::Counter &m_malformed;
+    std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_outcomes;
+    std::map<std::string, prometheus::Histogram *> m_latencies;
+};
+
+} // namespace sycamorespan::node
+
+#endif
--- /dev/null
+++ b/programs/node/quota_gate.cpp
@@ -0,0 +1,130 @@
+#include "programs/node/quota_gate.h"
+
+#include "sycamorespan/src/Core/overloaded.h"
+
+#include <algorithm>
+#include <cmath>
+#include <ranges>
+#include <utility>
+
+namespace sycamorespan::node {
+
+namespace {
+
+quota_limit toLimit(const workspace_limit &limit)
+{
+    const auto millitokens = static_cast<std::int64_t>(
+            std::floor(limit.ratePerSecond * token_rate::millitokensPerToken));
+    const auto nanotokens = static_cast<std::int64_t>(
+            std::floor(limit.burst * static_cast<double>(token_amount::nanotokensPerToken)));
+    return {token_rate{millitokens}, token_amount{nanotokens}};
+}
+
+} // namespace
+
+quota_gate::quota_gate(holder_run self, handlers callbacks)
+    : m_self(std::move(self))
+    , m_handlers(std::move(callbacks))
+{ }
+
+void quota_gate::setWorkspaces(const std::map<workspace_id, workspace_limit> &workspaces,
+                               time_point now)
+{
+    std::erase_if(m_shares, [&](const auto &entry) { return !workspaces.contains(entry.first); });
+    for (const auto &[workspace, limit] : workspaces) {
+        auto &known = m_shares[workspace];
+        const auto wanted = toLimit(limit);
+        const bool isNew = !known.holder;
+        if (isNew)
+            known.holder =
+                    std::make_unique<quota_holder>(workspace, m_self, quota_policy{}, now);
+        if (!isNew && known.limit == wanted)
+            continue;
+        known.limit = wanted;
+        divide(workspace, known, now);
+        if (isNew)
+            step(workspace, quota_event::peers_changed{m_peers}, now);
+    }
+}
+
+void quota_gate::setPeers(const std::vector<holder_id> &peers, std::size_t count, time_point now)
+{
+    const bool samePeers = peers == m_peers;
+    const bool sameCount = count == m_count;
+    m_peers = peers;
+    m_count = std::max<std::size_t>(count, 1);
+    for (const auto &[workspace, each] : m_shares) {
+        if (!sameCount)
+            divide(workspace, each, now);
+        if (!samePeers)
+            step(workspace, quota_event::peers_changed{m_peers}, now);
+    }
+}
+
+void quota_gate::divide(const workspace_id &workspace, const share &of, time_point now)
+{
+    const auto part = of.limit.share(1, static_cast<std::int64_t>(m_count));
+    step(workspace, quota_event::share_changed{part, time_point::max()}, now);
+}
+
+void quota_gate::admit(const workspace_id &workspace, std::uint64_t request, time_point now)
+{
+    if (!m_shares.contains(workspace)) {
+        m_handlers.onVerdict({request, true, {}}); // callers of open routes have no rate
+        return;
+    }
+    step(workspace, quota_event::request_arrived{request}, now);
+}
+
+void quota_gate::cancel(const workspace_id &workspace, std::uint64_t request, time_point now)
+{
+    step(workspace, quota_event::request_cancelled{request}, now);
+}
+
+void quota_gate::settle(const workspace_id &workspace, std::uint64_t request, bool ran,
+                        time_point now)
+{
+    if (ran)
+        step(workspace, quota_event::request_ran{request}, now);
+    else
+        step(workspace, quota_event::request_not_run{request}, now);
+}
+
+void quota_gate::received(const quota_message &message, time_point now)
+{
+    const auto workspace = std::visit([](const auto &each) { return each.workspace; }, message);
+    step(workspace, quota_event::message_received{message}, now);
+}
+
+void quota_gate::tick(time_point now)
+{
+    for (const auto &[workspace, each] : m_shares) {
+        const auto due = each.holder->nextDeadline();
+        if (due && *due <= now)
+            step(workspace, quota_event::tick{}, now);
+    }
+}
+
+void quota_gate::step(const workspace_id &workspace, const quota_input &event, time_point now)
+{
+    const auto known = m_shares.find(workspace);
+    if (known == m_shares.end())
+        return;
+    const auto outputs = known->second.holder->handle(event, now);
+    std::ranges::for_each(outputs, [this](const quota_output &output) {
+        std::visit(overloaded{
+                           [this](const quota_action::admit &each) {
+                               m_handlers.onVerdict({each.id, true, {}});
+                           },
+                           [this](const quota_action::refuse &each) {
+                               m_handlers.onVerdict({each.id, false, each.retryAfter});
+                           },
+                           [this](const quota_action::send_message &each) {
+                               m_handlers.onMessage(each.to, each.message);
+                           },
+                   },
+                   output);
+    });
+}
+
+} // namespace sycamorespan::node
--- /dev/null
+++ b/programs/node/quota_gate.h
@@ -0,0 +1,67 @@
+#ifndef SYCAMORESPAN_PROGRAMS_NODE_QUOTA_GATE_H
+#define SYCAMORESPAN_PROGRAMS_NODE_QUOTA_GATE_H
+
+#include "sycamorespan/src/Configuration/service_directory.h"
+#include "sycamorespan/src/Quota/quota_holder.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace sycamorespan::node {
+
+/** \brief What the gate decided or wants sent. */
+struct quota_verdict
+{
+    std::uint64_t request = 0;
+    bool isAdmitted = false;
+    duration retryAfter{};
+
+    auto operator<=>(const quota_verdict &) const = default;
+};
+
+/** \brief This instance's shares of all workspaces' rates, one quota_holder for each. */
+class quota_gate
+{
+public:
+    struct handlers
+    {
+        std::function<void(const quota_verdict &)> onVerdict;
+        std::function<void(const holder_id &, const quota_message &)> onMessage;
+    };
+
+    quota_gate(holder_run self, handlers callbacks);
+
+    void setWorkspaces(const std::map<workspace_id, workspace_limit> &workspaces, time_point now);
+    /** \param peers  the other live instances
+     *  \param count  instances among which each rate is divided
+     */
+    void setPeers(const std::vector<holder_id> &peers, std::size_t count, time_point now);
+
+    void admit(const workspace_id &workspace, std::uint64_t request, time_point now);
+    void cancel(const workspace_id &workspace, std::uint64_t request, time_point now);
+    void settle(const workspace_id &workspace, std::uint64_t request, bool ran, time_point now);
+    void received(const quota_message &message, time_point now);
+    void tick(time_point now);
+
+private:
+    struct share
+    {
+        quota_limit limit;
+        std::unique_ptr<quota_holder> holder;
+    };
+
+    void step(const workspace_id &workspace, const quota_input &event, time_point now);
+    void divide(const workspace_id &workspace, const share &of, time_point now);
+
+    holder_run m_self;
+    handlers m_handlers;
+    std::size_t m_count = 1;
+    std::vector<holder_id> m_peers;
+    std::map<workspace_id, share> m_shares;
+};
+
+} // namespace sycamorespan::node
+
+#endif
--- /dev/null
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -0,0 +1,201 @@
+#include "sycamorespan/src/Dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace sycamorespan {
+
+using namespace dispatch_action;
+
+dispatcher::dispatcher(const dispatch_policy &policy, data_centre_id own)
+    : m_policy(policy)
+    , m_own(std::move(own))
+    , m_directory(std::make_shared<service_directory>())
+{ }
+
+dispatch_outputs dispatcher::setDirectory(std::shared_ptr<const service_directory> directory,
+                                          time_point now)
+{
+    m_directory = std::move(directory);
+    for (auto &state : m_databases | std::views::values)
+        pump(state, now);
+    return take();
+}
+
+dispatch_outputs dispatcher::setServers(const std::vector<server_entry> &entries, time_point now)
+{
+    std::set<server_id> present;
+    std::ranges::for_each(entries, [&](const server_entry &entry) {
+        present.insert(entry.id);
+        const auto known = m_pools.find(entry.id);
+        const bool sameRun = known != m_pools.end()
+                             && known->second.entry().address == entry.address
+                             && known->second.entry().startedAtMs == entry.startedAtMs
+                             && known->second.entry().database == entry.database;
+        if (known != m_pools.end() && !sameRun)
+            removePool(entry.id, now); // another run of the server: nothing of the former is left
+        auto &pool = m_pools.try_emplace(entry.id, entry).first->second;
+        if (entry.state == server_state::draining && !pool.drainingSince())
+            pool.setDrainingSince(now);
+        pool.setEntry(entry);
+        m_databases[entry.database].members.insert(entry.id);
+    });
+    std::vector<server_id> gone;
+    std::ranges::copy_if(m_pools | std::views::keys, std::back_inserter(gone),
+                         [&](const server_id &id) { return !present.contains(id); });
+    std::ranges::for_each(gone, [&](const server_id &id) { removePool(id, now); });
+    for (auto &state : m_databases | std::views::values)
+        pump(state, now);
+    return take();
+}
+
+/** Forgets a member; what ran there goes on elsewhere or fails. */
+void dispatcher::removePool(const server_id &server, time_point now)
+{
+    auto &pool = m_pools.at(server);
+    pool.avoid(time_point::max());
+    m_databases[pool.entry().database].members.erase(server);
+    std::vector<std::pair<connection_id, session_number>> open;
+    for (const auto &each : pool.connections() | std::views::values)
+        open.emplace_back(each.id, each.session);
+    for (const auto &[connection, session] : open) {
+        drop(pool, connection, now);
+        if (auto *from = findCaller(session); from && from->bound == connection)
+            connectionLost(*from, server, "the member left", now);
+    }
+    m_pools.erase(server);
+}
+
+void dispatcher::setOthersLoad(const server_id &server, std::size_t working)
+{
+    const auto pool = m_pools.find(server);
+    if (pool != m_pools.end())
+        pool->second.setOthersWorking(working);
+}
+
+dispatch_outputs dispatcher::setPrimary(const database_id &database,
+                                        std::optional<usable_primary> primary, time_point now)
+{
+    auto &state = m_databases[database];
+    const bool sameReign = primary && state.primary && primary->server == state.primary->server
+                           && primary->term == state.primary->term;
+    if (primary && !sameReign)
+        state.floors.clear();
+    state.primary = std::move(primary);
+    state.primaryClosing = false;
+    if (state.primary)
+        state.primaryExpected.reset();
+    pump(state, now);
+    return take();
+}
+
+void dispatcher::closePrimary(const database_id &database)
+{
+    m_databases[database].primaryClosing = true;
+}
+
+void dispatcher::expectPrimary(const database_id &database, std::optional<time_point> at)
+{
+    m_databases[database].primaryExpected = at;
+}
+
+void dispatcher::addFloor(const database_id &database, const freshness_floor &floor, time_point now)
+{
+    auto &state = m_databases[database];
+    if (state.primary && floor.position.term != state.primary->term)
+        return;
+    state.floors.add(floor, now);
+}
+
+bool dispatcher::hasPrimaryWork(const database_id &database) const
+{
+    return std::ranges::any_of(m_pools | std::views::values, [&](const member_pool &pool) {
+        return pool.entry().database == database
+               && std::ranges::any_of(pool.connections() | std::views::values,
+                                      [](const member_connection &each) {
+                                          return each.state == member_connection::phase::bound
+                                                 && each.viewDependent;
+                                      });
+    });
+}
+
+dispatch_outputs dispatcher::abandonPrimaryWork(const database_id &database, time_point now)
+{
+    struct work
+    {
+        member_pool *pool;
+        connection_id connection;
+        session_number session;
+    };
+    std::vector<work> underWay;
+    for (auto &pool : m_pools | std::views::values) {
+        if (pool.entry().database != database)
+            continue;
+        for (const auto &each : pool.connections() | std::views::values)
+            if (each.state == member_connection::phase::bound && each.viewDependent)
+                underWay.push_back({&pool, each.id, each.session});
+    }
+    std::ranges::for_each(underWay, [&](const work &each) {
+        drop(*each.pool, each.connection, now);
+        if (auto *from = findCaller(each.session); from && from->bound == each.connection)
+            connectionLost(*from, each.pool->entry().id, "the primary was replaced", now);
+    });
+    return take();
+}
+
+std::vector<member_load> dispatcher::loads() const
+{
+    std::vector<member_load> result;
+    for (const auto &[id, pool] : m_pools)
+        if (const auto working = pool.working(); working > 0)
+            result.push_back({id, working});
+    return result;
+}
+
+std::optional<freshness_floor> dispatcher::newestFloor(const database_id &database) const
+{
+    const auto known = m_databases.find(database);
+    return known == m_databases.end() ? std::nullopt : known->second.floors.newest();
+}
+
+std::optional<time_point> dispatcher::silentSince(const server_id &server) const
+{
+    const auto known = m_pools.find(server);
+    return known == m_pools.end() ? std::nullopt : known->second.silentSince();
+}
+
+int dispatcher::failuresOf(const server_id &server) const
+{
+    const auto known = m_pools.find(server);
+    return known == m_pools.end() ? 0 : known->second.failures();
+}
+
+std::optional<time_point> dispatcher::writesStalledSince(const database_id &database) const
+{
+    const auto known = m_databases.find(database);
+    if (known == m_databases.end() || !known->second.writeUnanswered)
+        return std::nullopt;
+    return std::max(*known->second.writeUnanswered, known->second.lastWrite);
+}
+
+std::optional<time_point> dispatcher::primaryRefused(const database_id &database) const
+{
+    const auto known = m_databases.find(database);
+    return known == m_databases.end() ? std::nullopt : known->second.primaryRefused;
+}
+
+std::size_t dispatcher::queuedCount() const
+{
+    std::size_t count = 0;
+    std::ranges::for_each(m_databases | std::views::values,
+                          [&](const auto &state) { count += state.queue.size(); });
+    return count;
+}
+
+std::size_t dispatcher::connectionCount() const
+{
+    return m_connectionServers.size();
+}
+
+} // namespace sycamorespan
--- /dev/null
+++ b/sycamorespan/src/Dispatch/freshness_floors.cpp
@@ -0,0 +1,57 @@
+#include "sycamorespan/src/Dispatch/freshness_floors.h"
+
+#include <algorithm>
+
+namespace sycamorespan {
+
+namespace {
+
+/** Longer than any staleness bound in use; older floors serve no read. */
+constexpr duration keptFor = 10s;
+
+/** Floors closer together than this bring nothing; bounds the memory to keptFor / spacing. */
+constexpr duration spacing = 20ms;
+
+} // namespace
+
+void freshness_floors::add(const freshness_floor &floor, time_point now)
+{
+    if (!m_floors.empty()) {
+        const auto newestTerm = m_floors.back().position.term;
+        if (floor.position.term < newestTerm)
+            return;
+        if (floor.position.term > newestTerm)
+            m_floors.clear();
+    }
+    while (!m_floors.empty() && m_floors.front().coversUntil < now - keptFor)
+        m_floors.pop_front();
+    const auto next = std::ranges::upper_bound(m_floors, floor.coversUntil, {},
+                                               &freshness_floor::coversUntil);
+    const bool isNewest = next == m_floors.end();
+    if (!isNewest && next->coversUntil - floor.coversUntil < spacing)
+        return;
+    if (next != m_floors.begin() && std::prev(next) != m_floors.begin() && isNewest
+        && floor.coversUntil - std::prev(next, 2)->coversUntil < spacing) {
+        m_floors.back() = floor;
+        return;
+    }
+    m_floors.insert(next, floor);
+}
+
+std::optional<freshness_floor> freshness_floors::covering(time_point time) const
+{
+    const auto found =
+            std::ranges::lower_bound(m_floors, time, {}, &freshness_floor::coversUntil);
+    if (found == m_floors.end())
+        return std::nullopt;
+    return *found;
+}
+
+std::optional<freshness_floor> freshness_floors::newest() const
+{
+    if (m_floors.empty())
+        return std::nullopt;
+    return m_floors.back();
+}
+
+} // namespace sycamorespan
--- /dev/null
+++ b/sycamorespan/src/Dispatch/statement.h
@@ -0,0 +1,259 @@
+#ifndef SYCAMORESPAN_DISPATCH_STATEMENT_H
+#define SYCAMORESPAN_DISPATCH_STATEMENT_H
+
+#include "sycamorespan/src/Core/identifiers.h"
+#include "sycamorespan/src/Core/log_position.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace sycamorespan {
+
+/** \brief Whether a statement may change data. */
+enum class statement_access { read, write };
+
+/** \brief Statements of a caller, decoded. */
+namespace caller_statement {
+
+struct begin
+{
+    bool readOnly = false;
+
+    auto operator<=>(const begin &) const = default;
+};
+
+struct commit
+{
+    auto operator<=>(const commit &) const = default;
+};
+
+struct rollback
+{
+    auto operator<=>(const rollback &) const = default;
+};
+
+/** \brief Sets a session value. */
+struct set_value
+{
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const set_value &) const = default;
+};
+
+struct prepare
+{
+    std::string name;
+    statement_access access = statement_access::read;
+    std::string shape; ///< what is prepared, without its arguments
+
+    auto operator<=>(const prepare &) const = default;
+};
+
+struct deallocate
+{
+    std::string name;
+
+    auto operator<=>(const deallocate &) const = default;
+};
+
+struct execute
+{
+    std::string name;
+    std::string arguments;
+
+    auto operator<=>(const execute &) const = default;
+};
+
+/** \brief A read or write that was not prepared. */
+struct direct
+{
+    statement_access access = statement_access::read;
+
+    auto operator<=>(const direct &) const = default;
+};
+
+struct malformed
+{
+    std::string reason;
+
+    auto operator<=>(const malformed &) const = default;
+};
+
+} // namespace caller_statement
+
+using parsed_statement =
+        std::variant<caller_statement::begin, caller_statement::commit, caller_statement::rollback,
+                     caller_statement::set_value, caller_statement::prepare,
+                     caller_statement::deallocate, caller_statement::execute,
+                     caller_statement::direct, caller_statement::malformed>;
+
+/** \brief One statement of a caller, as it arrived. */
+struct caller_request
+{
+    std::string id;
+    std::string text; ///< forwarded unchanged
+    parsed_statement parsed;
+
+    auto operator<=>(const caller_request &) const = default;
+};
+
+/** \brief What a statement sent to a member does. */
+namespace member_statement {
+
+/** \brief A caller's statement with its text unchanged. */
+struct forward
+{
+    std::string id;
+    std::string text;
+    std::optional<log_position> after; ///< refused by the member while its log lacks it
+
+    auto operator<=>(const forward &) const = default;
+};
+
+/** \brief A caller's prepared statement under the name that it has on this connection. */
+struct execute
+{
+    std::string id;
+    std::string name;
+    std::string arguments;
+    std::optional<log_position> after;
+
+    auto operator<=>(const execute &) const = default;
+};
+
+struct begin
+{
+    bool readOnly = false;
+    std::optional<log_position> after;
+
+    auto operator<=>(const begin &) const = default;
+};
+
+struct rollback
+{
+    auto operator<=>(const rollback &) const = default;
+};
+
+struct set_value
+{
+    std::string name;
+    std::string value;
+
+    auto operator<=>(const set_value &) const = default;
+};
+
+struct prepare
+{
+    std::string name;
+    statement_access access = statement_access::read;
+    std::string shape;
+
+    auto operator<=>(const prepare &) const = default;
+};
+
+/** \brief Drops the values and prepared statements of the connection. */
+struct discard
+{
+    auto operator<=>(const discard &) const = default;
+};
+
+/** \brief Asks for role, term and positions. */
+struct status
+{
+    auto operator<=>(const status &) const = default;
+};
+
+/** \brief Stops a replica from receiving, until resume or a change of primary. */
+struct pause
+{
+    term_number term = 0;
+
+    auto operator<=>(const pause &) const = default;
+};
+
+struct resume
+{
+    auto operator<=>(const resume &) const = default;
+};
+
+/** \brief Makes a primary of a lower term a replica. */
+struct step_down
+{
+    term_number term = 0;
+
+    auto operator<=>(const step_down &) const = default;
+};
+
+} // namespace member_statement
+
+using outgoing_statement =
+        std::variant<member_statement::forward, member_statement::execute, member_statement::begin,
+                     member_statement::rollback, member_statement::set_value,
+                     member_statement::prepare, member_statement::discard, member_statement::status,
+                     member_statement::pause, member_statement::resume,
+                     member_statement::step_down>;
+
+/** \brief State of a session between two statements. */
+enum class session_state { idle, inTransaction, failedTransaction };
+
+/** \brief How a statement ended other than with success.
+ *
+ * Of those before \c failed nothing is kept; of the others that is unknown, or nothing ran at all.
+ */
+enum class statement_error {
+    busy, ///< no capacity; not run
+    aborted, ///< the transaction was rolled back
+    lagging, ///< the member's log lacks the position asked for; not run
+    readOnly, ///< sent to a replica; not run
+    moved, ///< another server answers at this address; not run
+    connectionLimit, ///< not run
+    unknownPrepared, ///< no prepared statement of that name; not run
+    malformed, ///< not run
+    tooLarge, ///< not run
+    unknownKey, ///< not run
+    unknownDatabase, ///< not run
+    failed, ///< ran and failed
+    timeout, ///< may have run
+    inDoubt, ///< may have run
+};
+
+/** \returns the name of \a code in logs and metrics, such as "in_doubt". */
+std::string_view nameOf(statement_error code);
+
+/** \brief A statement that succeeded. */
+struct completed
+{
+    std::string receipt; ///< the member's proof that it ran; "-" where none ran
+
+    auto operator<=>(const completed &) const = default;
+};
+
+struct rejected
+{
+    statement_error code = statement_error::busy;
+    std::string text;
+
+    auto operator<=>(const rejected &) const = default;
+};
+
+/** \brief Answer to one statement, of a member or to a caller. */
+struct statement_answer
+{
+    std::vector<std::string> rows;
+    std::variant<completed, rejected> result;
+    session_state state = session_state::idle;
+    std::optional<log_position> position; ///< of the member's log; none to callers
+
+    bool operator==(const statement_answer &) const = default;
+
+    bool succeeded() const { return std::holds_alternative<completed>(result); }
+};
+
+} // namespace sycamorespan
+
+#endif
--- /dev/null
+++ b/sycamorespan/src/Failover/supervisor_election.cpp
@@ -0,0 +1,87 @@
+#include "sycamorespan/src/Failover/supervisor_election.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamorespan {
+
+supervisor_election::supervisor_election(instance_id self, std::uint64_t boot,
+                                         const election_policy &policy, time_point now)
+    : m_self(std::move(self))
+    , m_boot(boot)
+    , m_policy(policy)
+    , m_started(now)
+{ }
+
+bool supervisor_election::isHolder() const
+{
+    return m_claim.fence > 0 && m_claim.holder == m_self && m_claim.boot == m_boot;
+}
+
+void supervisor_election::learn(const supervisor_claim &claim, time_point)
+{
+    if (claim.revision > m_claim.revision || claim.fence > m_claim.fence)
+        m_claim = claim;
+    if (claim.revision == m_claim.revision)
+        m_needsRead = false;
+}
+
+void supervisor_election::learnHolder(const instance_id &holder, std::uint64_t fence)
+{
+    if (fence <= m_claim.fence)
+        return;
+    m_claim.holder = holder;
+    m_claim.boot = 0;
+    m_claim.fence = fence;
+    m_needsRead = true; // the row's revision isn't known
+}
+
+bool supervisor_election::mayClaim(const election_view &view, time_point now) const
+{
+    if (!view.storeReachable || m_needsRead || m_pending || now < m_notBefore || isHolder())
+        return false;
+    const auto rank = std::ranges::find(view.candidates, m_self) - view.candidates.begin();
+    const auto turn = m_policy.rankDelay * rank;
+    const bool alone = view.candidates.size() <= 1;
+    if (m_claim.fence == 0)
+        return now - m_started > turn;
+    if (m_claim.holder == m_self)
+        return true; // a former run of this process: nobody else holds the duty
+    const auto silence = view.holderSilence.value_or(now - m_started);
+    if (view.holderLeaving || (!view.holderReachesStore && silence < m_policy.silenceLimit))
+        return rank == 0;
+    if (view.heardByOthers)
+        return false;
+    return silence > m_policy.silenceLimit + turn + (alone ? m_policy.aloneDelay : 0ms);
+}
+
+std::optional<supervisor_claim> supervisor_election::propose(const election_view &view,
+                                                             time_point now)
+{
+    if (!mayClaim(view, now))
+        return std::nullopt;
+    m_pending = supervisor_claim{m_claim.revision, m_self, m_boot, m_claim.fence + 1};
+    return m_pending;
+}
+
+void supervisor_election::onWritten(std::uint64_t revision, time_point)
+{
+    if (!m_pending)
+        return;
+    m_claim = *std::exchange(m_pending, std::nullopt);
+    m_claim.revision = revision;
+}
+
+void supervisor_election::onConflict(time_point now)
+{
+    m_pending.reset();
+    m_needsRead = true;
+    m_notBefore = now + m_policy.retryDelay;
+}
+
+void supervisor_election::onUnknown(time_point now)
+{
+    onConflict(now);
+}
+
+} // namespace sycamorespan
--- /dev/null
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -0,0 +1,518 @@
+#include "sycamorespan/src/Failover/synchronous_change.h"
+
+#include <algorithm>
+#include <ranges>
+#include <string_view>
+#include <utility>
+
+namespace sycamorespan {
+
+namespace {
+
+using namespace change_action;
+
+std::string_view nameOf(change_reason reason)
+{
+    switch (reason) {
+    case change_reason::none:
+        return "none";
+    case change_reason::adoption:
+        return "no view yet";
+    case change_reason::leaving:
+        return "the primary is leaving";
+    case change_reason::gone:
+        return "the primary left the list";
+    case change_reason::unreachable:
+        return "the primary does not answer";
+    case change_reason::demoted:
+        return "the primary is a replica now";
+    case change_reason::resumption:
+        return "an unfinished change";
+    }
+    return "unknown";
+}
+
+std::string textOf(log_position position)
+{
+    return std::to_string(position.term) + '.' + std::to_string(position.offset);
+}
+
+const server_entry *entryOf(const change_surroundings &around, const server_id &server)
+{
+    const auto found = std::ranges::find(around.members, server, &server_entry::id);
+    return found == around.members.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+synchronous_change::synchronous_change(database_id database, const change_policy &policy,
+                                       const view_policy &views)
+    : m_database(std::move(database))
+    , m_policy(policy)
+    , m_views(views)
+    , m_promotionTook(policy.expectedPromotion)
+{ }
+
+void synchronous_change::noteEvent(std::string event,
+                                   std::vector<std::pair<std::string, std::string>> fields)
+{
+    m_outputs.push_back(note{m_database, std::move(event), std::move(fields)});
+}
+
+void synchronous_change::enter(step next, time_point now)
+{
+    m_step = next;
+    m_entered = now;
+}
+
+std::optional<time_point> synchronous_change::expectedEnd(time_point now) const
+{
+    const auto promotion = m_promotionTook + m_policy.confirmInterval;
+    switch (m_step) {
+    case step::none:
+        return std::nullopt;
+    case step::adopting:
+        return now;
+    case step::writingIntent:
+    case step::surveying:
+    case step::writingOrder:
+        return now + m_policy.expectedSurvey + promotion;
+    case step::confirming:
+        return std::max(m_ordered + promotion, now);
+    case step::publishing:
+        return now;
+    }
+    return std::nullopt;
+}
+
+void synchronous_change::abandon()
+{
+    if (m_step != step::none)
+        noteEvent("change of primary abandoned to another supervisor");
+    m_step = step::none;
+    m_writing = false;
+    m_unresolved = false;
+}
+
+void synchronous_change::updateMembers(const change_surroundings &around, time_point now)
+{
+    std::ranges::for_each(around.members,
+                          [&](const server_entry &entry) { m_members[entry.id].listed = now; });
+    std::erase_if(m_members, [&](const auto &each) {
+        return now - each.second.listed > m_policy.lapsedMember;
+    });
+}
+
+change_outputs synchronous_change::begin(change_reason reason, const change_surroundings &around,
+                                         time_point now)
+{
+    if (isRunning() || now < m_notBefore)
+        return take();
+    m_reason = reason;
+    m_begun = now;
+    m_planned = reason == change_reason::leaving;
+    m_steppedDown = false;
+    m_fencingSince.reset();
+    m_firstOrder.reset();
+    m_askTerm = 0;
+    m_paused = false;
+    m_intentAt.reset();
+    m_foreignOrder.reset();
+    m_chosen = {};
+    for (auto &each : m_members | std::views::values) {
+        each.status.reset();
+        each.asked = {};
+    }
+    updateMembers(around, now);
+    if (!around.view) {
+        enter(step::adopting, now);
+        m_old = {};
+        m_oldTerm = 0;
+        adopt(around, now);
+        return take();
+    }
+    m_oldTerm = around.view->term;
+    if (around.view->phase == view_phase::ordered && around.latest)
+        m_foreignOrder = *around.latest + m_policy.foreignOrderWait;
+    m_old = around.view->primary;
+    noteEvent("change of primary begins",
+              {{"reason", std::string(nameOf(reason))},
+               {"primary", m_old.str()},
+               {"term", std::to_string(m_oldTerm)},
+               {"fence", std::to_string(around.fence)}});
+    write(view_phase::withdrawn, m_old, m_oldTerm, around, step::writingIntent, now);
+    return take();
+}
+
+void synchronous_change::write(view_phase phase, const server_id &primary, term_number term,
+                               const change_surroundings &around, step next, time_point now)
+{
+    enter(next, now);
+    m_wanted = {m_database, around.view ? around.view->revision : 0, primary, term, phase,
+                m_planned,  around.fence};
+    m_writing = true;
+    m_outputs.push_back(write_view{m_wanted});
+}
+
+change_outputs synchronous_change::viewWritten(std::uint64_t revision, reference_time committed,
+                                               const change_surroundings &around, time_point now)
+{
+    if (!m_writing)
+        return take();
+    m_writing = false;
+    switch (m_step) {
+    case step::writingIntent:
+        m_intentAt = committed;
+        m_intentRevision = revision;
+        enter(step::surveying, now);
+        survey(around, now);
+        break;
+    case step::writingOrder:
+        m_intentRevision = revision;
+        if (now - m_entered > m_policy.orderLimit) {
+            // Another supervisor may already count on this order not being sent.
+            noteEvent("order given up: it was written too slowly");
+            enter(step::surveying, now);
+            break;
+        }
+        enter(step::confirming, now);
+        m_ordered = now;
+        if (!m_firstOrder)
+            m_firstOrder = now;
+        m_members[m_chosen].asked = now + m_policy.confirmAfter - m_policy.confirmInterval;
+        m_outputs.push_back(order_promotion{m_database, m_chosen, around.fence});
+        break;
+    case step::publishing:
+        finish(around, now);
+        break;
+    default:
+        break;
+    }
+    return take();
+}
+
+change_outputs synchronous_change::viewConflict(time_point now)
+{
+    if (!m_writing)
+        return take();
+    m_writing = false;
+    // Somebody else wrote the row; what it says now decides what is to be done.
+    noteEvent("change of primary stopped: the view was changed by another supervisor");
+    enter(step::none, now);
+    m_notBefore = now + m_policy.writeRetry;
+    m_outputs.push_back(read_views{});
+    return take();
+}
+
+change_outputs synchronous_change::viewUnknown(time_point now)
+{
+    if (!m_writing)
+        return take();
+    m_writing = false;
+    m_unresolved = true;
+    m_unresolvedRead = now;
+    m_outputs.push_back(read_views{});
+    return take();
+}
+
+/** A write had no answer: it may have been done, or may still be. */
+void synchronous_change::resolve(const change_surroundings &around, time_point now)
+{
+    const bool written = around.view && around.view->revision > m_wanted.revision
+                         && around.view->fence == m_wanted.fence
+                         && around.view->phase == m_wanted.phase
+                         && around.view->primary == m_wanted.primary;
+    if (written && around.latest) {
+        m_unresolved = false;
+        m_writing = true;
+        const auto more = viewWritten(around.view->revision, *around.latest, around, now);
+        m_outputs.insert(m_outputs.end(), more.begin(), more.end());
+        return;
+    }
+    if (around.view && around.view->revision > m_wanted.revision) {
+        m_unresolved = false;
+        enter(step::none, now);
+        m_notBefore = now + m_policy.writeRetry;
+        return;
+    }
+    if (now - m_unresolvedRead < m_policy.storeReadInterval)
+        return;
+    m_unresolvedRead = now;
+    if (now - m_entered > m_policy.writeRetry) {
+        // Repeating it is safe: both carry the same condition, so that one of them can succeed.
+        m_unresolved = false;
+        m_writing = true;
+        m_entered = now;
+        m_outputs.push_back(write_view{m_wanted});
+        return;
+    }
+    m_outputs.push_back(read_views{});
+}
+
+void synchronous_change::ask(const server_id &server, outgoing_statement statement,
+                             duration interval, time_point now)
+{
+    auto &member = m_members[server];
+    if (now - member.asked < interval)
+        return;
+    member.asked = now;
+    m_outputs.push_back(ask_member{server, std::move(statement)});
+}
+
+term_number synchronous_change::nextTerm() const
+{
+    term_number newest = m_oldTerm;
+    for (const auto &each : m_members | std::views::values)
+        if (each.status)
+            newest = std::max({newest, each.status->term, each.status->pausedFor,
+                               each.status->received.term});
+    return newest + 1;
+}
+
+bool synchronous_change::released(const change_surroundings &around) const
+{
+    if (!m_intentAt)
+        return false;
+    if (m_foreignOrder && (!around.earliest || *around.earliest < *m_foreignOrder))
+        return false;
+    if (around.allReleased)
+        return true;
+    return around.earliest
+           && *around.earliest > *m_intentAt + m_views.validity + m_views.margin;
+}
+
+void synchronous_change::adopt(const change_surroundings &around, time_point now)
+{
+    std::ranges::for_each(around.members, [&](const server_entry &entry) {
+        ask(entry.id, member_statement::status{}, m_policy.askInterval, now);
+    });
+    const server_id *best = nullptr;
+    term_number bestTerm = 0;
+    std::size_t answered = 0;
+    for (const auto &[id, member] : m_members) {
+        if (!member.status)
+            continue;
+        ++answered;
+        if (member.status->role != replication_role::primary)
+            continue;
+        if (!best || member.status->term > bestTerm) {
+            best = &id;
+            bestTerm = member.status->term;
+        }
+    }
+    if (best && (answered == m_members.size() || now - m_entered > m_policy.catchUpLimit)) {
+        m_old = *best;
+        noteEvent("primary found", {{"primary", best->str()}, {"term", std::to_string(bestTerm)}});
+        const auto found = *best;
+        write(view_phase::steady, found, bestTerm, around, step::publishing, now);
+        return;
+    }
+    if (!best && answered > 0 && answered == m_members.size()
+        && now - m_entered > m_policy.orderPatience)
+        write(view_phase::withdrawn, {}, nextTerm() - 1, around, step::writingIntent, now);
+}
+
+/** Fences the old primary and reads positions until a member may be promoted. */
+void synchronous_change::survey(const change_surroundings &around, time_point now)
+{
+    const bool mayFence = !m_planned || released(around);
+    if (!mayFence)
+        return;
+    if (m_askTerm <= m_oldTerm || m_askTerm < nextTerm())
+        m_askTerm = nextTerm();
+    const auto old = m_members.find(m_old);
+    if (!m_old.empty() && !m_steppedDown && old != m_members.end())
+        ask(m_old, member_statement::step_down{m_askTerm}, m_policy.askInterval, now);
+    if (!m_fencingSince)
+        m_fencingSince = now;
+    const bool catchingUp = m_planned && now - *m_fencingSince < m_policy.catchUpLimit;
+    for (const auto &id : m_members | std::views::keys) {
+        if (id == m_old)
+            continue;
+        if (catchingUp) {
+            ask(id, member_statement::status{}, m_policy.askInterval / 4, now);
+            continue;
+        }
+        const auto &status = m_members.at(id).status;
+        if (status && status->pausedFor > m_oldTerm)
+            continue;
+        m_paused = true;
+        ask(id, member_statement::pause{m_askTerm}, m_policy.askInterval, now);
+    }
+    if (!released(around) || !around.storeReachable)
+        return;
+    const auto chosen = choose(around, now);
+    if (!chosen)
+        return;
+    m_chosen = *chosen;
+    noteEvent("member chosen for promotion",
+              {{"server", m_chosen.str()},
+               {"received", textOf(m_members.at(m_chosen).status->received)},
+               {"old_primary_fenced", m_steppedDown ? "true" : "false"},
+               {"all_released", around.allReleased ? "true" : "false"}});
+    write(view_phase::ordered, m_chosen, m_oldTerm, around, step::writingOrder, now);
+}
+
+/** \returns a member whose log certainly holds every acknowledged commit. */
+std::optional<server_id> synchronous_change::choose(const change_surroundings &around, time_point)
+{
+    struct ranked
+    {
+        log_position received;
+        bool staying = false;
+        bool listed = false;
+        server_id server;
+    };
+    std::vector<ranked> known;
+    bool everyReplicaFenced = true;
+    for (const auto &[id, member] : m_members) {
+        if (id == m_old)
+            continue;
+        const bool fenced = member.status && member.status->pausedFor > m_oldTerm;
+        everyReplicaFenced = everyReplicaFenced && fenced;
+        if (!member.status)
+            continue;
+        const auto *entry = entryOf(around, id);
+        known.push_back({member.status->received, entry && entry->state == server_state::ready,
+                         entry != nullptr, id});
+    }
+    if (known.empty() && !m_steppedDown)
+        return std::nullopt;
+    const auto isBetter = [](const ranked &left, const ranked &right) {
+        return std::tie(left.staying, left.received, right.server)
+               < std::tie(right.staying, right.received, left.server);
+    };
+    const auto bestOf = [&](log_position least) -> std::optional<server_id> {
+        auto enough = known | std::views::filter([&](const ranked &each) {
+                          return each.listed && each.received >= least;
+                      });
+        const auto best = std::ranges::max_element(enough, isBetter);
+        if (best == enough.end())
+            return std::nullopt;
+        return best->server;
+    };
+    if (m_steppedDown) {
+        const auto last = m_members.at(m_old).status->received;
+        if (const auto best = bestOf(last))
+            return best;
+    }
+    if (everyReplicaFenced && !known.empty()) {
+        // An acknowledged commit is in the log of one of them, and none of them grows any more.
+        const auto longest = std::ranges::max(known | std::views::transform(&ranked::received));
+        return bestOf(longest);
+    }
+    const auto *entry = entryOf(around, m_old);
+    if (m_steppedDown && !m_planned && entry && entry->state == server_state::ready)
+        return m_old; // only its own log is certainly complete
+    return std::nullopt;
+}
+
+change_outputs synchronous_change::memberAnswered(const server_id &server,
+                                                  const std::optional<member_status> &status,
+                                                  const change_surroundings &around, time_point now)
+{
+    if (!isRunning() || !status)
+        return take();
+    auto &member = m_members[server];
+    member.status = status;
+    member.answered = now;
+    member.listed = std::max(member.listed, now);
+    switch (m_step) {
+    case step::adopting:
+        adopt(around, now);
+        break;
+    case step::surveying:
+        if (server == m_old && status->role == replication_role::replica)
+            m_steppedDown = true;
+        survey(around, now);
+        break;
+    case step::confirming:
+        confirm(around, now);
+        break;
+    default:
+        break;
+    }
+    return take();
+}
+
+change_outputs synchronous_change::orderAnswered(std::optional<bool> accepted,
+                                                 const change_surroundings &, time_point now)
+{
+    if (m_step != step::confirming)
+        return take();
+    if (accepted == false) {
+        noteEvent("promotion refused by the platform", {{"server", m_chosen.str()}});
+        m_members[m_chosen].status.reset();
+        m_members[m_chosen].asked = {};
+        enter(step::surveying, now);
+    }
+    return take();
+}
+
+void synchronous_change::confirm(const change_surroundings &around, time_point now)
+{
+    const auto &status = m_members[m_chosen].status;
+    if (status && status->role == replication_role::primary && status->term > m_oldTerm) {
+        m_promotionTook = now - m_ordered;
+        write(view_phase::steady, m_chosen, status->term, around, step::publishing, now);
+        return;
+    }
+    if (now - *m_firstOrder > m_policy.orderPatience) {
+        m_firstOrder.reset();
+        noteEvent("promotion had no effect", {{"server", m_chosen.str()}});
+        m_members[m_chosen].status.reset();
+        enter(step::surveying, now);
+        return;
+    }
+    if (now - m_ordered > m_policy.orderInterval + m_promotionTook && around.storeReachable) {
+        // Written again first: only the holder of the newest fencing token may send an order.
+        write(view_phase::ordered, m_chosen, m_oldTerm, around, step::writingOrder, now);
+        return;
+    }
+    ask(m_chosen, member_statement::status{}, m_policy.confirmInterval, now);
+}
+
+void synchronous_change::finish(const change_surroundings &, time_point now)
+{
+    if (m_paused) {
+        for (const auto &[id, member] : m_members)
+            if (id != m_wanted.primary && member.status && member.status->pausedFor > 0)
+                m_outputs.push_back(ask_member{id, member_statement::resume{}});
+    }
+    noteEvent("primary published",
+              {{"primary", m_wanted.primary.str()},
+               {"term", std::to_string(m_wanted.term)},
+               {"took_ms",
+                std::to_string(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(now - m_begun)
+                                .count())}});
+    enter(step::none, now);
+    m_notBefore = now;
+}
+
+change_outputs synchronous_change::tick(const change_surroundings &around, time_point now)
+{
+    updateMembers(around, now);
+    if (!isRunning())
+        return take();
+    if (m_unresolved)
+        resolve(around, now);
+    if (m_writing || m_unresolved)
+        return take();
+    switch (m_step) {
+    case step::adopting:
+        adopt(around, now);
+        break;
+    case step::surveying:
+        survey(around, now);
+        break;
+    case step::confirming:
+        confirm(around, now);
+        break;
+    default:
+        break;
+    }
+    return take();
+}
+
+} // namespace sycamorespan
--- /dev/null
+++ b/sycamorespan/src/Failover/view_ledger.cpp
@@ -0,0 +1,97 @@
+#include "sycamorespan/src/Failover/view_ledger.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace sycamorespan {
+
+void view_ledger::applySnapshot(const std::vector<primary_view> &views, reference_time confirmed)
+{
+    m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
+    std::ranges::for_each(views,
+                          [&](const primary_view &view) { applyWritten(view, confirmed); });
+}
+
+void view_ledger::applyWritten(const primary_view &view, reference_time committed)
+{
+    apply(view);
+    auto &known = m_entries.at(view.database);
+    // An older revision says nothing of the newer one that is known.
+    if (known.view.revision == view.revision)
+        known.confirmed = std::max(known.confirmed.value_or(committed), committed);
+}
+
+void view_ledger::apply(const primary_view &view)
+{
+    auto &known = m_entries[view.database];
+    if (known.view.revision >= view.revision)
+        return;
+    // The older revision stood until then, so that the newer one is at least as recent.
+    known.view = view;
+}
+
+void view_ledger::setRegistered(std::set<instance_id> instances, const instance_id &self)
+{
+    instances.erase(self);
+    m_registered = std::move(instances);
+    std::erase_if(m_vouched, [&](const auto &each) { return !m_registered.contains(each.first); });
+}
+
+void view_ledger::vouch(const instance_id &instance, const std::vector<primary_view> &views,
+                        reference_time stated)
+{
+    std::ranges::for_each(views, [&](const primary_view &view) { apply(view); });
+    const auto known = m_vouched.try_emplace(instance, stated).first;
+    known->second = std::max(known->second, stated);
+}
+
+void view_ledger::noteGone(const instance_id &instance, reference_time at)
+{
+    vouch(instance, {}, at);
+}
+
+const primary_view *view_ledger::find(const database_id &database) const
+{
+    const auto known = m_entries.find(database);
+    return known == m_entries.end() ? nullptr : &known->second.view;
+}
+
+std::vector<primary_view> view_ledger::views() const
+{
+    std::vector<primary_view> result;
+    std::ranges::transform(m_entries | std::views::values, std::back_inserter(result),
+                           &entry::view);
+    return result;
+}
+
+std::optional<reference_time> view_ledger::confirmed(const database_id &database) const
+{
+    const auto known = m_entries.find(database);
+    return known == m_entries.end() ? std::nullopt : known->second.confirmed;
+}
+
+/** The oldest of the newest statements of all instances that could have begun a change. */
+std::optional<reference_time> view_ledger::vouchedBy() const
+{
+    std::optional<reference_time> oldest;
+    for (const auto &instance : m_registered) {
+        const auto stated = m_vouched.find(instance);
+        if (stated == m_vouched.end())
+            return std::nullopt;
+        oldest = std::min(oldest.value_or(stated->second), stated->second);
+    }
+    return oldest;
+}
+
+std::optional<reference_time> view_ledger::usableUntil(const database_id &database) const
+{
+    const auto known = m_entries.find(database);
+    if (known == m_entries.end() || known->second.view.phase != view_phase::steady
+        || !known->second.confirmed)
+        return std::nullopt;
+    const auto vouched = vouchedBy().value_or(*known->second.confirmed);
+    return std::max(*known->second.confirmed, vouched) + m_policy.validity;
+}
+
+} // namespace sycamorespan
--- /dev/null
+++ b/sycamorespan/src/Membership/peer_table.cpp
@@ -0,0 +1,188 @@
+#include "sycamorespan/src/Membership/peer_table.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace sycamorespan {
+
+peer_table::peer_table(instance_run self, const peer_policy &policy)
+    : m_self(std::move(self))
+    , m_policy(policy)
+{ }
+
+duration peer_table::interval() const
+{
+    const auto count = static_cast<std::int64_t>(m_peers.size() + 1);
+    return std::max(m_policy.reportInterval, m_policy.intervalPerInstance * count);
+}
+
+void peer_table::setRegistered(const std::vector<instance_run> &instances, time_point now)
+{
+    for (auto &each : m_peers | std::views::values)
+        each.isRegistered = false;
+    std::ranges::for_each(instances, [&](const instance_run &run) {
+        if (run.instance == m_self.instance)
+            return;
+        auto &known = m_peers[run.instance];
+        if (!known.heard || known.run.boot == run.boot)
+            known.run = run;
+        if (known.added == time_point())
+            known.added = now;
+        known.isRegistered = true;
+    });
+    std::erase_if(m_peers, [&](const auto &entry) {
+        const auto &each = entry.second;
+        const bool silent = !each.heard || now - *each.heard > m_policy.forgetAfter;
+        return !each.isRegistered && silent;
+    });
+}
+
+bool peer_table::received(const peer_report &report, time_point now)
+{
+    if (report.sender.instance == m_self.instance)
+        return false;
+    auto &known = m_peers[report.sender.instance];
+    const bool isNew = !known.heard || known.run.boot != report.sender.boot;
+    if (known.added == time_point())
+        known.added = now;
+    known.run = report.sender;
+    known.heard = now;
+    known.refused.reset();
+    known.report = report;
+    return isNew;
+}
+
+void peer_table::refused(const instance_id &instance, time_point now)
+{
+    const auto known = m_peers.find(instance);
+    if (known != m_peers.end())
+        known->second.refused = now;
+}
+
+std::vector<instance_run> peer_table::targets(time_point now) const
+{
+    std::vector<instance_run> result;
+    for (const auto &each : m_peers | std::views::values)
+        if (each.isRegistered || (each.heard && now - *each.heard < m_policy.forgetAfter))
+            result.push_back(each.run);
+    return result;
+}
+
+std::optional<duration> peer_table::silence(const instance_id &instance, time_point now) const
+{
+    const auto known = m_peers.find(instance);
+    if (known == m_peers.end() || !known->second.heard)
+        return std::nullopt;
+    return now - *known->second.heard;
+}
+
+bool peer_table::isLive(const instance_id &instance, time_point now) const
+{
+    const auto silent = silence(instance, now);
+    return silent && *silent < silenceLimit();
+}
+
+std::vector<instance_run> peer_table::live(time_point now) const
+{
+    std::vector<instance_run> result;
+    for (const auto &[id, each] : m_peers)
+        if (isLive(id, now))
+            result.push_back(each.run);
+    return result;
+}
+
+const peer_report *peer_table::reportOf(const instance_id &instance) const
+{
+    const auto known = m_peers.find(instance);
+    return known == m_peers.end() || !known->second.heard ? nullptr : &known->second.report;
+}
+
+std::size_t peer_table::instanceCount(time_point now) const
+{
+    return targets(now).size() + 1;
+}
+
+std::size_t peer_table::othersWorking(const server_id &server, time_point now) const
+{
+    std::size_t total = 0;
+    for (const auto &[id, each] : m_peers) {
+        if (!isLive(id, now))
+            continue;
+        const auto load = std::ranges::find(each.report.loads, server, &server_load_report::server);
+        if (load != each.report.loads.end())
+            total += load->working;
+    }
+    return total;
+}
+
+/** An instance whose process ended holds no view; its next run has to be confirmed first. */
+bool peer_table::mayUseViews(const peer &each, time_point now) const
+{
+    const bool ended = each.refused && (!each.heard || *each.refused > *each.heard);
+    if (ended)
+        return false;
+    return each.isRegistered || (each.heard && now - *each.heard < m_policy.forgetAfter);
+}
+
+bool peer_table::released(const database_id &database, std::uint64_t revision, time_point now) const
+{
+    return std::ranges::all_of(m_peers | std::views::values, [&](const peer &each) {
+        if (!mayUseViews(each, now))
+            return true;
+        if (!each.heard)
+            return false;
+        const auto &reports = each.report.databases;
+        const auto found = std::ranges::find(reports, database, &database_report::database);
+        return found != reports.end() && found->released >= revision;
+    });
+}
+
+std::set<instance_id> peer_table::registered() const
+{
+    std::set<instance_id> result;
+    for (const auto &[id, each] : m_peers)
+        if (each.isRegistered || each.heard)
+            result.insert(id);
+    return result;
+}
+
+std::optional<bool> peer_table::hearsOtherDataCentres(time_point now) const
+{
+    std::optional<bool> hears;
+    for (const auto &[id, each] : m_peers) {
+        if (each.run.dataCentre == m_self.dataCentre)
+            continue;
+        hears = hears.value_or(false) || isLive(id, now);
+    }
+    return hears;
+}
+
+std::vector<instance_id> peer_table::ranked(time_point now) const
+{
+    std::vector<instance_id> order{m_self.instance};
+    for (const auto &[id, each] : m_peers)
+        if (isLive(id, now) && !each.report.leaving && each.report.storeReachable)
+            order.push_back(id);
+    std::ranges::sort(order);
+    return order;
+}
+
+std::size_t peer_table::rank(time_point now) const
+{
+    const auto order = ranked(now);
+    return static_cast<std::size_t>(std::ranges::find(order, m_self.instance) - order.begin());
+}
+
+std::vector<instance_run> peer_table::forgotten(time_point now) const
+{
+    std::vector<instance_run> result;
+    for (const auto &each : m_peers | std::views::values) {
+        const auto since = std::max(each.heard.value_or(each.added), each.added);
+        if (each.isRegistered && now - since > m_policy.forgetAfter)
+            result.push_back(each.run);
+    }
+    return result;
+}
+
+} // namespace sycamorespan
--- /dev/null
+++ b/sycamorespan/src/Membership/peer_table.h
@@ -0,0 +1,99 @@
+#ifndef SYCAMORESPAN_MEMBERSHIP_PEER_TABLE_H
+#define SYCAMORESPAN_MEMBERSHIP_PEER_TABLE_H
+
+#include "sycamorespan/src/Membership/peer_report.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace sycamorespan {
+
+/** \brief Time limits of a peer_table, scaled with the number of instances. */
+struct peer_policy
+{
+    duration reportInterval = 150ms; ///< of a small fleet
+    duration intervalPerInstance = 12ms; ///< bounds an instance's reports to 83 a second
+    int missedReports = 5; ///< until an instance counts as silent
+    duration forgetAfter = 60s; ///< of silence, unless registered again
+
+    auto operator<=>(const peer_policy &) const = default;
+};
+
+/** \brief The other instances, as their rows in the store and their reports show them. */
+class peer_table
+{
+public:
+    peer_table(instance_run self, const peer_policy &policy);
+
+    /** \brief The rows of all instances, as read at \a now. */
+    void setRegistered(const std::vector<instance_run> &instances, time_point now);
+
+    /** \brief Takes a report. \returns whether it is from a run of an instance not known before. */
+    bool received(const peer_report &report, time_point now);
+
+    /** \brief Nothing listens at the address of \a instance: its process ended. */
+    void refused(const instance_id &instance, time_point now);
+
+    /** \returns all instances that reports go to. */
+    std::vector<instance_run> targets(time_point now) const;
+
+    /** \returns the runs heard within the limit. */
+    std::vector<instance_run> live(time_point now) const;
+
+    /** \returns the last report of \a instance. */
+    const peer_report *reportOf(const instance_id &instance) const;
+    std::optional<duration> silence(const instance_id &instance, time_point now) const;
+    bool isLive(const instance_id &instance, time_point now) const;
+
+    /** \returns instances that share rates and connections, this one included. */
+    std::size_t instanceCount(time_point now) const;
+
+    /** \returns statements that live instances run at \a server. */
+    std::size_t othersWorking(const server_id &server, time_point now) const;
+
+    /** \returns whether every other instance that may use a view has released all views of
+     * \a database before \a revision.
+     */
+    bool released(const database_id &database, std::uint64_t revision, time_point now) const;
+
+    /** \returns the registered instances that are neither this one nor known to have ended. */
+    std::set<instance_id> registered() const;
+
+    /** \returns whether an instance of another data centre was heard within the limit; nothing if
+     * there is none.
+     */
+    std::optional<bool> hearsOtherDataCentres(time_point now) const;
+
+    /** \returns this instance's place among the live ones, in an order that is the same for all. */
+    std::size_t rank(time_point now) const;
+    std::vector<instance_id> ranked(time_point now) const;
+
+    /** \returns registered instances that have been silent for long. */
+    std::vector<instance_run> forgotten(time_point now) const;
+
+    duration interval() const;
+    duration silenceLimit() const { return interval() * m_policy.missedReports; }
+
+private:
+    struct peer
+    {
+        instance_run run;
+        bool isRegistered = false;
+        std::optional<time_point> heard;
+        std::optional<time_point> refused;
+        time_point added;
+        peer_report report;
+    };
+
+    bool mayUseViews(const peer &each, time_point now) const;
+
+    instance_run m_self;
+    peer_policy m_policy;
+    std::map<instance_id, peer> m_peers;
+};
+
+} // namespace sycamorespan
+
+#endif
--- /dev/null
+++ b/sycamorespan/src/Membership/server_entry.h
@@ -0,0 +1,33 @@
+#ifndef SYCAMORESPAN_MEMBERSHIP_SERVER_ENTRY_H
+#define SYCAMORESPAN_MEMBERSHIP_SERVER_ENTRY_H
+
+#include "sycamorespan/src/Core/identifiers.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace sycamorespan {
+
+enum class server_state { ready, draining };
+
+enum class replication_role { primary, replica };
+
+/** \brief A backend server as it registered itself. */
+struct server_entry
+{
+    server_id id;
+    database_id database;
+    std::string address; ///< "IP:PORT"
+    data_centre_id dataCentre;
+    std::size_t slots = 0; ///< statements that it runs at the same time
+    server_state state = server_state::ready;
+    replication_role role = replication_role::replica; ///< as the server sees itself
+    std::int64_t startedAtMs = 0; ///< Unix time of its start; tells two runs of one id apart
+
+    auto operator<=>(const server_entry &) const = default;
+};
+
+} // namespace sycamorespan
+
+#endif
--- a/sycamorespan/src/Net/admin_server.cpp
+++ b/sycamorespan/src/Net/admin_server.cpp
@@ -48,6 +48,9 @@
         return state();
     if (request.path == "/healthz")
         return health();
+    const auto document = m_sources.documents.find(request.path);
+    if (document != m_sources.documents.end())
+        return {200, "application/json", document->second()};
     return {notFound, "text/plain", "there are /metrics, /state and /healthz\n"};
 }
 
--- a/sycamorespan/src/Net/admin_server.h
+++ b/sycamorespan/src/Net/admin_server.h
@@ -7,7 +7,9 @@
 #include <prometheus/registry.h>
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace sycamorespan {
@@ -23,6 +25,8 @@
     std::function<bool()> isHealthy;
     /** Begins a graceful shutdown on POST /drain; without it there is no such route. */
     std::function<void()> drain = {};
+    /** Bodies of further JSON documents, by path. */
+    std::map<std::string, std::function<std::string()>> documents = {};
 };
 
 /** \brief The operators' port: GET /metrics, /state and /healthz, POST /drain. */
--- a/sycamorespan/src/Net/byte_stream.cpp
+++ b/sycamorespan/src/Net/byte_stream.cpp
@@ -41,6 +41,15 @@
         flush();
 }
 
+void byte_stream::abandon()
+{
+    m_closing = true;
+    m_watcher.stop();
+    m_socket = file_descriptor();
+    m_pending.clear();
+    m_written = 0;
+}
+
 void byte_stream::pauseReading(bool paused)
 {
     m_paused = paused;
--- a/sycamorespan/src/Net/byte_stream.h
+++ b/sycamorespan/src/Net/byte_stream.h
@@ -34,6 +34,9 @@
     /** \brief Closes once everything queued is written; nothing more is read. */
     void closeAfterWrite();
 
+    /** \brief Closes at once: what is queued is dropped, and no handler is called any more. */
+    void abandon();
+
     /** \brief Stops reading while \a paused, so that a slow consumer slows its peer. */
     void pauseReading(bool paused);
 
--- /dev/null
+++ b/sycamorespan/src/Net/datagram_socket.cpp
@@ -0,0 +1,73 @@
+#include "sycamorespan/src/Net/datagram_socket.h"
+
+#include "sycamorespan/Core"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace sycamorespan {
+
+namespace {
+
+constexpr std::size_t largestDatagramBytes = 65536;
+/** Datagrams read in one turn, so that a flood can't keep the loop from other work. */
+constexpr int datagramsPerTurn = 32;
+
+sockaddr_in toNative(const endpoint &address)
+{
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(address.port);
+    if (::inet_pton(AF_INET, address.address.c_str(), &name.sin_addr) != 1)
+        throw error("'" + address.address + "' is not an IP number");
+    return name;
+}
+
+file_descriptor bindDatagramSocket(const endpoint &address)
+{
+    const auto name = toNative(address);
+    file_descriptor socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!socket
+        || ::bind(socket.get(), reinterpret_cast<const sockaddr *>(&name), sizeof name) != 0)
+        throw error("bind UDP " + address.str() + ": " + std::strerror(errno));
+    return socket;
+}
+
+} // namespace
+
+datagram_socket::datagram_socket(ev::loop_ref loop, const endpoint &address,
+                                 datagram_handler onDatagram)
+    : m_socket(bindDatagramSocket(address))
+    , m_onDatagram(std::move(onDatagram))
+    , m_watcher(loop)
+{
+    m_watcher.set<datagram_socket, &datagram_socket::receive>(this);
+    m_watcher.start(m_socket.get(), ev::READ);
+}
+
+void datagram_socket::send(const endpoint &to, std::string_view bytes)
+{
+    const auto name = toNative(to);
+    const auto sent = ::sendto(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
+                               reinterpret_cast<const sockaddr *>(&name), sizeof name);
+    if (sent < 0)
+        ++m_dropped;
+}
+
+void datagram_socket::receive(ev::io &, int)
+{
+    static thread_local std::vector<char> buffer(largestDatagramBytes);
+    for (int count = 0; count < datagramsPerTurn; ++count) {
+        const auto size = ::recv(m_socket.get(), buffer.data(), buffer.size(), 0);
+        if (size < 0)
+            return;
+        m_onDatagram(std::string_view(buffer.data(), static_cast<std::size_t>(size)));
+    }
+}
+
+} // namespace sycamorespan
--- /dev/null
+++ b/sycamorespan/src/Net/datagram_socket.h
@@ -0,0 +1,41 @@
+#ifndef SYCAMORESPAN_NET_DATAGRAM_SOCKET_H
+#define SYCAMORESPAN_NET_DATAGRAM_SOCKET_H
+
+#include "sycamorespan/src/Net/endpoint.h"
+#include "sycamorespan/src/Net/file_descriptor.h"
+
+#include <ev++.h>
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+namespace sycamorespan {
+
+/** \brief A bound UDP socket. Datagrams may be lost, doubled or reordered. */
+class datagram_socket
+{
+public:
+    using datagram_handler = std::function<void(std::string_view)>;
+
+    /** \throws error when \a address can't be bound; the text names address and cause */
+    datagram_socket(ev::loop_ref loop, const endpoint &address, datagram_handler onDatagram);
+
+    /** \brief Sends \a bytes, or drops them when the system takes no more now. */
+    void send(const endpoint &to, std::string_view bytes);
+
+    /** \returns datagrams that the system did not take. */
+    std::uint64_t dropped() const { return m_dropped; }
+
+private:
+    void receive(ev::io &watcher, int events);
+
+    file_descriptor m_socket;
+    datagram_handler m_onDatagram;
+    ev::io m_watcher;
+    std::uint64_t m_dropped = 0;
+};
+
+} // namespace sycamorespan
+
+#endif
--- a/sycamorespan/src/Net/http_client.cpp
+++ b/sycamorespan/src/Net/http_client.cpp
@@ -78,15 +78,19 @@
         curl_slist_free_all(headers);
     }
 
-    void prepare(const std::string &url, const std::string &method, duration timeout);
+    void prepare(const std::string &url, const http_request &request, duration timeout);
     http_outcome outcome(CURLcode code) const;
 };
 
-void http_client::pending_request::prepare(const std::string &url, const std::string &method,
+void http_client::pending_request::prepare(const std::string &url, const http_request &request,
                                            duration timeout)
 {
+    const auto &method = request.method;
     headers = curl_slist_append(headers, "Content-Type: application/json");
     headers = curl_slist_append(headers, "Expect:");
+    std::ranges::for_each(request.headers, [this](const auto &header) {
+        headers = curl_slist_append(headers, (header.first + ": " + header.second).c_str());
+    });
     curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -202,10 +206,15 @@
 }
 
 void http_client::send(const http_request &request, outcome_handler onOutcome)
+{
+    send(request, m_timeout, std::move(onOutcome));
+}
+
+void http_client::send(const http_request &request, duration timeout, outcome_handler onOutcome)
 {
     auto pending =
             std::make_unique<pending_request>(m_multi->handle, request.body, std::move(onOutcome));
-    pending->prepare(m_baseUrl + request.path, request.method, m_timeout);
+    pending->prepare(m_baseUrl + request.path, request, timeout);
     CURL *easy = pending->easy;
     m_requests.emplace(easy, std::move(pending));
     curl_multi_add_handle(m_multi->handle, easy);
--- a/sycamorespan/src/Net/http_client.h
+++ b/sycamorespan/src/Net/http_client.h
@@ -59,6 +59,9 @@
      */
     void send(const http_request &request, outcome_handler onOutcome);
 
+    /** \brief As above, with a bound of its own on this request. */
+    void send(const http_request &request, duration timeout, outcome_handler onOutcome);
+
     /** \returns requests without an outcome yet. */
     std::size_t pendingCount() const { return m_requests.size(); }
 
--- a/sycamorespan/src/Net/http_message.h
+++ b/sycamorespan/src/Net/http_message.h
@@ -2,6 +2,8 @@
 #define SYCAMORESPAN_NET_HTTP_MESSAGE_H
 
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace sycamorespan {
 
@@ -12,6 +14,8 @@
     /** Path and query, as in the request line. */
     std::string path;
     std::string body;
+    /** Further header fields; only of requests that a client sends. */
+    std::vector<std::pair<std::string, std::string>> headers = {};
 };
 
 /** \brief The answer to an http_request. */
@@ -24,7 +28,8 @@
 
 inline bool operator==(const http_request &left, const http_request &right)
 {
-    return left.method == right.method && left.path == right.path && left.body == right.body;
+    return left.method == right.method && left.path == right.path && left.body == right.body
+           && left.headers == right.headers;
 }
 
 inline bool operator==(const http_response &left, const http_response &right)
--- a/sycamorespan/src/Net/tcp_socket.cpp
+++ b/sycamorespan/src/Net/tcp_socket.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -44,6 +45,21 @@
     return socket;
 }
 
+void detectSilence(const file_descriptor &socket, duration limit)
+{
+    const auto milliseconds = static_cast<int>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+    const int seconds = std::max(milliseconds / 1000, 1);
+    const int enabled = 1;
+    const int probes = 2;
+    const int fd = socket.get();
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof enabled);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 int connectError(const file_descriptor &socket)
 {
     int result = 0;
--- a/sycamorespan/src/Net/tcp_socket.h
+++ b/sycamorespan/src/Net/tcp_socket.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMORESPAN_NET_TCP_SOCKET_H
 #define SYCAMORESPAN_NET_TCP_SOCKET_H
 
+#include "sycamorespan/src/Core/time_types.h"
 #include "sycamorespan/src/Net/endpoint.h"
 #include "sycamorespan/src/Net/file_descriptor.h"
 
@@ -12,6 +13,11 @@
  */
 file_descriptor connectTo(const endpoint &address);
 
+/** \brief Bounds how long sent bytes may stay unacknowledged, and how long a connection without
+ * traffic stays open after its other side is gone.
+ */
+void detectSilence(const file_descriptor &socket, duration limit);
+
 /** \returns the error of a finished connection attempt; 0 when it succeeded. */
 int connectError(const file_descriptor &socket);
 
