--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -205,12 +205,19 @@
     const auto found = m_callers.find(session);
     if (found == m_callers.end())
         return;
-    found->second->closeAfterWrite();
-    m_closedCallers.push_back(std::move(found->second));
-    m_callers.erase(found);
+    retire(found);
     apply(m_dispatcher.callerLeft(session, suspendAwareNow()));
 }
 
+/** Takes a caller's channel out of use; it is destroyed with the next tick. */
+void node::retire(std::unordered_map<session_number, std::unique_ptr<caller_channel>>::iterator caller)
+{
+    // Closing calls back: the channel must not be found any more.
+    m_closedCallers.push_back(std::move(caller->second));
+    m_callers.erase(caller);
+    m_closedCallers.back()->closeAfterWrite();
+}
+
 // Outputs of the dispatcher.
 
 void node::apply(dispatch_outputs outputs)
@@ -260,9 +267,7 @@
     const auto found = m_callers.find(action.session);
     if (found == m_callers.end())
         return;
-    found->second->closeAfterWrite();
-    m_closedCallers.push_back(std::move(found->second));
-    m_callers.erase(found);
+    retire(found);
     apply(m_dispatcher.callerLeft(action.session, suspendAwareNow()));
 }
 
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -43,6 +43,8 @@
     void handleCaller(session_number session, const platform::caller_message &message);
     void connectCaller(session_number session, const platform::connect_message &message);
     void closeCaller(session_number session, std::string_view reason);
+    void
+    retire(std::unordered_map<session_number, std::unique_ptr<caller_channel>>::iterator caller);
     void apply(dispatch_outputs outputs);
     void perform(const dispatch_action::reply_to_caller &action);
     void perform(const dispatch_action::accept_caller &action);
--- /dev/null
+++ b/standins/users_platform/store.py
@@ -0,0 +1,134 @@
+"""Stand-in of the users' platform store: rows with versions, conditional transactions, change feeds."""
+
+import asyncio
+import base64
+import json
+import time
+import urllib.parse
+
+HISTORY_ROWS = 10_000
+
+
+class Store:
+    def __init__(self):
+        self.rows = {}  # (table, key) -> (version, base64 value)
+        self.version = 0
+        self.history = []  # (version, table, key, base64 value or None)
+        self.changed = asyncio.Condition()
+        self.started = time.monotonic()
+        self.is_down = False
+        self.lost_answers = 0  # so many of the next transactions are performed and not answered
+        self.refused_callers = set()  # instances turned away, by their User-Agent-free address
+
+    def now_ms(self):
+        return int((time.monotonic() - self.started) * 1000)
+
+    def row(self, table, key):
+        version, value = self.rows[(table, key)]
+        return {"table": table, "part": "", "key": key, "value": value, "ver": version}
+
+    async def write(self, expected, written, removed):
+        """Returns the current rows of a failed condition, or None after success."""
+        for each in expected:
+            current = self.rows.get((each["table"], each["key"]), (0, None))
+            if current[0] != each["ver"]:
+                return [self.row(e["table"], e["key"]) for e in expected
+                        if (e["table"], e["key"]) in self.rows]
+        self.version += 1
+        for each in written:
+            self.rows[(each["table"], each["key"])] = (self.version, each["value"])
+            self.history.append((self.version, each["table"], each["key"], each["value"]))
+        for each in removed:
+            self.rows.pop((each["table"], each["key"]), None)
+            self.history.append((self.version, each["table"], each["key"], None))
+        self.history = self.history[-HISTORY_ROWS:]
+        async with self.changed:
+            self.changed.notify_all()
+        return None
+
+    async def put(self, table, key, document):
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        await self.write([], [{"table": table, "key": key, "value": value}], [])
+
+    async def drop(self, table, key):
+        await self.write([], [], [{"table": table, "key": key}])
+
+    def forget_history(self):
+        self.history = []
+
+    def changes(self, table, after):
+        latest = {}
+        for version, each_table, key, value in self.history:
+            if each_table == table and version > after:
+                latest[key] = (version, value)
+        return [{"table": table, "part": "", "key": key, "ver": version,
+                 **({"tombstone": True} if value is None else {"value": value})}
+                for key, (version, value) in sorted(latest.items(), key=lambda item: item[1][0])]
+
+    async def feed(self, table, after, wait_s):
+        oldest = self.history[0][0] if self.history else self.version + 1
+        if after + 1 < oldest and after < self.version:
+            return 410, {"error": "the history is gone"}
+        deadline = time.monotonic() + wait_s
+        while not (rows := self.changes(table, after)):
+            left = deadline - time.monotonic()
+            if left <= 0:
+                break
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
+        return 200, {"rows": rows, "ver": self.version, "now_ms": self.now_ms()}
+
+    async def answer(self, method, path, query, body):
+        if self.is_down:
+            return 503, {"error": "down"}
+        if (method, path) == ("POST", "/api/rows-tx"):
+            request = json.loads(body)
+            conflict = await self.write(request["expect"], request["set_keys"], request["remove"])
+            if self.lost_answers > 0:
+                self.lost_answers -= 1
+                return None
+            if conflict is not None:
+                return 412, {"rows": conflict, "ver": self.version, "now_ms": self.now_ms()}
+            return 200, {"ver": self.version, "now_ms": self.now_ms()}
+        if (method, path) == ("GET", "/api/rows-get"):
+            first, last = query.get("from", ""), query.get("target")
+            keys = sorted(key for table, key in self.rows
+                          if table == query["table"] and key >= first and (last is None or key < last))
+            rows = [self.row(query["table"], key) for key in keys]
+            return 200, {"rows": rows, "more_pages": False, "ver": self.version, "now_ms": self.now_ms()}
+        if (method, path) == ("GET", "/api/rows-feed"):
+            return await self.feed(query["table"], int(query["after"]), int(query["wait_ms"]) / 1000)
+        return 404, {"error": "unknown call"}
+
+
+async def serve_http(host, port, handler):
+    """Serves \"handler(method, path, query, headers, body)\", which returns a status and a document, or
+    None to close without an answer."""
+
+    async def handle(reader, writer):
+        try:
+            while request := await reader.readline():
+                method, target, _ = request.decode().split()
+                headers = {}
+                while (line := await reader.readline()).strip():
+                    name, value = line.decode().split(":", 1)
+                    headers[name.lower()] = value.strip()
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                parts = urllib.parse.urlsplit(target)
+                query = dict(urllib.parse.parse_qsl(parts.query))
+                answer = await handler(method, parts.path, query, headers, body)
+                if answer is None:
+                    break
+                text = json.dumps(answer[1]).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+                             b"Content-Length: %d\r\n\r\n" % (answer[0], len(text)) + text)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(handle, host, port)
