Never repeat a read outside of the transaction it belongs to

Ruled out: BEGIN refused before its statement; connections shared by two sessions. Test: DispatchTransactions. AReadInsideATransactionIsNotRepeatedOutsideOfIt, which failed before.

--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -19,9 +19,15 @@
     return code < statement_error::failed;
 }
 
-bool mayRepeat(const statement_job &job)
+/** A transaction that has not got beyond its first statement can begin again; a read inside of one
+ * can't run anywhere else.
+ */
+bool mayRepeat(const internal::caller_state &from)
 {
-    return job.startsTransaction || (job.access == statement_access::read && !job.commits);
+    const auto &job = *from.job;
+    if (from.state == session_state::inTransaction)
+        return job.startsTransaction;
+    return job.access == statement_access::read;
 }
 
 } // namespace
@@ -99,7 +105,7 @@
         from.job.reset();
         return from.leaving ? forget(from.number, now) : processNext(from, now);
     }
-    if (mayRepeat(job))
+    if (mayRepeat(from))
         return retryOrReject(from, server, {statement_error::aborted, std::string(why)}, true, now);
     const bool keepsNothing = inTransaction && (!job.commits || !from.wrote);
     if (keepsNothing)
@@ -305,7 +311,7 @@
     }
     if (job.answered)
         return connectionLost(from, server, "answered late", now);
-    const bool repeats = mayRepeat(job) || (!inTransaction && !ran);
+    const bool repeats = mayRepeat(from) || (!inTransaction && !ran);
     if (repeats)
         return retryOrReject(from, server, why, ran, now);
     const auto text = why.text.empty() ? std::string(nameOf(why.code)) : why.text;
