--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -33,6 +33,9 @@
 constexpr duration peerFetchInterval = 300ms;
 constexpr duration peerTimeout = 500ms;
 
+/** Between two readings of the list of servers because another instance knows a newer one. */
+constexpr duration serverRefreshInterval = 300ms;
+
 /** An instance that hears nothing from other data centres for so long is cut off. */
 constexpr duration isolationPatience = 300ms;
 /** Of the silence of a member in another data centre before it counts as out of reach. */
@@ -51,6 +54,9 @@
 /** The last moment to leave on time. */
 constexpr duration stopReserve = 500ms;
 
+/** Of the work that follows from who is live: below the interval of reports. */
+constexpr duration peerUpdateInterval = 100ms;
+
 constexpr char reportMark = 'R';
 constexpr char quotaMark = 'Q';
 constexpr duration newsDelay = 2ms;
@@ -274,10 +280,15 @@
 void node::perform(const dispatch_action::open_member &action)
 {
     const auto connection = action.connection;
-    const auto closed = [this, connection](std::optional<statement_error> refusal) {
+    const auto closed = [this, connection,
+                         server = action.server](std::optional<statement_error> refusal) {
         const auto found = m_members.find(connection);
         if (found == m_members.end())
             return;
+        m_log.write(line_importance::failure, "connection to member lost",
+                    {{"server", server.str()},
+                     {"error", refusal ? std::string(nameOf(*refusal)) : "closed"}},
+                    suspendAwareNow());
         m_closedMembers.push_back(std::move(found->second));
         m_members.erase(found);
         apply(m_dispatcher.closed(connection, refusal, suspendAwareNow()));
@@ -445,7 +456,17 @@
     }
     if (whole)
         m_roster.replace(entries, now);
-    m_serversRevision = std::max(m_serversRevision, content.revision);
+    // A snapshot covers all changes up to its revision; a question for changes that brought none
+    // must not count as news for others.
+    auto revision = whole ? content.revision : 0;
+    std::ranges::for_each(content.rows, [&](const platform::store_row &row) {
+        revision = std::max(revision, row.revision);
+    });
+    if (revision > m_serversRevision) {
+        m_serversRevision = revision;
+        if (!whole)
+            m_newsTimer.startOnce(newsDelay);
+    }
     applyServers();
 }
 
@@ -503,6 +524,11 @@
             report.configurationVersion > (m_directory ? m_directory->version : 0);
     if (newerConfiguration)
         m_configuration.refresh();
+    const bool newerServers = report.serversRevision > m_serversRevision;
+    if (newerServers && now - m_serversRefreshed >= serverRefreshInterval) {
+        m_serversRefreshed = now;
+        m_servers.refresh();
+    }
     if (newerConfiguration || (report.serversRevision > 0 && !m_roster.isKnown()))
         fetchFromPeer(report, now);
 }
@@ -567,11 +593,17 @@
 
 void node::updatePeers(time_point now)
 {
-    std::vector<holder_id> holders;
-    std::ranges::transform(m_peers.live(now), std::back_inserter(holders),
+    std::vector<placed_holder> holders{{holder_id(m_self.instance.str()), m_self.dataCentre}};
+    std::ranges::transform(m_peers.targets(now), std::back_inserter(holders),
+                           [](const instance_run &run) {
+                               return placed_holder{holder_id(run.instance.str()), run.dataCentre};
+                           });
+    std::ranges::sort(holders);
+    std::set<holder_id> live;
+    std::ranges::transform(m_peers.live(now), std::inserter(live, live.end()),
                            [](const instance_run &run) { return holder_id(run.instance.str()); });
+    m_quota.setHolders(holders, live, now);
     const auto count = m_peers.instanceCount(now);
-    m_quota.setPeers(holders, count, now);
     m_dispatcher.setInstanceCount(count);
     std::ranges::for_each(m_roster.entries(), [&](const server_entry &entry) {
         m_dispatcher.setOthersLoad(entry.id, m_peers.othersWorking(entry.id, now));
@@ -698,7 +730,10 @@
     m_closedMembers.clear();
     m_roster.tick(now);
     applyServers();
-    updatePeers(now);
+    if (now - m_peersUpdated >= peerUpdateInterval) {
+        m_peersUpdated = now;
+        updatePeers(now);
+    }
     m_views.tick(now);
     m_quota.tick(now);
     apply(m_dispatcher.tick(now));
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -127,6 +127,8 @@
     loop_timer m_reportTimer;
     loop_timer m_newsTimer;
 
+    time_point m_peersUpdated;
+    time_point m_serversRefreshed;
     bool m_ready = false;
     bool m_isolated = false;
     std::optional<time_point> m_apartSince;
--- a/programs/node/quota_gate.cpp
+++ b/programs/node/quota_gate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <ranges>
 #include <utility>
 
@@ -11,6 +12,9 @@
 
 namespace {
 
+/** Holders of parts of one workspace's rate: the size of a small fleet, where each is one. */
+constexpr std::size_t homesPerWorkspace = 6;
+
 quota_limit toLimit(const workspace_limit &limit)
 {
     const auto millitokens = static_cast<std::int64_t>(
@@ -42,29 +46,33 @@
             continue;
         known.limit = wanted;
         divide(workspace, known, now);
-        if (isNew)
-            step(workspace, quota_event::peers_changed{m_peers}, now);
     }
 }
 
-void quota_gate::setPeers(const std::vector<holder_id> &peers, std::size_t count, time_point now)
+void quota_gate::setHolders(const std::vector<placed_holder> &holders,
+                            const std::set<holder_id> &live, time_point now)
 {
-    const bool samePeers = peers == m_peers;
-    const bool sameCount = count == m_count;
-    m_peers = peers;
-    m_count = std::max<std::size_t>(count, 1);
-    for (const auto &[workspace, each] : m_shares) {
-        if (!sameCount)
-            divide(workspace, each, now);
-        if (!samePeers)
-            step(workspace, quota_event::peers_changed{m_peers}, now);
-    }
+    if (holders == m_holders && live == m_live)
+        return;
+    m_holders = holders;
+    m_live = live;
+    for (auto &[workspace, each] : m_shares)
+        divide(workspace, each, now);
 }
 
-void quota_gate::divide(const workspace_id &workspace, const share &of, time_point now)
+void quota_gate::divide(const workspace_id &workspace, share &of, time_point now)
 {
-    const auto part = of.limit.share(1, static_cast<std::int64_t>(m_count));
-    step(workspace, quota_event::share_changed{part, time_point::max()}, now);
+    of.homes = shareHomes(workspace, m_holders, homesPerWorkspace);
+    if (of.homes.empty())
+        of.homes = {m_self.holder};
+    const auto part = of.limit.share(1, static_cast<std::int64_t>(of.homes.size()));
+    const bool isHome = std::ranges::find(of.homes, m_self.holder) != of.homes.end();
+    std::vector<holder_id> lenders;
+    std::ranges::copy_if(of.homes, std::back_inserter(lenders),
+                         [this](const holder_id &each) { return m_live.contains(each); });
+    step(workspace, quota_event::peers_changed{lenders, part}, now);
+    step(workspace, quota_event::share_changed{isHome ? part : quota_limit{}, time_point::max()},
+         now);
 }
 
 void quota_gate::admit(const workspace_id &workspace, std::uint64_t request, time_point now)
--- a/programs/node/quota_gate.h
+++ b/programs/node/quota_gate.h
@@ -3,10 +3,12 @@
 
 #include "sycamorespan/src/Configuration/service_directory.h"
 #include "sycamorespan/src/Quota/quota_holder.h"
+#include "sycamorespan/src/Quota/share_homes.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace sycamorespan::node {
@@ -34,10 +36,11 @@
     quota_gate(holder_run self, handlers callbacks);
 
     void setWorkspaces(const std::map<workspace_id, workspace_limit> &workspaces, time_point now);
-    /** \param peers  the other live instances
-     *  \param count  instances among which each rate is divided
+    /** \param holders  all instances that may hold shares, this one included
+     *  \param live     of them: the other ones that answer
      */
-    void setPeers(const std::vector<holder_id> &peers, std::size_t count, time_point now);
+    void setHolders(const std::vector<placed_holder> &holders, const std::set<holder_id> &live,
+                    time_point now);
 
     void admit(const workspace_id &workspace, std::uint64_t request, time_point now);
     void cancel(const workspace_id &workspace, std::uint64_t request, time_point now);
@@ -49,16 +52,17 @@
     struct share
     {
         quota_limit limit;
+        std::vector<holder_id> homes;
         std::unique_ptr<quota_holder> holder;
     };
 
     void step(const workspace_id &workspace, const quota_input &event, time_point now);
-    void divide(const workspace_id &workspace, const share &of, time_point now);
+    void divide(const workspace_id &workspace, share &of, time_point now);
 
     holder_run m_self;
     handlers m_handlers;
-    std::size_t m_count = 1;
-    std::vector<holder_id> m_peers;
+    std::vector<placed_holder> m_holders;
+    std::set<holder_id> m_live;
     std::map<workspace_id, share> m_shares;
 };
 
--- a/sycamorespan/src/Quota/quota_holder.cpp
+++ b/sycamorespan/src/Quota/quota_holder.cpp
@@ -116,10 +116,11 @@
     std::erase_if(m_peers, [&](const auto &entry) {
         return std::ranges::find(event.peers, entry.first) == event.peers.end();
     });
+    m_peerShare = event.peerShare;
     for (const auto &id : event.peers) {
         const auto [entry, added] = m_peers.try_emplace(id);
         if (added) {
-            entry->second.levelHint = m_bucket.limit().burst;
+            entry->second.levelHint = m_peerShare.value_or(m_bucket.limit()).burst;
             entry->second.hintTaken = now;
         }
     }
@@ -379,7 +380,7 @@
 {
     if (of.pending && now < of.pending->sent + m_policy.silentPause)
         return {};
-    const auto share = m_bucket.limit();
+    const auto share = m_peerShare.value_or(m_bucket.limit());
     const auto elapsed = std::min<duration>(now - of.hintTaken, m_policy.borrowIntervalLimit);
     return of.levelHint + share.rate * elapsed;
 }
--- a/sycamorespan/src/Quota/quota_holder.h
+++ b/sycamorespan/src/Quota/quota_holder.h
@@ -67,6 +67,8 @@
 struct peers_changed
 {
     std::vector<holder_id> peers;
+    /** Share of each of them; nothing: as this holder's own. */
+    std::optional<quota_limit> peerShare = {};
 };
 
 /** \brief A message from another holder. */
@@ -237,6 +239,7 @@
     holder_run m_self;
     quota_policy m_policy;
     token_bucket m_bucket;
+    std::optional<quota_limit> m_peerShare;
     time_point m_shareValidUntil;
     std::deque<waiting_request> m_waiting;
     std::vector<voucher> m_vouchers;
