Floors from the supervisor, one opening for each statement, refusals at once without a view

Cause: on the grown sites every read went to a primary until traffic had brought a floor, each waiting statement opened a connection at all three members, and statements without a usable primary waited out their time.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -70,6 +70,14 @@
     return limits;
 }
 
+peer_report briefly(peer_report report)
+{
+    report.views.clear();
+    report.viewsConfirmed.reset();
+    report.databases.clear();
+    return report;
+}
+
 std::string readFile(const std::string &path)
 {
     std::ifstream file(path);
@@ -148,7 +156,7 @@
     , m_newsTimer(loop, [this] { sendReports(); })
 {
     m_tick.startRepeating(tickInterval);
-    m_reportTimer.startOnce(m_peers.interval());
+    m_reportTimer.startOnce(m_peers.fullInterval());
     m_log.write(line_importance::state, "started",
                 {{"instance", m_self.instance.str()},
                  {"boot", std::to_string(m_self.boot)},
@@ -581,14 +589,31 @@
     return report;
 }
 
+/** In a large fleet the supervisor is told everything and tells everything to all; between the
+ * others brief reports, at longer intervals, show who lives and who works where.
+ */
 void node::sendReports()
 {
     const auto now = suspendAwareNow();
-    const auto bytes = reportMark + encodePeerReport(makeReport(now));
+    const auto report = makeReport(now);
+    const auto full = reportMark + encodePeerReport(report);
+    const auto &supervisor = report.supervisor;
+    const bool tellsAll = m_peers.isSmall() || m_views.isHolder()
+                          || !report.supervisorSilence
+                          || *report.supervisorSilence > m_peers.fullInterval() * 3;
+    const bool broadcasts = now - m_broadcast >= m_peers.interval();
+    std::string brief;
+    if (!tellsAll && broadcasts)
+        brief = reportMark + encodePeerReport(briefly(report));
+    if (broadcasts)
+        m_broadcast = now;
     std::ranges::for_each(m_peers.targets(now), [&](const instance_run &run) {
-        m_reports.send(parseEndpoint(run.address), bytes);
+        if (tellsAll || run.instance == supervisor)
+            m_reports.send(parseEndpoint(run.address), full);
+        else if (!brief.empty())
+            m_reports.send(parseEndpoint(run.address), brief);
     });
-    m_reportTimer.startOnce(m_peers.interval());
+    m_reportTimer.startOnce(m_peers.fullInterval());
 }
 
 void node::updatePeers(time_point now)
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -127,6 +127,7 @@
     loop_timer m_reportTimer;
     loop_timer m_newsTimer;
 
+    time_point m_broadcast;
     time_point m_peersUpdated;
     time_point m_serversRefreshed;
     bool m_ready = false;
--- a/programs/node/quota_gate.cpp
+++ b/programs/node/quota_gate.cpp
@@ -12,8 +12,20 @@
 
 namespace {
 
-/** Holders of parts of one workspace's rate: the size of a small fleet, where each is one. */
-constexpr std::size_t homesPerWorkspace = 6;
+/** A fleet in which each instance holds a part of every rate. */
+constexpr std::size_t smallFleet = 6;
+/** In a larger one each data centre has a home, and no rate rests on fewer than three. */
+constexpr std::size_t fewestHomes = 3;
+
+std::size_t homeCount(const std::vector<placed_holder> &holders)
+{
+    if (holders.size() <= smallFleet)
+        return smallFleet;
+    std::set<data_centre_id> dataCentres;
+    std::ranges::transform(holders, std::inserter(dataCentres, dataCentres.end()),
+                           &placed_holder::dataCentre);
+    return std::max(dataCentres.size(), fewestHomes);
+}
 
 quota_limit toLimit(const workspace_limit &limit)
 {
@@ -62,7 +74,7 @@
 
 void quota_gate::divide(const workspace_id &workspace, share &of, time_point now)
 {
-    of.homes = shareHomes(workspace, m_holders, homesPerWorkspace);
+    of.homes = shareHomes(workspace, m_holders, homeCount(m_holders));
     if (of.homes.empty())
         of.homes = {m_self.holder};
     const auto part = of.limit.share(1, static_cast<std::int64_t>(of.homes.size()));
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -18,6 +18,8 @@
 constexpr duration confirmInterval = 600ms;
 /** Whoever has not heard of a confirmation for so long reads for itself. */
 constexpr duration confirmMissing = 1100ms;
+/** In a large fleet that would be a crowd at the store: later instances wait longer. */
+constexpr duration confirmPatience = 600ms;
 constexpr duration ownReadInterval = 400ms;
 constexpr duration storeTimeout = 600ms; ///< thirty usual answers
 constexpr duration writeTimeout = 1s;
@@ -38,6 +40,9 @@
 constexpr int suspectFailures = 2; ///< openings in a row
 constexpr duration demotionMemory = 1s;
 
+/** A floor is renewed at this age: half of the smallest staleness bound in use. */
+constexpr duration floorAge = 700ms;
+
 constexpr duration askTimeout = 400ms;
 constexpr duration askRepeat = 25ms; ///< after a refusal for want of a slot
 constexpr duration controlIdle = 3s; ///< then a connection for supervision is closed
@@ -71,6 +76,7 @@
     , m_ledger(view_policy{})
     , m_election(self.instance, self.boot, election_policy{}, suspendAwareNow())
     , m_supervisor(supervisionPolicy(), view_policy{})
+    , m_readOrder(uniformUnit(m_random))
     , m_promotionTook(usualPromotion)
 { }
 
@@ -89,6 +95,7 @@
     m_ledger.setRegistered(m_peers.registered(), m_self.instance);
     elect(now);
     supervise(now);
+    refreshFloors(now);
     checkAsked(now);
     applyViews(now);
     dropForgotten(now);
@@ -131,7 +138,8 @@
         return;
     const auto latest = m_store.clock().latest(now);
     const auto confirmed = m_ledger.confirmed();
-    const bool missing = !latest || !confirmed || *latest - *confirmed > confirmMissing;
+    const auto patience = fromSeconds(toSeconds(confirmPatience) * m_readOrder);
+    const bool missing = !latest || !confirmed || *latest - *confirmed > confirmMissing + patience;
     const bool due = m_election.isHolder() ? now - m_lastRead > confirmInterval
                                            : missing && now - m_lastRead > ownReadInterval;
     const bool needed = m_election.needsRead() && now - m_lastRead > ownReadInterval;
@@ -179,6 +187,8 @@
         m_registeredRevision = 0;
     m_ledger.applySnapshot(views, answer.content.clock);
     applyViews(now);
+    if (m_election.isHolder())
+        m_handlers.onNews(); // the others wait for the confirmation
 }
 
 void view_keeper::received(const peer_report &report, time_point now)
@@ -307,6 +317,23 @@
         carryOut(m_supervisor.tick(surroundings(now), now), now);
 }
 
+/** Asks primaries for their position where no statement has brought one lately: without a floor
+ * every read goes to the primary, such as all of them at once after a start.
+ */
+void view_keeper::refreshFloors(time_point now)
+{
+    if (!m_election.isHolder())
+        return;
+    for (const auto &[database, state] : m_releases) {
+        const auto *view = m_ledger.find(database);
+        if (!state.isUsable || !view)
+            continue;
+        const auto floor = m_dispatcher.newestFloor(database);
+        if (!floor || now - floor->coversUntil > floorAge)
+            ask(view->primary, member_statement::status{}, now);
+    }
+}
+
 void view_keeper::carryOut(const change_outputs &outputs, time_point now)
 {
     std::ranges::for_each(outputs, [&](const change_output &output) {
@@ -444,6 +471,13 @@
         return;
     control.asked.reset();
     const auto now = suspendAwareNow();
+    const auto *view = m_ledger.find(control.database);
+    const auto release = m_releases.find(control.database);
+    const bool leads = status && status->role == replication_role::primary && view
+                       && view->primary == server && view->term == status->term
+                       && release != m_releases.end() && release->second.isUsable;
+    if (leads)
+        m_dispatcher.addFloor(control.database, {status->received, control.askedAt}, now);
     carryOut(m_supervisor.memberAnswered(control.database, server, status, surroundings(now), now),
              now);
 }
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -84,6 +84,7 @@
     void takeRows(const store_answer &answer);
     void elect(time_point now);
     void supervise(time_point now);
+    void refreshFloors(time_point now);
     void carryOut(const change_outputs &outputs, time_point now);
     void perform(const change_action::write_view &action, time_point now);
     void perform(const change_action::read_views &action, time_point now);
@@ -126,6 +127,7 @@
     bool m_leaving = false;
     time_point m_lastRead;
     time_point m_registerAfter;
+    double m_readOrder; ///< this instance's place among those that read for themselves, 0 to 1
     duration m_promotionTook;
 };
 
--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -82,6 +82,8 @@
                            && primary->term == state.primary->term;
     if (primary && !sameReign)
         state.floors.clear();
+    if (!primary && state.primary)
+        state.primaryMissingSince = now;
     state.primary = std::move(primary);
     state.primaryClosing = false;
     if (state.primary)
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -29,6 +29,14 @@
     double primaryReadPenalty = 2; ///< statements; writes have nowhere else to go
     double openingPenalty = 1; ///< statements; an opening takes a slot for a third of a read
     duration otherDataCentrePenalty = 1ms; ///< a round trip between data centres
+    /** Connections to a member where the fair part is below scarceBelow: an instance of a large
+     * fleet seldom uses its part, so that it may exceed it for a moment.
+     */
+    std::size_t scarceConnections = 4;
+    std::size_t scarceBelow = 3;
+    duration scarceIdle = 120ms; ///< then such a connection is closed; twice a usual statement
+    duration missingPrimaryPatience = 250ms; ///< without a view or news of a change
+    double spread = 0.2; ///< of scores, so that instances don't all choose the same member
     std::size_t reservedConnections = 2; ///< of each member's limit, for supervision
     std::size_t queueLimit = 400; ///< statements of one database; two seconds of its capacity
     int attemptsLimit = 8;
@@ -151,6 +159,7 @@
     {
         std::vector<session_number> queue;
         std::optional<usable_primary> primary;
+        time_point primaryMissingSince;
         bool primaryClosing = false; ///< it gets nothing new
         std::optional<time_point> primaryExpected;
         std::optional<time_point> primaryRefused; ///< it last said that it is a replica
@@ -217,7 +226,9 @@
     };
     std::vector<candidate> candidates(const caller &from, database_state &group, time_point now);
     double scoreOf(const member_pool &pool, const caller &from, bool isPrimary) const;
-    bool usePool(caller &from, const candidate &chosen, time_point now);
+    bool useIdle(caller &from, const candidate &chosen, time_point now);
+    bool openFor(caller &from, const candidate &chosen, time_point now);
+    std::string preparedNameFor(const caller &from) const;
     void run(caller &from, member_pool &pool, member_connection &connection,
              std::optional<log_position> floor, time_point now);
     void send(caller &from, member_connection &connection, bool withBegin, time_point now);
@@ -225,9 +236,11 @@
                        std::vector<outgoing_statement> before, time_point now);
     std::vector<outgoing_statement> setup(const caller &from, member_connection &connection,
                                           time_point now) const;
-    void open(member_pool &pool, const database_id &database, const workspace_id &workspace,
-              time_point now);
+    connection_id open(member_pool &pool, const database_id &database,
+                       const workspace_id &workspace, time_point now);
+    std::size_t fairConnections(const member_pool &pool) const;
     std::size_t connectionBudget(const member_pool &pool) const;
+    bool canBeServed(const caller &from, const database_state &group, time_point now) const;
     bool mayUse(const member_pool &pool, time_point now) const;
     bool hasLeft(const member_pool &pool, time_point now) const;
     bool viewHolds(const database_state &group, time_point now) const;
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -402,14 +402,16 @@
     };
     std::vector<overdue> late;
     for (auto &pool : m_pools | std::views::values) {
+        const bool scarce = fairConnections(pool) < m_policy.scarceBelow;
         for (const auto &each : pool.connections() | std::views::values) {
             const bool slowOpening = each.state == member_connection::phase::opening
                                      && now - each.since > m_policy.openTimeout;
             const bool slowRollback = each.state == member_connection::phase::finishing
                                       && now - each.since > m_policy.rollbackTimeout;
-            const bool surplus = each.state == member_connection::phase::idle
-                                 && pool.connections().size() > connectionBudget(pool);
-            if (slowOpening || slowRollback || surplus)
+            const bool idle = each.state == member_connection::phase::idle;
+            const bool surplus = idle && pool.connections().size() > connectionBudget(pool);
+            const bool unused = idle && scarce && now - each.since > m_policy.scarceIdle;
+            if (slowOpening || slowRollback || surplus || unused)
                 late.push_back({&pool, each.id, each.session});
             if (surplus)
                 break;
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -1,3 +1,4 @@
+#include "sycamorespan/src/Core/rendezvous_hash.h"
 #include "sycamorespan/src/Dispatch/dispatcher.h"
 
 #include <algorithm>
@@ -48,7 +49,8 @@
     return known == m_times.end() ? route_times{}.meanSeconds : known->second.meanSeconds;
 }
 
-std::size_t dispatcher::connectionBudget(const member_pool &pool) const
+/** An equal part of what a member takes from all instances. */
+std::size_t dispatcher::fairConnections(const member_pool &pool) const
 {
     const auto known = m_directory->databases.find(pool.entry().database);
     if (known == m_directory->databases.end())
@@ -59,6 +61,12 @@
     return std::max<std::size_t>(shared / m_instances, 1);
 }
 
+std::size_t dispatcher::connectionBudget(const member_pool &pool) const
+{
+    const auto fair = fairConnections(pool);
+    return fair < m_policy.scarceBelow ? m_policy.scarceConnections : fair;
+}
+
 bool dispatcher::mayUse(const member_pool &pool, time_point now) const
 {
     if (pool.avoided(now))
@@ -93,37 +101,49 @@
     std::ranges::sort(group.queue, {}, keyOf);
 }
 
+/** \returns whether a member that may be used now could answer the statement. */
+bool dispatcher::canBeServed(const caller &from, const database_state &group, time_point now) const
+{
+    if (primaryUsable(group, now))
+        return true;
+    return !from.job->needsPrimary && requiredFloor(from, group, now).has_value();
+}
+
 /** Refuses what can't be answered before its deadline. */
 void dispatcher::refuseHopeless(database_state &group, time_point now)
 {
     std::vector<std::pair<session_number, std::string>> hopeless;
-    const bool primaryMissing = !primaryUsable(group, now);
-    const double backlogRate = group.completionsPerSecond;
+    const auto wait = [now](time_point until) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - now);
+        return std::to_string(std::max<std::int64_t>(left.count(), 0)) + " ms";
+    };
     std::size_t ahead = 0;
     for (const auto number : group.queue) {
         const auto &from = m_callers.at(number);
         const auto work = fromSeconds(meanOf(from));
-        if (from.job->needsPrimary && primaryMissing && group.primaryExpected
-            && *group.primaryExpected + work > from.job->deadline) {
-            const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
-                    std::max(*group.primaryExpected - now, duration::zero()));
-            hopeless.emplace_back(number,
-                                  "database " + from.route.database.str()
-                                          + " is changing its primary; retry after "
-                                          + std::to_string(wait.count()) + " ms");
+        const auto name = from.route.database.str();
+        if (!canBeServed(from, group, now)) {
+            const auto patience = group.primaryMissingSince + m_policy.missingPrimaryPatience;
+            const auto expected = group.primaryExpected.value_or(patience);
+            if (expected + work > from.job->deadline)
+                hopeless.emplace_back(number, "database " + name
+                                                      + " is changing its primary; retry after "
+                                                      + wait(expected));
+            else if (!group.primaryExpected && now > patience)
+                hopeless.emplace_back(number, "no primary of database " + name
+                                                      + " is known here; retry elsewhere");
             continue;
         }
-        if (!primaryMissing && backlogRate > 0
-            && now + fromSeconds(static_cast<double>(ahead) / backlogRate) + work
-                       > from.job->deadline) {
-            const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
-                    fromSeconds(static_cast<double>(ahead) / backlogRate));
-            hopeless.emplace_back(number, "the queue of database " + from.route.database.str()
+        const auto backlog =
+                group.completionsPerSecond > 0
+                        ? fromSeconds(static_cast<double>(ahead) / group.completionsPerSecond)
+                        : duration::zero();
+        if (now + backlog + work > from.job->deadline)
+            hopeless.emplace_back(number, "the queue of database " + name
                                                   + " is longer than the time left; retry after "
-                                                  + std::to_string(wait.count()) + " ms");
-            continue;
-        }
-        ++ahead;
+                                                  + wait(now + backlog));
+        else
+            ++ahead;
     }
     std::ranges::for_each(hopeless, [&](const auto &each) {
         if (auto *from = findCaller(each.first))
@@ -176,7 +196,11 @@
     double score = mean * pool.slowness() * (1 + queueing);
     if (pool.entry().dataCentre != m_own)
         score += toSeconds(m_policy.otherDataCentrePenalty);
-    return score;
+    // What is known of others' load is old in a large fleet; without a spread all instances would
+    // turn to the same member together.
+    const auto draw = rendezvousWeight(from.job->request.id, pool.entry().id.str());
+    constexpr double largestDraw = 18446744073709551616.0; // 2^64
+    return score * (1 + m_policy.spread * static_cast<double>(draw) / largestDraw);
 }
 
 std::vector<dispatcher::candidate> dispatcher::candidates(const caller &from, database_state &group,
@@ -186,9 +210,7 @@
     const bool usable = primaryUsable(group, now);
     const auto add = [&](member_pool &pool, std::optional<log_position> floor, bool primary) {
         double score = scoreOf(pool, from, primary);
-        const auto &execute = executeOf(*from.job);
-        const auto name = execute ? preparedNameOf(from.prepared.at(execute->name)) : std::string();
-        if (!pool.idleFor(from.workspace, from.values, name))
+        if (!pool.idleFor(from.workspace, from.values, preparedNameFor(from)))
             score += m_policy.openingPenalty * meanOf(from);
         if (from.job->excluded.contains(pool.entry().id))
             score += toSeconds(1s);
@@ -222,35 +244,46 @@
     return found;
 }
 
-/** \returns whether the statement was sent; otherwise it goes on waiting. */
+/** Sends the statement on an idle connection, or sees to it that one is opened: one at a time for
+ * each statement, as an opening takes a slot of the member.
+ * \returns whether the statement was sent; otherwise it goes on waiting
+ */
 bool dispatcher::place(caller &from, database_state &group, time_point now)
 {
     const auto choices = candidates(from, group, now);
-    return std::ranges::any_of(choices,
-                               [&](const candidate &each) { return usePool(from, each, now); });
+    if (std::ranges::any_of(choices,
+                            [&](const candidate &each) { return useIdle(from, each, now); }))
+        return true;
+    const auto *pool = from.job->opening != 0 ? poolOf(from.job->opening) : nullptr;
+    if (pool && pool->isOpening(from.job->opening))
+        return false;
+    from.job->opening = 0;
+    std::ranges::any_of(choices,
+                        [&](const candidate &each) { return openFor(from, each, now); });
+    return false;
 }
 
-/** \returns whether the statement was sent to a member of \a chosen; opens a connection if it
- * needs one and there may be one more.
- */
-bool dispatcher::usePool(caller &from, const candidate &chosen, time_point now)
+std::string dispatcher::preparedNameFor(const caller &from) const
 {
-    auto &pool = *chosen.pool;
     const auto *execute = executeOf(*from.job);
-    const auto name = execute ? preparedNameOf(from.prepared.at(execute->name)) : std::string();
-    if (auto *idle = pool.idleFor(from.workspace, from.values, name)) {
-        run(from, pool, *idle, chosen.floor, now);
-        return true;
-    }
-    if (!pool.mayOpen(now))
+    return execute ? preparedNameOf(from.prepared.at(execute->name)) : std::string();
+}
+
+/** \returns whether the statement was sent on an idle connection to the candidate. */
+bool dispatcher::useIdle(caller &from, const candidate &chosen, time_point now)
+{
+    auto *idle = chosen.pool->idleFor(from.workspace, from.values, preparedNameFor(from));
+    if (!idle)
         return false;
-    const auto waitingHere = std::ranges::count_if(
-            m_databases.at(from.route.database).queue, [&](session_number number) {
-                const auto &other = m_callers.at(number);
-                return other.workspace == from.workspace && other.job
-                       && other.job->at == job_stage::queued;
-            });
-    if (pool.openingFor(from.workspace) >= static_cast<std::size_t>(waitingHere))
+    run(from, *chosen.pool, *idle, chosen.floor, now);
+    return true;
+}
+
+/** \returns whether a connection to the candidate is being opened now for the statement. */
+bool dispatcher::openFor(caller &from, const candidate &chosen, time_point now)
+{
+    auto &pool = *chosen.pool;
+    if (!pool.mayOpen(now))
         return false;
     if (pool.connections().size() >= connectionBudget(pool)) {
         auto *victim = pool.longestIdleOfOthers(from.workspace, now, m_policy.evictionIdle);
@@ -258,18 +291,19 @@
             return false;
         drop(pool, victim->id, now);
     }
-    open(pool, from.route.database, from.workspace, now);
-    return false;
+    from.job->opening = open(pool, from.route.database, from.workspace, now);
+    return true;
 }
 
-void dispatcher::open(member_pool &pool, const database_id &database, const workspace_id &workspace,
-                      time_point now)
+connection_id dispatcher::open(member_pool &pool, const database_id &database,
+                               const workspace_id &workspace, time_point now)
 {
     const auto id = ++m_lastConnection;
     pool.add(id, workspace, now);
     m_connectionServers.emplace(id, pool.entry().id);
     m_outputs.push_back(
             open_member{id, pool.entry().id, database, pool.entry().address, workspace});
+    return id;
 }
 
 /** Gives the connection to the caller's statement and sends it. */
--- a/sycamorespan/src/Dispatch/member_pool.cpp
+++ b/sycamorespan/src/Dispatch/member_pool.cpp
@@ -92,13 +92,11 @@
     return found == m_connections.end() ? nullptr : &found->second;
 }
 
-std::size_t member_pool::openingFor(const workspace_id &workspace) const
+bool member_pool::isOpening(connection_id id) const
 {
-    const auto isOpening = [&](const member_connection &each) {
-        return each.state == member_connection::phase::opening && each.workspace == workspace;
-    };
-    return static_cast<std::size_t>(
-            std::ranges::count_if(m_connections | std::views::values, isOpening));
+    const auto found = m_connections.find(id);
+    return found != m_connections.end()
+           && found->second.state == member_connection::phase::opening;
 }
 
 std::size_t member_pool::working() const
--- a/sycamorespan/src/Dispatch/member_pool.h
+++ b/sycamorespan/src/Dispatch/member_pool.h
@@ -67,7 +67,7 @@
     std::map<connection_id, member_connection> &connections() { return m_connections; }
     const std::map<connection_id, member_connection> &connections() const { return m_connections; }
 
-    std::size_t openingFor(const workspace_id &workspace) const;
+    bool isOpening(connection_id id) const;
 
     /** \returns connections that carry a statement or an open transaction. */
     std::size_t working() const;
--- a/sycamorespan/src/Membership/peer_table.cpp
+++ b/sycamorespan/src/Membership/peer_table.cpp
@@ -13,8 +13,20 @@
 
 duration peer_table::interval() const
 {
-    const auto count = static_cast<std::int64_t>(m_peers.size() + 1);
-    return std::max(m_policy.reportInterval, m_policy.intervalPerInstance * count);
+    if (isSmall())
+        return m_policy.reportInterval;
+    return m_policy.intervalPerInstance * static_cast<std::int64_t>(m_peers.size() + 1);
+}
+
+duration peer_table::fullInterval() const
+{
+    return isSmall() ? m_policy.reportInterval : m_policy.supervisorInterval;
+}
+
+duration peer_table::silenceLimit() const
+{
+    return isSmall() ? interval() * m_policy.missedReports
+                     : interval() * m_policy.missedBriefReports;
 }
 
 void peer_table::setRegistered(const std::vector<instance_run> &instances, time_point now)
@@ -150,10 +162,11 @@
 std::optional<bool> peer_table::hearsOtherDataCentres(time_point now) const
 {
     std::optional<bool> hears;
-    for (const auto &[id, each] : m_peers) {
+    for (const auto &each : m_peers | std::views::values) {
         if (each.run.dataCentre == m_self.dataCentre)
             continue;
-        hears = hears.value_or(false) || isLive(id, now);
+        const bool heard = each.heard && now - *each.heard < m_policy.dataCentreSilence;
+        hears = hears.value_or(false) || heard;
     }
     return hears;
 }
--- a/sycamorespan/src/Membership/peer_table.h
+++ b/sycamorespan/src/Membership/peer_table.h
@@ -14,8 +14,15 @@
 struct peer_policy
 {
     duration reportInterval = 150ms; ///< of a small fleet
-    duration intervalPerInstance = 12ms; ///< bounds an instance's reports to 83 a second
+    std::size_t smallFleet = 12; ///< instances that tell each other everything
+    /** Interval of full reports to and from the supervisor in a larger fleet: a fifth of a view's
+     * validity.
+     */
+    duration supervisorInterval = 500ms;
+    duration intervalPerInstance = 24ms; ///< bounds an instance's brief reports to 42 a second
     int missedReports = 5; ///< until an instance counts as silent
+    int missedBriefReports = 3;
+    duration dataCentreSilence = 750ms; ///< of all instances of the other data centres
     duration forgetAfter = 60s; ///< of silence, unless registered again
 
     auto operator<=>(const peer_policy &) const = default;
@@ -73,8 +80,14 @@
     /** \returns registered instances that have been silent for long. */
     std::vector<instance_run> forgotten(time_point now) const;
 
+    /** \returns whether every instance tells every other one everything. */
+    bool isSmall() const { return m_peers.size() < m_policy.smallFleet; }
+
+    /** \returns the time between two reports to the same instance. */
     duration interval() const;
-    duration silenceLimit() const { return interval() * m_policy.missedReports; }
+    /** \returns the time between two full reports. */
+    duration fullInterval() const;
+    duration silenceLimit() const;
 
 private:
     struct peer
