--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -597,7 +597,8 @@
     };
     if (!state.isUsable)
         return finish();
-    m_dispatcher.closePrimary(view.database);
+    m_dispatcher.closePrimary(view.database, now);
+    m_dispatcher.expectPrimary(view.database, now + m_promotionTook + usualSurvey);
     if (!state.cutIdle && (!view.planned || now - state.since > plannedRelease / 2)) {
         state.cutIdle = true;
         m_handlers.onDispatch(m_dispatcher.endIdleTransactions(view.database, now));
--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -82,7 +82,7 @@
                            && primary->term == state.primary->term;
     if (primary && !sameReign)
         state.floors.clear();
-    if (!primary && state.primary)
+    if (!primary && state.primary && !state.primaryClosing)
         state.primaryMissingSince = now;
     state.primary = std::move(primary);
     state.primaryClosing = false;
@@ -92,9 +92,11 @@
     return take();
 }
 
-void dispatcher::closePrimary(const database_id &database)
+void dispatcher::closePrimary(const database_id &database, time_point now)
 {
-    m_databases[database].primaryClosing = true;
+    auto &state = m_databases[database];
+    if (!std::exchange(state.primaryClosing, true))
+        state.primaryMissingSince = now;
 }
 
 void dispatcher::expectPrimary(const database_id &database, std::optional<time_point> at)
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -92,7 +92,7 @@
     dispatch_outputs setPrimary(const database_id &database, std::optional<usable_primary> primary,
                                 time_point now);
     /** \brief The primary gets nothing new; open transactions may go on. */
-    void closePrimary(const database_id &database);
+    void closePrimary(const database_id &database, time_point now);
     /** \param at  when the next primary is expected; callers that can't wait are refused */
     void expectPrimary(const database_id &database, std::optional<time_point> at);
     void addFloor(const database_id &database, const freshness_floor &floor, time_point now);
