--- a/programs/node/coordination_rows.cpp
+++ b/programs/node/coordination_rows.cpp
@@ -92,21 +92,19 @@
 std::optional<supervisor_claim> decodeClaim(std::string_view value, std::uint64_t revision)
 {
     return decode<supervisor_claim>(value, [&](const json &fields) {
-        return std::optional(supervisor_claim{revision,
-                                              instance_id(fields.at("holder").get<std::string>()),
-                                              fields.at("boot").get<std::uint64_t>(),
-                                              fields.at("fence").get<std::uint64_t>()});
+        return std::optional(supervisor_claim{
+                revision, instance_id(fields.at("holder").get<std::string>()),
+                fields.at("boot").get<std::uint64_t>(), fields.at("fence").get<std::uint64_t>()});
     });
 }
 
 std::optional<instance_run> decodeInstance(std::string_view value)
 {
     return decode<instance_run>(value, [&](const json &fields) {
-        return std::optional(
-                instance_run{instance_id(fields.at("instance").get<std::string>()),
-                             fields.at("boot").get<std::uint64_t>(),
-                             fields.at("address").get<std::string>(),
-                             data_centre_id(fields.at("data_centre").get<std::string>())});
+        return std::optional(instance_run{
+                instance_id(fields.at("instance").get<std::string>()),
+                fields.at("boot").get<std::uint64_t>(), fields.at("address").get<std::string>(),
+                data_centre_id(fields.at("data_centre").get<std::string>())});
     });
 }
 
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -114,9 +114,9 @@
     , m_quota({holder_id(m_settings.instance.str()), m_self.boot},
               {[this](const quota_verdict &verdict) {
                    const auto now = suspendAwareNow();
-                   apply(verdict.isAdmitted
-                                 ? m_dispatcher.admitted(verdict.request, now)
-                                 : m_dispatcher.throttled(verdict.request, verdict.retryAfter, now));
+                   apply(verdict.isAdmitted ? m_dispatcher.admitted(verdict.request, now)
+                                            : m_dispatcher.throttled(verdict.request,
+                                                                     verdict.retryAfter, now));
                },
                [this](const holder_id &to, const quota_message &message) {
                    const auto *report = m_peers.reportOf(instance_id(to.str()));
@@ -126,11 +126,10 @@
                    m_reports.send(parseEndpoint(report->sender.address),
                                   quotaMark + std::string(bytes.begin(), bytes.end()));
                }})
-    , m_configuration(
-              loop, m_store, platform::table_name::operatorTable, feedWait, m_random,
-              {[this](const platform::store_rows &content) { takeConfiguration(content); },
-               [this](const platform::store_rows &content) { takeConfiguration(content); },
-               [this](bool answered) { noteContact(answered); }})
+    , m_configuration(loop, m_store, platform::table_name::operatorTable, feedWait, m_random,
+                      {[this](const platform::store_rows &content) { takeConfiguration(content); },
+                       [this](const platform::store_rows &content) { takeConfiguration(content); },
+                       [this](bool answered) { noteContact(answered); }})
     , m_servers(loop, m_store, platform::table_name::servers, feedWait, m_random,
                 {[this](const platform::store_rows &content) { takeServers(content, true); },
                  [this](const platform::store_rows &content) { takeServers(content, false); },
@@ -147,7 +146,9 @@
                        [this](file_descriptor socket) { accept(std::move(socket)); })
     , m_readiness(loop, m_settings.readiness, readinessLimits(), readinessHandlers())
     , m_admin(loop, reportAddress(),
-              {m_metrics.registry(), [this] { return state(); }, [this] { return m_ready; },
+              {m_metrics.registry(),
+               [this] { return state(); },
+               [this] { return m_ready; },
                {},
                {{"/configuration", [this] { return m_configurationText; }},
                 {"/servers", [this] { return json(m_serverTexts).dump(); }}}})
@@ -224,7 +225,8 @@
 }
 
 /** Takes a caller's channel out of use; it is destroyed with the next tick. */
-void node::retire(std::unordered_map<session_number, std::unique_ptr<caller_channel>>::iterator caller)
+void node::retire(
+        std::unordered_map<session_number, std::unique_ptr<caller_channel>>::iterator caller)
 {
     // Closing calls back: the channel must not be found any more.
     m_closedCallers.push_back(std::move(caller->second));
@@ -302,21 +304,20 @@
         apply(m_dispatcher.closed(connection, refusal, suspendAwareNow()));
     };
     try {
-        m_members.emplace(
-                connection,
-                std::make_unique<member_channel>(
-                        m_loop, parseEndpoint(action.address), action.database, action.workspace,
-                        action.server,
-                        member_channel::handlers{
-                                [this, connection](std::optional<log_position> position) {
-                                    apply(m_dispatcher.opened(connection, position,
-                                                              suspendAwareNow()));
-                                },
-                                [this, connection](const statement_answer &answer) {
-                                    apply(m_dispatcher.answered(connection, answer,
-                                                                suspendAwareNow()));
-                                },
-                                closed}));
+        m_members.emplace(connection,
+                          std::make_unique<member_channel>(
+                                  m_loop, parseEndpoint(action.address), action.database,
+                                  action.workspace, action.server,
+                                  member_channel::handlers{
+                                          [this, connection](std::optional<log_position> position) {
+                                              apply(m_dispatcher.opened(connection, position,
+                                                                        suspendAwareNow()));
+                                          },
+                                          [this, connection](const statement_answer &answer) {
+                                              apply(m_dispatcher.answered(connection, answer,
+                                                                          suspendAwareNow()));
+                                          },
+                                          closed}));
     } catch (const error &failure) {
         m_log.write(line_importance::failure, "connection to member failed",
                     {{"server", action.server.str()}, {"error", failure.what()}},
@@ -410,8 +411,8 @@
         if (row.key != platform::configurationKey || row.deleted)
             continue;
         try {
-            auto directory = std::make_shared<service_directory>(
-                    platform::decodeConfiguration(row.value));
+            auto directory =
+                    std::make_shared<service_directory>(platform::decodeConfiguration(row.value));
             if (m_directory && directory->version <= m_directory->version)
                 continue;
             m_directory = std::move(directory);
@@ -547,8 +548,8 @@
     if (m_views.storeReachable(now) || now - m_peerFetched < peerFetchInterval)
         return;
     m_peerFetched = now;
-    m_peerClient = std::make_unique<http_client>(m_loop, "http://" + report.sender.address,
-                                                 peerTimeout);
+    m_peerClient =
+            std::make_unique<http_client>(m_loop, "http://" + report.sender.address, peerTimeout);
     m_peerClient->send({"GET", "/configuration", ""}, [this](const http_outcome &outcome) {
         const auto *response = std::get_if<http_response>(&outcome);
         if (!response || response->status != 200 || response->body.empty())
@@ -581,11 +582,10 @@
     report.serversRevision = m_serversRevision;
     report.leaving = m_stopping.has_value();
     m_views.fill(report, now);
-    std::ranges::transform(m_dispatcher.loads(), std::back_inserter(report.loads),
-                           [](const member_load &load) {
-                               return server_load_report{
-                                       load.server, static_cast<std::uint32_t>(load.working)};
-                           });
+    std::ranges::transform(
+            m_dispatcher.loads(), std::back_inserter(report.loads), [](const member_load &load) {
+                return server_load_report{load.server, static_cast<std::uint32_t>(load.working)};
+            });
     return report;
 }
 
@@ -598,8 +598,7 @@
     const auto report = makeReport(now);
     const auto full = reportMark + encodePeerReport(report);
     const auto &supervisor = report.supervisor;
-    const bool tellsAll = m_peers.isSmall() || m_views.isHolder()
-                          || !report.supervisorSilence
+    const bool tellsAll = m_peers.isSmall() || m_views.isHolder() || !report.supervisorSilence
                           || *report.supervisorSilence > m_peers.fullInterval() * 3;
     const bool broadcasts = now - m_broadcast >= m_peers.interval();
     std::string brief;
--- a/programs/node/quota_gate.cpp
+++ b/programs/node/quota_gate.cpp
@@ -52,8 +52,7 @@
         const auto wanted = toLimit(limit);
         const bool isNew = !known.holder;
         if (isNew)
-            known.holder =
-                    std::make_unique<quota_holder>(workspace, m_self, quota_policy{}, now);
+            known.holder = std::make_unique<quota_holder>(workspace, m_self, quota_policy{}, now);
         if (!isNew && known.limit == wanted)
             continue;
         known.limit = wanted;
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -205,8 +205,8 @@
     if (latest) {
         std::ranges::for_each(report.databases, [&](const database_report &each) {
             if (each.floor)
-                m_dispatcher.addFloor(each.database,
-                                      {*each.floor, now - (*latest - each.floorAt)}, now);
+                m_dispatcher.addFloor(each.database, {*each.floor, now - (*latest - each.floorAt)},
+                                      now);
         });
     }
     applyViews(now);
@@ -219,7 +219,8 @@
         m_wasHolder = isHolder;
         carryOut(m_supervisor.setHolder(isHolder), now);
         m_log.write(line_importance::state,
-                    isHolder ? "supervision of primaries taken on" : "supervision of primaries lost",
+                    isHolder ? "supervision of primaries taken on"
+                             : "supervision of primaries lost",
                     {{"fence", std::to_string(m_election.claim().fence)},
                      {"holder", m_election.claim().holder.str()}},
                     now);
@@ -373,24 +374,22 @@
                  {"server", action.server.str()},
                  {"fence", std::to_string(action.fence)}},
                 now);
-    m_duties.send(platform::orderPromotion(action.database.str(), action.server.str(),
-                                           m_self.instance.str(), action.fence),
-                  [this, database = action.database](const http_outcome &outcome) {
-                      std::optional<bool> accepted;
-                      int status = 0;
-                      if (const auto *response = std::get_if<http_response>(&outcome)) {
-                          status = response->status;
-                          if (status < platform::store_status::tooManyRequests)
-                              accepted = status == platform::store_status::ok;
-                      }
-                      const auto at = suspendAwareNow();
-                      m_log.write(line_importance::state, "promotion order answered",
-                                  {{"database", database.str()},
-                                   {"status", std::to_string(status)}},
-                                  at);
-                      carryOut(m_supervisor.orderAnswered(database, accepted, surroundings(at), at),
-                               at);
-                  });
+    m_duties.send(
+            platform::orderPromotion(action.database.str(), action.server.str(),
+                                     m_self.instance.str(), action.fence),
+            [this, database = action.database](const http_outcome &outcome) {
+                std::optional<bool> accepted;
+                int status = 0;
+                if (const auto *response = std::get_if<http_response>(&outcome)) {
+                    status = response->status;
+                    if (status < platform::store_status::tooManyRequests)
+                        accepted = status == platform::store_status::ok;
+                }
+                const auto at = suspendAwareNow();
+                m_log.write(line_importance::state, "promotion order answered",
+                            {{"database", database.str()}, {"status", std::to_string(status)}}, at);
+                carryOut(m_supervisor.orderAnswered(database, accepted, surroundings(at), at), at);
+            });
 }
 
 void view_keeper::perform(const change_action::note &action, time_point now)
@@ -444,11 +443,12 @@
                                 return;
                             }
                             try {
-                                finishAsk(server, platform::decodeMemberStatus(answer.rows.front()));
+                                finishAsk(server,
+                                          platform::decodeMemberStatus(answer.rows.front()));
                             } catch (const decode_error &failure) {
-                                m_log.write(line_importance::failure, "member status not understood",
-                                            {{"server", server.str()}, {"error", failure.what()}},
-                                            at);
+                                m_log.write(
+                                        line_importance::failure, "member status not understood",
+                                        {{"server", server.str()}, {"error", failure.what()}}, at);
                                 finishAsk(server, std::nullopt);
                             }
                         },
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -204,8 +204,8 @@
             time_point now);
     void processFailedTransaction(caller &from, const caller_request &request, time_point now);
     bool checkAccess(caller &from, time_point now);
-    void startJob(caller &from, const caller_request &request, statement_access access, bool commits,
-                  time_point now);
+    void startJob(caller &from, const caller_request &request, statement_access access,
+                  bool commits, time_point now);
     void enqueue(caller &from, time_point now);
     void reply(caller &to, statement_answer answer, time_point now);
     void complete(caller &to, time_point now);
@@ -270,8 +270,8 @@
     void drop(member_pool &pool, connection_id connection, time_point now);
     void unbind(caller &from);
     void endTransaction(caller &from, time_point now);
-    void record(const caller &from, const statement_job &ended, std::string outcome, std::string cause,
-                const server_id &server, time_point now);
+    void record(const caller &from, const statement_job &ended, std::string outcome,
+                std::string cause, const server_id &server, time_point now);
     void recordStep(const caller &from, std::string step, const server_id &server,
                     std::string_view why);
     void checkDeadlines(time_point now);
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -227,8 +227,7 @@
     started.access = access;
     started.commits = commits;
     started.startsTransaction = inTransaction && from.bound == 0;
-    started.needsPrimary = access == statement_access::write
-                           || (inTransaction && !from.readOnly)
+    started.needsPrimary = access == statement_access::write || (inTransaction && !from.readOnly)
                            || from.route.reads == consistency::latest || !from.route.maxStaleness;
     started.arrived = now;
     started.queuedSince = now;
@@ -319,8 +318,7 @@
                 to.state = session_state::failedTransaction;
         }
         if (to.state == session_state::idle && to.admitted) {
-            m_outputs.push_back(
-                    settle_admission{to.number, to.workspace, ended.attempts > 0});
+            m_outputs.push_back(settle_admission{to.number, to.workspace, ended.attempts > 0});
             to.admitted = false;
         }
     }
@@ -463,7 +461,8 @@
         if (state.primary) {
             entry.inputs.emplace_back("primary", state.primary->server.str());
             entry.inputs.emplace_back("term", std::to_string(state.primary->term));
-            entry.inputs.emplace_back("view_left_ms", milliseconds(state.primary->validUntil - now));
+            entry.inputs.emplace_back("view_left_ms",
+                                      milliseconds(state.primary->validUntil - now));
         } else {
             entry.inputs.emplace_back("primary", "none");
         }
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -293,8 +293,8 @@
     const bool ran = !didNotRun(why.code);
     const bool inTransaction = from.state == session_state::inTransaction;
     if (inTransaction && !job.startsTransaction && why.code == statement_error::busy
-        && answer.state == session_state::inTransaction
-        && now + m_policy.busyPause < job.deadline && job.attempts < m_policy.attemptsLimit) {
+        && answer.state == session_state::inTransaction && now + m_policy.busyPause < job.deadline
+        && job.attempts < m_policy.attemptsLimit) {
         recordStep(from, "repeat", server, "busy");
         ++job.attempts;
         return sendStatement(from, connection, {}, now);
@@ -366,8 +366,8 @@
     for (const auto &each : m_callers | std::views::values) {
         if (!each.job || each.job->at != job_stage::running || !isPrimary(state, each.boundServer))
             continue;
-        const bool writes = each.job->access == statement_access::write
-                            || (each.job->commits && each.wrote);
+        const bool writes =
+                each.job->access == statement_access::write || (each.job->commits && each.wrote);
         if (writes && (!state.writeUnanswered || each.job->sent < *state.writeUnanswered))
             state.writeUnanswered = each.job->sent;
     }
@@ -439,8 +439,8 @@
             expired.push_back(number);
             continue;
         }
-        const auto patience = std::max(m_policy.hedgeLeast,
-                                       fromSeconds(m_policy.hedgeFactor * meanOf(each)));
+        const auto patience =
+                std::max(m_policy.hedgeLeast, fromSeconds(m_policy.hedgeFactor * meanOf(each)));
         if (each.job->at == job_stage::running && now - each.job->sent > patience
             && each.state == session_state::idle && each.job->access == statement_access::read)
             silent.push_back(number);
@@ -471,9 +471,8 @@
     if (pool)
         drop(*pool, from.bound, now);
     const bool inTransaction = from.state == session_state::inTransaction;
-    const bool keepsNothing =
-            inTransaction ? !from.job->commits || !from.wrote
-                          : from.job->access == statement_access::read;
+    const bool keepsNothing = inTransaction ? !from.job->commits || !from.wrote
+                                            : from.job->access == statement_access::read;
     const auto server = from.boundServer;
     unbind(from);
     reject(from, keepsNothing ? statement_error::aborted : statement_error::timeout,
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -56,8 +56,8 @@
     if (known == m_directory->databases.end())
         return 1;
     const auto limit = known->second.maxConnections;
-    const auto shared = limit > m_policy.reservedConnections ? limit - m_policy.reservedConnections
-                                                             : limit;
+    const auto shared =
+            limit > m_policy.reservedConnections ? limit - m_policy.reservedConnections : limit;
     return std::max<std::size_t>(shared / m_instances, 1);
 }
 
@@ -174,9 +174,8 @@
     refuseHopeless(group, now);
 }
 
-std::optional<freshness_floor> dispatcher::requiredFloor(const caller &from,
-                                                         const database_state &group,
-                                                         time_point) const
+std::optional<freshness_floor>
+dispatcher::requiredFloor(const caller &from, const database_state &group, time_point) const
 {
     auto floor = group.floors.covering(from.job->freshFrom);
     if (floor && from.route.reads == consistency::readYourWrites)
@@ -258,8 +257,7 @@
     if (pool && pool->isOpening(from.job->opening))
         return false;
     from.job->opening = 0;
-    std::ranges::any_of(choices,
-                        [&](const candidate &each) { return openFor(from, each, now); });
+    std::ranges::any_of(choices, [&](const candidate &each) { return openFor(from, each, now); });
     return false;
 }
 
@@ -386,15 +384,13 @@
                                std::vector<outgoing_statement> before, time_point now)
 {
     auto &job = *from.job;
-    const auto floor =
-            from.state == session_state::inTransaction ? std::nullopt : job.floor;
+    const auto floor = from.state == session_state::inTransaction ? std::nullopt : job.floor;
     if (const auto *execute = executeOf(job)) {
         before.emplace_back(member_statement::execute{
-                job.request.id, preparedNameOf(from.prepared.at(execute->name)),
-                execute->arguments, floor});
+                job.request.id, preparedNameOf(from.prepared.at(execute->name)), execute->arguments,
+                floor});
     } else {
-        before.emplace_back(
-                member_statement::forward{job.request.id, job.request.text, floor});
+        before.emplace_back(member_statement::forward{job.request.id, job.request.text, floor});
     }
     for (std::size_t index = 1; index < before.size(); ++index)
         connection.pending.push_back({expected_answer::setup, now});
--- a/sycamorespan/src/Dispatch/freshness_floors.cpp
+++ b/sycamorespan/src/Dispatch/freshness_floors.cpp
@@ -40,8 +40,7 @@
 
 std::optional<freshness_floor> freshness_floors::covering(time_point time) const
 {
-    const auto found =
-            std::ranges::lower_bound(m_floors, time, {}, &freshness_floor::coversUntil);
+    const auto found = std::ranges::lower_bound(m_floors, time, {}, &freshness_floor::coversUntil);
     if (found == m_floors.end())
         return std::nullopt;
     return *found;
--- a/sycamorespan/src/Dispatch/member_pool.cpp
+++ b/sycamorespan/src/Dispatch/member_pool.cpp
@@ -46,8 +46,7 @@
     : m_entry(std::move(entry))
 { }
 
-member_connection *member_pool::idleFor(const workspace_id &workspace,
-                                        const session_values &values,
+member_connection *member_pool::idleFor(const workspace_id &workspace, const session_values &values,
                                         const std::string &preparedName)
 {
     member_connection *best = nullptr;
@@ -95,8 +94,7 @@
 bool member_pool::isOpening(connection_id id) const
 {
     const auto found = m_connections.find(id);
-    return found != m_connections.end()
-           && found->second.state == member_connection::phase::opening;
+    return found != m_connections.end() && found->second.state == member_connection::phase::opening;
 }
 
 std::size_t member_pool::working() const
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -41,9 +41,8 @@
     return {};
 }
 
-change_surroundings
-group_supervisor::surroundingsOf(const database_id &database,
-                                 const supervision_surroundings &around) const
+change_surroundings group_supervisor::surroundingsOf(const database_id &database,
+                                                     const supervision_surroundings &around) const
 {
     change_surroundings here;
     here.fence = around.fence;
@@ -77,10 +76,10 @@
     if (primary != here.members.end() && primary->state == server_state::draining)
         return change_reason::leaving;
     const auto votes = around.votes(database);
-    const auto needed = std::max<std::size_t>(
-            static_cast<std::size_t>(
-                    std::ceil(static_cast<double>(votes.live) * m_policy.unreachableShare)),
-            1);
+    const auto needed =
+            std::max<std::size_t>(static_cast<std::size_t>(std::ceil(static_cast<double>(votes.live)
+                                                                     * m_policy.unreachableShare)),
+                                  1);
     const bool missing = primary == here.members.end();
     const bool demoted = votes.demoted > 0;
     if (votes.unreachable < needed && !missing && !demoted) {
@@ -180,9 +179,8 @@
 
 bool group_supervisor::vouches() const
 {
-    return std::ranges::none_of(m_watched | std::views::values, [](const watched &each) {
-        return each.change.mayHaveWritten();
-    });
+    return std::ranges::none_of(m_watched | std::views::values,
+                                [](const watched &each) { return each.change.mayHaveWritten(); });
 }
 
 bool group_supervisor::isChanging() const
--- a/sycamorespan/src/Failover/supervisor_election.h
+++ b/sycamorespan/src/Failover/supervisor_election.h
@@ -26,7 +26,8 @@
 {
     duration silenceLimit = 1200ms; ///< of the holder; eight missed reports
     duration rankDelay = 250ms; ///< a claim's round trip, so that claims follow each other
-    duration aloneDelay = 2s; ///< more, for an instance that hears nobody: it may be the one cut off
+    duration aloneDelay =
+            2s; ///< more, for an instance that hears nobody: it may be the one cut off
     duration retryDelay = 400ms;
 
     auto operator<=>(const election_policy &) const = default;
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -135,11 +135,10 @@
     if (around.view->phase == view_phase::ordered && around.latest)
         m_foreignOrder = *around.latest + m_policy.foreignOrderWait;
     m_old = around.view->primary;
-    noteEvent("change of primary begins",
-              {{"reason", std::string(nameOf(reason))},
-               {"primary", m_old.str()},
-               {"term", std::to_string(m_oldTerm)},
-               {"fence", std::to_string(around.fence)}});
+    noteEvent("change of primary begins", {{"reason", std::string(nameOf(reason))},
+                                           {"primary", m_old.str()},
+                                           {"term", std::to_string(m_oldTerm)},
+                                           {"fence", std::to_string(around.fence)}});
     write(view_phase::withdrawn, m_old, m_oldTerm, around, step::writingIntent, now);
     return take();
 }
@@ -148,8 +147,9 @@
                                const change_surroundings &around, step next, time_point now)
 {
     enter(next, now);
-    m_wanted = {m_database, around.view ? around.view->revision : 0, primary, term, phase,
-                m_planned,  around.fence};
+    m_wanted = {
+            m_database,  around.view ? around.view->revision : 0, primary, term, phase, m_planned,
+            around.fence};
     m_writing = true;
     m_outputs.push_back(write_view{m_wanted});
 }
@@ -277,8 +277,7 @@
         return false;
     if (around.allReleased)
         return true;
-    return around.earliest
-           && *around.earliest > *m_intentAt + m_views.validity + m_views.margin;
+    return around.earliest && *around.earliest > *m_intentAt + m_views.validity + m_views.margin;
 }
 
 void synchronous_change::adopt(const change_surroundings &around, time_point now)
@@ -342,7 +341,7 @@
     if (!released(around) || !around.storeReachable)
         return;
     const auto chosen = choose(around, now);
-    if (!chosen)
+    if (!chosen || (isLeaving(*chosen, around) && awaitsStayingMember(around, now)))
         return;
     m_chosen = *chosen;
     noteEvent("member chosen for promotion",
@@ -353,6 +352,23 @@
     write(view_phase::ordered, m_chosen, m_oldTerm, around, step::writingOrder, now);
 }
 
+bool synchronous_change::isLeaving(const server_id &server, const change_surroundings &around) const
+{
+    const auto *entry = entryOf(around, server);
+    return !entry || entry->state == server_state::draining;
+}
+
+/** \returns whether a member that stays may still turn out to have everything. */
+bool synchronous_change::awaitsStayingMember(const change_surroundings &around,
+                                             time_point now) const
+{
+    if (!m_fencingSince || now - *m_fencingSince >= m_policy.catchUpLimit)
+        return false;
+    return std::ranges::any_of(around.members, [&](const server_entry &entry) {
+        return entry.id != m_old && entry.state == server_state::ready;
+    });
+}
+
 /** \returns a member whose log certainly holds every acknowledged commit. */
 std::optional<server_id> synchronous_change::choose(const change_surroundings &around, time_point)
 {
@@ -483,9 +499,8 @@
               {{"primary", m_wanted.primary.str()},
                {"term", std::to_string(m_wanted.term)},
                {"took_ms",
-                std::to_string(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(now - m_begun)
-                                .count())}});
+                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_begun)
+                                       .count())}});
     enter(step::none, now);
     m_notBefore = now;
 }
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -106,10 +106,9 @@
 
 } // namespace change_action
 
-using change_output =
-        std::variant<change_action::write_view, change_action::read_views,
-                     change_action::ask_member, change_action::order_promotion,
-                     change_action::note>;
+using change_output = std::variant<change_action::write_view, change_action::read_views,
+                                   change_action::ask_member, change_action::order_promotion,
+                                   change_action::note>;
 using change_outputs = std::vector<change_output>;
 
 /** \brief Why a primary is replaced. */
@@ -138,8 +137,7 @@
 class synchronous_change
 {
 public:
-    synchronous_change(database_id database, const change_policy &policy,
-                       const view_policy &views);
+    synchronous_change(database_id database, const change_policy &policy, const view_policy &views);
 
     bool isRunning() const { return m_step != step::none; }
 
@@ -197,6 +195,8 @@
              time_point now);
     void adopt(const change_surroundings &around, time_point now);
     bool released(const change_surroundings &around) const;
+    bool isLeaving(const server_id &server, const change_surroundings &around) const;
+    bool awaitsStayingMember(const change_surroundings &around, time_point now) const;
     std::optional<server_id> choose(const change_surroundings &around, time_point now);
     void confirm(const change_surroundings &around, time_point now);
     void finish(const change_surroundings &around, time_point now);
--- a/sycamorespan/src/Failover/view_ledger.cpp
+++ b/sycamorespan/src/Failover/view_ledger.cpp
@@ -9,8 +9,7 @@
 void view_ledger::applySnapshot(const std::vector<primary_view> &views, reference_time confirmed)
 {
     m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
-    std::ranges::for_each(views,
-                          [&](const primary_view &view) { applyWritten(view, confirmed); });
+    std::ranges::for_each(views, [&](const primary_view &view) { applyWritten(view, confirmed); });
 }
 
 void view_ledger::applyWritten(const primary_view &view, reference_time committed)
--- a/sycamorespan/src/Membership/peer_report.cpp
+++ b/sycamorespan/src/Membership/peer_report.cpp
@@ -62,9 +62,8 @@
 
 json databaseFields(const database_report &report)
 {
-    return json::array({report.database.str(), positionFields(report.floor),
-                        report.floorAt.count(), report.released, report.primarySuspected,
-                        report.primaryDemoted});
+    return json::array({report.database.str(), positionFields(report.floor), report.floorAt.count(),
+                        report.released, report.primarySuspected, report.primaryDemoted});
 }
 
 database_report readDatabase(const json &fields)
@@ -99,8 +98,8 @@
 std::string encodePeerReport(const peer_report &report)
 {
     const json fields = json::array(
-            {layoutVersion, report.sender.instance.str(), report.sender.boot,
-             report.sender.address, report.sender.dataCentre.str(), optionalTime(report.sentAt),
+            {layoutVersion, report.sender.instance.str(), report.sender.boot, report.sender.address,
+             report.sender.dataCentre.str(), optionalTime(report.sentAt),
              report.configurationVersion, report.serversRevision, report.leaving,
              report.storeReachable, report.vouches, optionalTime(report.viewsConfirmed),
              listOf(report.views, viewFields), report.supervisor.str(), report.fence,
--- a/sycamorespan/src/Membership/peer_report.h
+++ b/sycamorespan/src/Membership/peer_report.h
@@ -6,8 +6,8 @@
 
 #include <cstdint>
 #include <optional>
-#include <string_view>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sycamorespan {
--- a/sycamorespan/src/Membership/server_roster.cpp
+++ b/sycamorespan/src/Membership/server_roster.cpp
@@ -20,8 +20,7 @@
 
 bool server_roster::afterOutage(time_point now) const
 {
-    return m_outage
-           && (!m_returned || now - *m_returned < m_policy.returnLimit + m_policy.slack);
+    return m_outage && (!m_returned || now - *m_returned < m_policy.returnLimit + m_policy.slack);
 }
 
 void server_roster::put(const server_entry &entry)
--- a/sycamorespan/src/Net/tcp_socket.cpp
+++ b/sycamorespan/src/Net/tcp_socket.cpp
@@ -47,8 +47,8 @@
 
 void detectSilence(const file_descriptor &socket, duration limit)
 {
-    const auto milliseconds = static_cast<int>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
+    const auto milliseconds =
+            static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(limit).count());
     const int seconds = std::max(milliseconds / 1000, 1);
     const int enabled = 1;
     const int probes = 2;
--- a/test/dispatch_harness.h
+++ b/test/dispatch_harness.h
@@ -64,8 +64,8 @@
 
     void request(session_number session, const std::string &text)
     {
-        const auto message =
-                platform::decodeCallerLine("QUERY r" + std::to_string(++m_lastRequest) + ' ' + text);
+        const auto message = platform::decodeCallerLine("QUERY r" + std::to_string(++m_lastRequest)
+                                                        + ' ' + text);
         keep(statements.requestArrived(session, std::get<caller_request>(message), now));
     }
 
@@ -121,7 +121,8 @@
     void answer(connection_id connection, session_state state = session_state::idle,
                 log_position position = {1, 10})
     {
-        keep(statements.answered(connection, {{"row"}, completed{"receipt"}, state, position}, now));
+        keep(statements.answered(connection, {{"row"}, completed{"receipt"}, state, position},
+                                 now));
     }
 
     void refuse(connection_id connection, statement_error code,
--- a/test/dispatch_load.cpp
+++ b/test/dispatch_load.cpp
@@ -137,8 +137,8 @@
                                [this](const open_member &each) {
                                    m_servers[each.connection] = each.server;
                                    schedule(m_now + 13ms, [this, each] {
-                                       keep(m_dispatcher.opened(each.connection,
-                                                                log_position{1, 1}, m_now));
+                                       keep(m_dispatcher.opened(each.connection, log_position{1, 1},
+                                                                m_now));
                                    });
                                },
                                [this](const send_to_member &each) {
@@ -183,21 +183,19 @@
     {
         ++member.running;
         std::lognormal_distribution<double> work(-3.6, 0.6); // mean 33 ms
-        schedule(m_now + fromSeconds(work(m_random) * member.slowness),
-                 [this, &member, connection] {
-                     --member.running;
-                     keep(m_dispatcher.answered(connection,
-                                                {{"row"},
-                                                 completed{"receipt"},
-                                                 session_state::idle,
-                                                 log_position{1, 1}},
-                                                m_now));
-                     if (!member.waiting.empty()) {
-                         const auto next = member.waiting.front();
-                         member.waiting.pop_front();
-                         start(member, next);
-                     }
-                 });
+        schedule(m_now + fromSeconds(work(m_random) * member.slowness), [this, &member,
+                                                                         connection] {
+            --member.running;
+            keep(m_dispatcher.answered(
+                    connection,
+                    {{"row"}, completed{"receipt"}, session_state::idle, log_position{1, 1}},
+                    m_now));
+            if (!member.waiting.empty()) {
+                const auto next = member.waiting.front();
+                member.waiting.pop_front();
+                start(member, next);
+            }
+        });
     }
 
     load_pattern m_pattern;
--- /dev/null
+++ b/test/failover_synchronous.cpp
@@ -0,0 +1,408 @@
+// Change of primary of a group with synchronous replicas, over a model of its members and the
+// store.
+
+#include "sycamorespan/src/Failover/group_supervisor.h"
+
+#include "sycamorespan/src/Core/overloaded.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace {
+
+using namespace sycamorespan;
+using namespace sycamorespan::change_action;
+
+const database_id database("db");
+
+struct member_model
+{
+    replication_role role = replication_role::replica;
+    term_number term = 1;
+    std::vector<std::uint64_t> log; ///< numbers of commits
+    term_number pausedFor = 0;
+    bool isUp = true;
+};
+
+/** \brief Store, members and duties under one supervisor, in steps of 20 ms. */
+class change_world
+{
+public:
+    change_world()
+        : m_supervisor({}, {})
+        , ledger(view_policy{})
+    {
+        for (const auto *id : {"s1", "s2", "s3"}) {
+            server_entry entry;
+            entry.id = server_id(id);
+            entry.database = database;
+            entry.slots = 5;
+            servers.push_back(entry);
+            members[entry.id];
+        }
+        servers[0].role = replication_role::primary;
+        members[server_id("s1")].role = replication_role::primary;
+        m_supervisor.setHolder(true);
+    }
+
+    member_model &member(const std::string &id) { return members[server_id(id)]; }
+
+    /** \returns whether a commit was acknowledged. */
+    bool commit(const std::string &id)
+    {
+        auto &leader = member(id);
+        if (!leader.isUp || leader.role != replication_role::primary)
+            return false;
+        leader.log.push_back(++m_commits);
+        bool held = false;
+        for (auto &[other, each] : members) {
+            if (&each == &leader || !each.isUp || each.pausedFor > 0 || deaf.contains(other)
+                || each.role == replication_role::primary)
+                continue;
+            each.log = leader.log;
+            held = true;
+        }
+        if (held)
+            acknowledged.push_back(m_commits);
+        return held;
+    }
+
+    void pass(duration time)
+    {
+        const auto end = now + time;
+        while (now < end) {
+            now += 20ms;
+            finishPromotions();
+            carryOut(m_supervisor.tick(surroundings(), now));
+        }
+    }
+
+    /** A crashed member comes back with its log, as a replica if another one leads by now. */
+    void comeBack(member_model &back)
+    {
+        back.isUp = true;
+        if (back.term >= m_term)
+            return;
+        back.role = replication_role::replica;
+        back.term = m_term;
+        back.pausedFor = 0;
+        const auto leader = std::ranges::find_if(members, [this](const auto &each) {
+            return each.second.role == replication_role::primary && each.second.term == m_term;
+        });
+        if (leader != members.end())
+            back.log = leader->second.log;
+    }
+
+    const primary_view *view() const { return ledger.find(database); }
+
+    bool isSteadyAt(const std::string &id) const
+    {
+        return view() && view()->phase == view_phase::steady && view()->primary == server_id(id);
+    }
+
+    time_point now{1h};
+    std::vector<server_entry> servers;
+    std::map<server_id, member_model> members;
+    std::set<server_id> deaf;
+    std::vector<std::uint64_t> acknowledged;
+    std::vector<server_id> lost; ///< promoted without an acknowledged commit
+    view_ledger ledger{view_policy{}};
+    std::vector<order_promotion> orders;
+    std::vector<reference_time> orderTimes;
+    std::vector<reference_time> intentTimes;
+    std::size_t falseVotes = 0; ///< of instances that miss a living primary
+    bool allRelease = true;
+    bool storeReachable = true;
+    bool losesAnswers = false;
+
+    reference_time clock() const { return now.time_since_epoch(); }
+
+private:
+    struct promotion
+    {
+        server_id server;
+        time_point takesEffect;
+    };
+
+    supervision_surroundings surroundings() const
+    {
+        return {1,
+                servers,
+                ledger,
+                [this](const database_id &, std::uint64_t) { return allRelease; },
+                [this](const database_id &) {
+                    const auto *known = view();
+                    const bool missing = known && !members.at(known->primary).isUp;
+                    return primary_votes{6, missing ? 6 : falseVotes, 0};
+                },
+                clock(),
+                clock(),
+                storeReachable};
+    }
+
+    void carryOut(const change_outputs &outputs)
+    {
+        for (const auto &output : outputs)
+            std::visit([this](const auto &action) { perform(action); }, output);
+    }
+
+    void perform(const write_view &action)
+    {
+        if (!storeReachable) {
+            carryOut(m_supervisor.viewUnknown(database, now));
+            return;
+        }
+        if (action.view.revision != m_row.revision) {
+            carryOut(m_supervisor.viewConflict(database, now));
+            return;
+        }
+        m_row = action.view;
+        m_row.revision = ++m_revision;
+        if (action.view.phase == view_phase::withdrawn)
+            intentTimes.push_back(clock());
+        if (std::exchange(losesAnswers, false)) {
+            carryOut(m_supervisor.viewUnknown(database, now));
+            return;
+        }
+        ledger.applyWritten(m_row, clock());
+        carryOut(m_supervisor.viewWritten(database, m_row.revision, clock(), surroundings(), now));
+    }
+
+    void perform(const read_views &)
+    {
+        if (storeReachable && m_row.revision > 0)
+            ledger.applySnapshot({m_row}, clock());
+    }
+
+    void perform(const ask_member &action)
+    {
+        auto &asked = members[action.server];
+        if (!asked.isUp) {
+            carryOut(m_supervisor.memberAnswered(database, action.server, std::nullopt,
+                                                 surroundings(), now));
+            return;
+        }
+        std::visit(overloaded{
+                           [&](const member_statement::pause &each) {
+                               if (asked.role == replication_role::replica)
+                                   asked.pausedFor = each.term;
+                           },
+                           [&](const member_statement::resume &) { asked.pausedFor = 0; },
+                           [&](const member_statement::step_down &each) {
+                               if (each.term > asked.term)
+                                   asked.role = replication_role::replica;
+                           },
+                           [](const auto &) {},
+                   },
+                   action.statement);
+        const auto length = asked.log.empty() ? 0 : asked.log.back();
+        carryOut(m_supervisor.memberAnswered(
+                database, action.server,
+                member_status{asked.role, asked.term, {asked.term, length}, asked.pausedFor},
+                surroundings(), now));
+    }
+
+    void perform(const order_promotion &action)
+    {
+        orders.push_back(action);
+        orderTimes.push_back(clock());
+        if (!members[action.server].isUp) {
+            carryOut(m_supervisor.orderAnswered(database, false, surroundings(), now));
+            return;
+        }
+        m_promotions.push_back({action.server, now + 600ms});
+        carryOut(m_supervisor.orderAnswered(database, true, surroundings(), now));
+    }
+
+    void perform(const note &) { }
+
+    void finishPromotions()
+    {
+        for (const auto &each : m_promotions) {
+            if (each.takesEffect > now || !members[each.server].isUp)
+                continue;
+            auto &promoted = members[each.server];
+            promoted.role = replication_role::primary;
+            promoted.term = ++m_term;
+            const bool complete = std::ranges::all_of(acknowledged, [&](std::uint64_t commit) {
+                return std::ranges::find(promoted.log, commit) != promoted.log.end();
+            });
+            if (!complete)
+                lost.push_back(each.server);
+            for (auto &[id, other] : members)
+                if (id != each.server && other.isUp) {
+                    other.role = replication_role::replica;
+                    other.pausedFor = 0;
+                    other.log = promoted.log;
+                    other.term = m_term;
+                }
+        }
+        std::erase_if(m_promotions,
+                      [this](const promotion &each) { return each.takesEffect <= now; });
+    }
+
+    group_supervisor m_supervisor;
+    std::uint64_t m_commits = 0;
+    term_number m_term = 1;
+    primary_view m_row{database, 0, {}, 0, view_phase::steady, false, 0};
+    std::uint64_t m_revision = 0;
+    std::vector<promotion> m_promotions;
+};
+
+TEST(FailoverSynchronous, AFirstPrimaryIsFoundAndNotReplaced)
+{
+    change_world world;
+    world.pass(1s);
+    EXPECT_TRUE(world.isSteadyAt("s1"));
+    EXPECT_TRUE(world.orders.empty());
+}
+
+TEST(FailoverSynchronous, ADeadPrimaryIsReplacedByTheLongestLog)
+{
+    change_world world;
+    world.pass(1s);
+    world.deaf = {server_id("s2")};
+    EXPECT_TRUE(world.commit("s1"));
+    world.member("s1").isUp = false;
+    world.pass(3s);
+    EXPECT_TRUE(world.isSteadyAt("s3"));
+    EXPECT_TRUE(world.lost.empty());
+}
+
+TEST(FailoverSynchronous, WithoutOneReplicaAChangeWaits)
+{
+    change_world world;
+    world.pass(1s);
+    world.deaf = {server_id("s2")};
+    EXPECT_TRUE(world.commit("s1"));
+    world.member("s1").isUp = false;
+    world.member("s3").isUp = false;
+    world.pass(5s);
+    EXPECT_TRUE(world.orders.empty()) << "s3 alone may hold the commit";
+    world.comeBack(world.member("s3"));
+    world.pass(3s);
+    EXPECT_TRUE(world.isSteadyAt("s3"));
+    EXPECT_TRUE(world.lost.empty());
+}
+
+TEST(FailoverSynchronous, AnInstanceThatDoesNotReleaseIsWaitedFor)
+{
+    change_world world;
+    world.pass(1s);
+    world.allRelease = false;
+    world.member("s1").isUp = false;
+    world.pass(5s);
+    ASSERT_EQ(world.orders.size(), 1U);
+    ASSERT_FALSE(world.intentTimes.empty());
+    EXPECT_GE(world.orderTimes.front() - world.intentTimes.front(),
+              view_policy{}.validity + view_policy{}.margin);
+}
+
+TEST(FailoverSynchronous, OneInstanceWithoutAnAnswerIsNoReason)
+{
+    change_world world;
+    world.pass(1s);
+    world.falseVotes = 1;
+    world.pass(3s);
+    EXPECT_TRUE(world.isSteadyAt("s1"));
+    EXPECT_TRUE(world.intentTimes.empty());
+}
+
+TEST(FailoverSynchronous, ALeavingPrimaryHandsOverEarly)
+{
+    change_world world;
+    world.pass(1s);
+    EXPECT_TRUE(world.commit("s1"));
+    world.servers[0].state = server_state::draining;
+    world.pass(2s);
+    EXPECT_FALSE(world.isSteadyAt("s1"));
+    EXPECT_EQ(world.view()->phase, view_phase::steady);
+    EXPECT_TRUE(world.lost.empty());
+}
+
+TEST(FailoverSynchronous, ALeavingReplicaIsNotPromotedWhileAnotherHasEverything)
+{
+    change_world world;
+    world.pass(1s);
+    EXPECT_TRUE(world.commit("s1"));
+    world.servers[0].state = server_state::draining;
+    world.servers[1].state = server_state::draining;
+    world.pass(2s);
+    EXPECT_TRUE(world.isSteadyAt("s3"));
+}
+
+TEST(FailoverSynchronous, ALostAnswerOfTheStoreIsResolvedByReading)
+{
+    change_world world;
+    world.pass(1s);
+    world.member("s1").isUp = false;
+    world.losesAnswers = true;
+    world.pass(4s);
+    EXPECT_EQ(world.view()->phase, view_phase::steady);
+    EXPECT_FALSE(world.isSteadyAt("s1"));
+    EXPECT_EQ(world.orders.size(), 1U);
+}
+
+TEST(FailoverSynchronous, NothingIsOrderedWhileTheStoreIsDown)
+{
+    change_world world;
+    world.pass(1s);
+    world.storeReachable = false;
+    world.member("s1").isUp = false;
+    world.pass(4s);
+    EXPECT_TRUE(world.orders.empty());
+    world.storeReachable = true;
+    world.pass(3s);
+    EXPECT_FALSE(world.isSteadyAt("s1"));
+    EXPECT_EQ(world.view()->phase, view_phase::steady);
+}
+
+/** Random faults: whatever happens, no promotion loses an acknowledged commit, and once all members
+ * are back there is a primary.
+ */
+TEST(FailoverSynchronous, NoAcknowledgedCommitIsLostUnderRandomFaults)
+{
+    for (std::uint32_t seed = 1; seed <= 300; ++seed) {
+        std::mt19937 random(seed);
+        const auto chance = [&](double probability) {
+            return std::uniform_real_distribution<double>(0, 1)(random) < probability;
+        };
+        change_world world;
+        world.pass(1s);
+        for (int step = 0; step < 200; ++step) {
+            for (auto &[id, member] : world.members) {
+                if (member.isUp && chance(0.01))
+                    member.isUp = false;
+                else if (!member.isUp && chance(0.05))
+                    world.comeBack(member);
+                if (chance(0.02))
+                    world.deaf.insert(id);
+                else if (chance(0.1))
+                    world.deaf.erase(id);
+            }
+            if (chance(0.02))
+                world.storeReachable = !world.storeReachable;
+            world.losesAnswers = chance(0.05);
+            world.allRelease = chance(0.7);
+            for (const auto &[id, member] : world.members)
+                if (member.role == replication_role::primary)
+                    world.commit(id.str());
+            world.pass(60ms);
+            ASSERT_TRUE(world.lost.empty()) << "seed " << seed << " step " << step;
+        }
+        for (auto &member : world.members)
+            if (!member.second.isUp)
+                world.comeBack(member.second);
+        world.deaf.clear();
+        world.storeReachable = true;
+        world.losesAnswers = false;
+        world.allRelease = true;
+        world.pass(12s);
+        ASSERT_TRUE(world.view() && world.view()->phase == view_phase::steady) << "seed " << seed;
+        ASSERT_TRUE(world.lost.empty()) << "seed " << seed;
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/test/membership_peers.cpp
@@ -0,0 +1,189 @@
+// What instances tell each other, the list of backend servers, and the reference clock.
+
+#include "sycamorespan/src/Core/error.h"
+#include "sycamorespan/src/Core/reference_clock.h"
+#include "sycamorespan/src/Membership/peer_table.h"
+#include "sycamorespan/src/Membership/server_roster.h"
+#include "sycamorespan/src/Quota/share_homes.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using namespace sycamorespan;
+
+constexpr time_point start(1h);
+
+instance_run run(const std::string &name, const std::string &dataCentre, std::uint64_t boot = 1)
+{
+    return {instance_id(name), boot, "127.0.0.1:1", data_centre_id(dataCentre)};
+}
+
+peer_report reportOf(const instance_run &sender)
+{
+    peer_report report;
+    report.sender = sender;
+    report.storeReachable = true;
+    return report;
+}
+
+server_entry server(const std::string &id)
+{
+    server_entry entry;
+    entry.id = server_id(id);
+    entry.database = database_id("db");
+    return entry;
+}
+
+TEST(MembershipPeers, AReportSurvivesEncoding)
+{
+    auto report = reportOf(run("i1", "a"));
+    report.sentAt = 17s;
+    report.viewsConfirmed = 16s;
+    report.views = {{database_id("db"), 4, server_id("s"), 2, view_phase::ordered, true, 9}};
+    report.supervisor = instance_id("i2");
+    report.fence = 9;
+    report.supervisorSilence = 40ms;
+    report.databases = {{database_id("db"), log_position{2, 7}, 15s, 4, true, false}};
+    report.loads = {{server_id("s"), 3}};
+    EXPECT_EQ(decodePeerReport(encodePeerReport(report)), report);
+}
+
+RC_GTEST_PROP(MembershipPeers, NoBytesCrashTheDecoder, (const std::vector<std::uint8_t> &bytes))
+{
+    try {
+        static_cast<void>(decodePeerReport(std::string(bytes.begin(), bytes.end())));
+    } catch (const decode_error &) {
+        RC_SUCCEED("refused");
+    }
+}
+
+RC_GTEST_PROP(MembershipPeers, ACutReportIsRefused, ())
+{
+    const auto whole = encodePeerReport(reportOf(run("i1", "a")));
+    const auto size = *rc::gen::inRange<std::size_t>(0, whole.size());
+    RC_ASSERT_THROWS_AS(decodePeerReport(whole.substr(0, size)), decode_error);
+}
+
+TEST(MembershipPeers, AViewIsReleasedOnceEveryRegisteredInstanceSaysSo)
+{
+    peer_table peers(run("i0", "a"), {});
+    peers.setRegistered({run("i0", "a"), run("i1", "a"), run("i2", "b")}, start);
+    const database_id database("db");
+    EXPECT_FALSE(peers.released(database, 4, start));
+    for (const auto *name : {"i1", "i2"}) {
+        EXPECT_FALSE(peers.released(database, 4, start));
+        auto report = reportOf(run(name, "a"));
+        report.databases = {{database, std::nullopt, {}, 4, false, false}};
+        peers.received(report, start);
+    }
+    EXPECT_TRUE(peers.released(database, 4, start));
+    EXPECT_FALSE(peers.released(database, 5, start));
+}
+
+TEST(MembershipPeers, AProcessThatEndedHoldsNoView)
+{
+    peer_table peers(run("i0", "a"), {});
+    peers.setRegistered({run("i0", "a"), run("i1", "a")}, start);
+    peers.refused(instance_id("i1"), start);
+    EXPECT_TRUE(peers.released(database_id("db"), 4, start));
+    peers.received(reportOf(run("i1", "a", 2)), start + 1s);
+    EXPECT_FALSE(peers.released(database_id("db"), 4, start + 1s));
+}
+
+TEST(MembershipPeers, SilenceOfAllOtherDataCentresIsNoticed)
+{
+    peer_table peers(run("i0", "a"), {});
+    EXPECT_FALSE(peers.hearsOtherDataCentres(start)) << "there is none";
+    peers.received(reportOf(run("i1", "a")), start);
+    peers.received(reportOf(run("i2", "b")), start);
+    EXPECT_EQ(peers.hearsOtherDataCentres(start), true);
+    peers.received(reportOf(run("i1", "a")), start + 2s);
+    EXPECT_EQ(peers.hearsOtherDataCentres(start + 2s), false);
+}
+
+TEST(MembershipRoster, AnEntryThatVanishesWhileTheStoreWorksIsGone)
+{
+    server_roster roster({});
+    roster.replace({server("s1"), server("s2")}, start);
+    roster.remove(server_id("s2"), start + 1s);
+    EXPECT_EQ(roster.entries().size(), 1U);
+}
+
+TEST(MembershipRoster, AnEntryThatLapsedDuringAnOutageHasTwoSecondsToComeBack)
+{
+    server_roster roster({});
+    roster.replace({server("s1"), server("s2")}, start);
+    roster.noteOutage(start + 1s);
+    roster.noteAnswer(start + 5s);
+    roster.replace({server("s1")}, start + 5s);
+    roster.tick(start + 6900ms);
+    EXPECT_EQ(roster.entries().size(), 2U);
+    roster.tick(start + 7300ms);
+    EXPECT_EQ(roster.entries().size(), 1U);
+}
+
+TEST(MembershipRoster, AnEntryThatCameBackStays)
+{
+    server_roster roster({});
+    roster.replace({server("s1")}, start);
+    roster.noteOutage(start + 1s);
+    roster.noteAnswer(start + 5s);
+    roster.remove(server_id("s1"), start + 5s);
+    roster.put(server("s1"));
+    roster.tick(start + 9s);
+    EXPECT_EQ(roster.entries().size(), 1U);
+}
+
+TEST(MembershipRoster, NothingIsDroppedWhileTheStoreIsAway)
+{
+    server_roster roster({});
+    roster.replace({server("s1")}, start);
+    roster.noteOutage(start + 1s);
+    roster.remove(server_id("s1"), start + 1s);
+    roster.tick(start + 60s);
+    EXPECT_EQ(roster.entries().size(), 1U);
+}
+
+/** Whatever the delays of requests and answers, the true reading lies between the bounds. */
+RC_GTEST_PROP(ReferenceClock, TheTrueReadingLiesBetweenTheBounds, ())
+{
+    reference_clock clock;
+    const auto offset = std::chrono::seconds(*rc::gen::inRange(-1000, 1000));
+    auto now = start;
+    const auto count = *rc::gen::inRange(1, 20);
+    for (int index = 0; index < count; ++index) {
+        const auto there = std::chrono::milliseconds(*rc::gen::inRange(0, 400));
+        const auto back = std::chrono::milliseconds(*rc::gen::inRange(0, 400));
+        clock.observe(now, now + there + back, (now + there).time_since_epoch() + offset);
+        now += there + back + 1s;
+        const auto truth = now.time_since_epoch() + offset;
+        RC_ASSERT(*clock.earliest(now) <= truth);
+        RC_ASSERT(truth <= *clock.latest(now));
+    }
+}
+
+RC_GTEST_PROP(ShareHomes, EveryDataCentreHasOneBeforeAnyHasTwo, ())
+{
+    const auto holders = *rc::gen::inRange(1, 60);
+    const auto dataCentres = *rc::gen::inRange(1, 6);
+    const auto count = *rc::gen::inRange(1, 8);
+    std::vector<placed_holder> placed;
+    std::set<data_centre_id> used;
+    for (int index = 0; index < holders; ++index) {
+        placed.push_back({holder_id("h" + std::to_string(index)),
+                          data_centre_id(std::to_string(index % dataCentres))});
+        used.insert(placed.back().dataCentre);
+    }
+    const auto homes = shareHomes(workspace_id("w"), placed, static_cast<std::size_t>(count));
+    RC_ASSERT(homes.size() == static_cast<std::size_t>(std::min(count, holders)));
+    std::set<data_centre_id> covered;
+    for (const auto &home : homes)
+        covered.insert(std::ranges::find(placed, home, &placed_holder::holder)->dataCentre);
+    RC_ASSERT(covered.size() == std::min(used.size(), homes.size()));
+    std::ranges::reverse(placed);
+    RC_ASSERT(shareHomes(workspace_id("w"), placed, static_cast<std::size_t>(count)) == homes);
+}
+
+} // namespace
--- /dev/null
+++ b/test/platform_codec.cpp
@@ -0,0 +1,263 @@
+// Translation between the users' platform and the product: lines, documents, settings, store calls.
+
+#include "platform/caller_codec.h"
+#include "platform/documents.h"
+#include "platform/line_reader.h"
+#include "platform/member_codec.h"
+#include "platform/settings.h"
+#include "platform/store_protocol.h"
+
+#include "sycamorespan/src/Core/error.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using namespace sycamorespan;
+using namespace sycamorespan::platform;
+
+std::vector<std::string> linesOf(const std::string &bytes, std::size_t pieceSize)
+{
+    line_reader reader;
+    std::vector<std::string> lines;
+    for (std::size_t at = 0; at < bytes.size(); at += pieceSize) {
+        reader.append(bytes.substr(at, pieceSize));
+        while (const auto line = reader.next())
+            lines.push_back(*line);
+    }
+    return lines;
+}
+
+caller_request requestOf(const std::string &line)
+{
+    return std::get<caller_request>(decodeCallerLine(line));
+}
+
+RC_GTEST_PROP(PlatformLines, PiecesMakeTheSameLines, ())
+{
+    const auto line = rc::gen::container<std::string>(rc::gen::inRange(' ', '~'));
+    const auto lines = *rc::gen::container<std::vector<std::string>>(line);
+    std::string bytes;
+    for (const auto &each : lines)
+        bytes += each + "\r\n";
+    RC_ASSERT(linesOf(bytes, *rc::gen::inRange<std::size_t>(1, 9)) == lines);
+}
+
+TEST(PlatformLines, ALineThatIsTooLongIsRefusedBeforeItEnds)
+{
+    line_reader reader;
+    reader.append(std::string(maxLineBytes + 1, 'x'));
+    EXPECT_THROW(reader.next(), decode_error);
+}
+
+TEST(PlatformLines, AStatementCannotBeSmuggledBehindAnotherOne)
+{
+    for (const std::string bytes : {"QUERY a READ x\nQUERY b WRITE x 1\r\n",
+                                    "QUERY a READ x\rQUERY b WRITE x 1\r\n"}) {
+        line_reader reader;
+        reader.append(bytes);
+        EXPECT_THROW(while (reader.next()) { }, decode_error) << bytes;
+    }
+}
+
+TEST(PlatformCallers, StatementsAreDecoded)
+{
+    using namespace caller_statement;
+    const std::vector<std::pair<std::string, parsed_statement>> expected{
+            {"BEGIN", begin{false}},
+            {"BEGIN READ", begin{true}},
+            {"COMMIT", commit{}},
+            {"ROLLBACK", rollback{}},
+            {"READ 1a4", direct{statement_access::read}},
+            {"WRITE 1a4 some data", direct{statement_access::write}},
+            {"SET v0 a b", set_value{"v0", "a b"}},
+            {"PREPARE s1 WRITE q2c", prepare{"s1", statement_access::write, "q2c"}},
+            {"EXECUTE s1 1a4 xkq", execute{"s1", "1a4 xkq"}},
+            {"DEALLOC s1", deallocate{"s1"}},
+    };
+    for (const auto &[text, parsed] : expected) {
+        const auto request = requestOf("QUERY 5c0e " + text);
+        EXPECT_EQ(request.id, "5c0e");
+        EXPECT_EQ(request.text, text);
+        EXPECT_EQ(request.parsed, parsed) << text;
+    }
+}
+
+TEST(PlatformCallers, WhatOnlyMembersAreToldIsRefused)
+{
+    for (const auto *text : {"AFTER 3.1 READ x", "STATUS", "PAUSE 3", "STEPDOWN 3", "DISCARD",
+                             "PREPARE s1 BOTH q", "READ"})
+        EXPECT_TRUE(std::holds_alternative<caller_statement::malformed>(
+                requestOf(std::string("QUERY a ") + text).parsed))
+                << text;
+    EXPECT_THROW(decodeCallerLine("QUERY - READ x"), decode_error);
+    EXPECT_THROW(decodeCallerLine("HELLO"), decode_error);
+    EXPECT_THROW(decodeCallerLine("CONNECT"), decode_error);
+}
+
+RC_GTEST_PROP(PlatformCallers, NoLineCrashesTheDecoder, (const std::string &line))
+{
+    try {
+        static_cast<void>(decodeCallerLine(line));
+    } catch (const decode_error &) {
+        RC_SUCCEED("refused");
+    }
+}
+
+TEST(PlatformMembers, StatementsAreEncoded)
+{
+    using namespace member_statement;
+    EXPECT_EQ(encodeStatement(forward{"a", "READ x", log_position{3, 1207}}),
+              "QUERY a AFTER 3.1207 READ x\r\n");
+    EXPECT_EQ(encodeStatement(execute{"a", "rq1", "x", std::nullopt}), "QUERY a EXECUTE rq1 x\r\n");
+    EXPECT_EQ(encodeStatement(begin{true, log_position{1, 2}}), "QUERY - AFTER 1.2 BEGIN READ\r\n");
+    EXPECT_EQ(encodeStatement(prepare{"wq1", statement_access::write, "q1"}),
+              "QUERY - PREPARE wq1 WRITE q1\r\n");
+    EXPECT_EQ(encodeStatement(step_down{4}), "QUERY - STEPDOWN 4\r\n");
+    EXPECT_EQ(encodeConnect(database_id("db"), workspace_id("shop"), server_id("i-1")),
+              "CONNECT db shop i-1\r\n");
+}
+
+TEST(PlatformMembers, AnswersAreReadInPieces)
+{
+    const std::string bytes = "READY I 3.1207\r\nROW abc\r\nROW \r\nCOMPLETE 7.1f\r\nREADY T 3.1209"
+                              "\r\nERROR READONLY i-7\r\nREADY E -\r\n";
+    answer_reader reader;
+    std::vector<statement_answer> answers;
+    for (const char byte : bytes) {
+        reader.append(std::string_view(&byte, 1));
+        while (const auto answer = reader.next())
+            answers.push_back(*answer);
+    }
+    ASSERT_EQ(answers.size(), 3U);
+    EXPECT_EQ(answers[0].position, (log_position{3, 1207}));
+    EXPECT_EQ(answers[1].rows, (std::vector<std::string>{"abc", ""}));
+    EXPECT_EQ(std::get<completed>(answers[1].result).receipt, "7.1f");
+    EXPECT_EQ(answers[1].state, session_state::inTransaction);
+    EXPECT_EQ(std::get<rejected>(answers[2].result).code, statement_error::readOnly);
+    EXPECT_FALSE(answers[2].position);
+}
+
+TEST(PlatformMembers, ARefusedOpeningNamesItsReason)
+{
+    answer_reader reader;
+    reader.append("ERROR CONNLIMIT full\r\n");
+    EXPECT_FALSE(reader.next());
+    EXPECT_EQ(reader.refusal(), statement_error::connectionLimit);
+}
+
+TEST(PlatformMembers, AnUnknownErrorPromisesNothing)
+{
+    answer_reader reader;
+    reader.append("ERROR SOMETHING new\r\nREADY I -\r\n");
+    EXPECT_EQ(std::get<rejected>(reader.next()->result).code, statement_error::failed);
+}
+
+TEST(PlatformMembers, StatusRowsAreDecoded)
+{
+    EXPECT_EQ(decodeMemberStatus("replica 3 3.1209 4 12 2 17"),
+              (member_status{replication_role::replica, 3, {3, 1209}, 4}));
+    EXPECT_THROW(decodeMemberStatus("leader 3 3.1 0 0 0 0"), decode_error);
+    EXPECT_THROW(decodeMemberStatus(""), decode_error);
+}
+
+constexpr const char *configuration = R"({"version":7,
+"routes":[{"name":"r","db_name":"sales","prefix":"/","type":"bounded_stale","timeout_ms":3000,
+"target_latency_ms":800,"priority":2,"backend":"db1","attempts":2,"max_staleness_ms":1500,
+"public":false}],
+"services":[{"name":"db1","max_conns":32,"sync_replicas":1}],
+"limits":{"txn_idle_ms":3000},
+"tenants":[{"name":"shop","api_keys":["k1","k2"],"priority":1,"rate_per_s":129,"burst":60}]})";
+
+TEST(PlatformDocuments, AConfigurationIsDecodedWhole)
+{
+    const auto directory = decodeConfiguration(configuration);
+    EXPECT_EQ(directory.version, 7U);
+    const auto &route = directory.routes.at("sales");
+    EXPECT_EQ(route.database, database_id("db1"));
+    EXPECT_EQ(route.reads, consistency::boundedStaleness);
+    EXPECT_EQ(route.statementTimeout, 3s);
+    EXPECT_EQ(route.maxStaleness, 1500ms);
+    EXPECT_EQ(directory.keyOwners.at("k2"), workspace_id("shop"));
+    EXPECT_EQ(directory.workspaces.at(workspace_id("shop")), (workspace_limit{129, 60}));
+    EXPECT_EQ(directory.databases.at(database_id("db1")), (database_limits{32, 1}));
+    EXPECT_EQ(directory.transactionIdleTimeout, 3s);
+}
+
+TEST(PlatformDocuments, AMissingFieldIsNamed)
+{
+    try {
+        static_cast<void>(decodeConfiguration(R"({"version":1,"routes":[{"db_name":"x"}]})"));
+        FAIL();
+    } catch (const decode_error &failure) {
+        EXPECT_NE(std::string(failure.what()).find("backend"), std::string::npos);
+    }
+}
+
+TEST(PlatformDocuments, AnEntryThatCannotBeReadNamesNoServer)
+{
+    const std::string whole =
+            R"({"backend":"db1","address":"10.0.0.1:1","zone":"a","capacity":5,"state":"ready",)"
+            R"("warmup_left_ms":0,"db_role":"replica","seq":4,"born":17})";
+    const auto entry = decodeServerEntry("i-1", whole);
+    ASSERT_TRUE(entry);
+    EXPECT_EQ(entry->startedAtMs, 17);
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+                 {"\"ready\"", "\"resting\""},
+                 {"\"replica\"", "7"},
+                 {"\"capacity\":5", "\"capacity\":\"5\""},
+                 {"\"address\":\"10.0.0.1:1\",", ""},
+                 {"}", ""}}) {
+        auto changed = whole;
+        changed.replace(changed.find(from), from.size(), to);
+        EXPECT_FALSE(decodeServerEntry("i-1", changed)) << changed;
+    }
+}
+
+RC_GTEST_PROP(PlatformDocuments, NoBytesCrashADecoder, (const std::string &bytes))
+{
+    static_cast<void>(decodeServerEntry("i-1", bytes));
+    RC_ASSERT_THROWS_AS(decodeConfiguration(bytes), decode_error);
+}
+
+TEST(PlatformStore, CallsAndAnswersAreTranslated)
+{
+    const auto write = writeRow({"my", "a/b", "text", 5});
+    EXPECT_EQ(write.path, "/api/rows-tx");
+    EXPECT_NE(write.body.find("\"ver\":5"), std::string::npos);
+    EXPECT_NE(write.body.find("\"dGV4dA==\""), std::string::npos);
+    EXPECT_EQ(readRows("my", "a/", "b").path, "/api/rows-get?table=my&part=&from=a%2F&target=b");
+    EXPECT_EQ(followRows("op", 530, 20s).path, "/api/rows-feed?table=op&after=530&wait_ms=20000");
+    const auto rows = decodeRows(
+            R"({"rows":[{"table":"my","part":"","key":"a","value":"bm9kZS0x","ver":412},)"
+            R"({"key":"b","tombstone":true,"ver":413},{"key":7}],"more_pages":false,"ver":530,)"
+            R"("now_ms":51230})");
+    ASSERT_EQ(rows.rows.size(), 2U);
+    EXPECT_EQ(rows.rows[0].value, "node-1");
+    EXPECT_TRUE(rows.rows[1].deleted);
+    EXPECT_EQ(rows.clock, reference_time(51230ms));
+    EXPECT_THROW(decodeRows("{\"rows\":["), decode_error);
+}
+
+TEST(PlatformStore, AnOrderCarriesItsHolderAndToken)
+{
+    const auto order = orderPromotion("db1", "i-1", "node-3", 8);
+    EXPECT_EQ(order.headers,
+              (std::vector<std::pair<std::string, std::string>>{{"Lease-Holder", "node-3"},
+                                                                {"Fencing-Token", "8"}}));
+}
+
+TEST(PlatformSettings, EveryMissingKeyIsNamedAtOnce)
+{
+    try {
+        static_cast<void>(parseSettings("node_name=n1\nplatform.address=nowhere\n"));
+        FAIL();
+    } catch (const decode_error &failure) {
+        const std::string text = failure.what();
+        for (const auto *key : {"zone is missing", "platform.address is no address", "internal_ports"})
+            EXPECT_NE(text.find(key), std::string::npos) << key << " in " << text;
+    }
+}
+
+} // namespace
