--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -21,10 +21,22 @@
 
 constexpr duration tickInterval = 20ms;
 
-/** How long the store may hold a question for changes back: with the bound on its answer, half of
- * the time in which a new configuration has to be in force.
+/** The store may hold a question for changes back for two fifths of the time in which a new
+ * configuration has to be in force: a connection that went silent is noticed and replaced in it.
  */
-constexpr duration feedWait = 1200ms;
+duration feedWait(const platform::node_settings &settings)
+{
+    return settings.configurationBound * 2 / 5;
+}
+
+/** A leaving member gets nothing new after three quarters of its notice. */
+dispatch_policy dispatchPolicy(const platform::node_settings &settings)
+{
+    dispatch_policy policy;
+    policy.drainLimit = settings.drainNotice * 3 / 4;
+    return policy;
+}
+
 /** Instances that wait for changes at the store; the others hear of them from these. */
 constexpr std::size_t followers = 6;
 
@@ -103,7 +115,7 @@
     , m_self{m_settings.instance, m_random() >> 1U,
              endpoint{m_settings.address, m_settings.firstPeerPort}.str(), m_settings.dataCentre}
     , m_log(line_budget_policy{})
-    , m_dispatcher(dispatch_policy{}, m_settings.dataCentre)
+    , m_dispatcher(dispatchPolicy(m_settings), m_settings.dataCentre)
     , m_peers(m_self, peer_policy{})
     , m_roster(roster_policy{})
     , m_store(loop, m_settings.store)
@@ -125,11 +137,12 @@
                    m_reports.send(parseEndpoint(report->sender.address),
                                   quotaMark + std::string(bytes.begin(), bytes.end()));
                }})
-    , m_configuration(loop, m_store, platform::table_name::operatorTable, feedWait, m_random,
+    , m_configuration(loop, m_store, platform::table_name::operatorTable, feedWait(m_settings),
+                      m_random,
                       {[this](const platform::store_rows &content) { takeConfiguration(content); },
                        [this](const platform::store_rows &content) { takeConfiguration(content); },
                        [this](bool answered) { noteContact(answered); }})
-    , m_servers(loop, m_store, platform::table_name::servers, feedWait, m_random,
+    , m_servers(loop, m_store, platform::table_name::servers, feedWait(m_settings), m_random,
                 {[this](const platform::store_rows &content) { takeServers(content, true); },
                  [this](const platform::store_rows &content) { takeServers(content, false); },
                  [this](bool answered) { noteContact(answered); }})
--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -43,7 +43,6 @@
     std::optional<log_position> floor; ///< asked of the member in this attempt
     time_point notBefore; ///< of the next attempt
     connection_id opening = 0; ///< asked for on behalf of this statement; 0: none
-    bool answered = false; ///< the caller was told; only the connection's state is awaited
 };
 
 /** \brief One caller's session. */
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -25,7 +25,7 @@
     duration busyPause = 15ms; ///< half of a mean statement: a slot is likely free again
     duration hedgeLeast = 250ms; ///< eight mean reads; an answer so late is likely lost
     double hedgeFactor = 6; ///< of the route's mean
-    duration drainLimit = 5500ms; ///< use of a leaving primary; three quarters of its notice
+    duration drainLimit = 5250ms; ///< use of a leaving primary; three quarters of a notice of 7 s
     double primaryReadPenalty = 2; ///< statements; writes have nowhere else to go
     double openingPenalty = 1; ///< statements; an opening takes a slot for a third of a read
     duration otherDataCentrePenalty = 1ms; ///< a round trip between data centres
@@ -215,7 +215,7 @@
     // Placement.
     void pump(database_state &group, time_point now);
     bool place(caller &from, database_state &group, time_point now);
-    bool sendOnBound(caller &from, time_point now);
+    void sendOnBound(caller &from, time_point now);
     std::optional<freshness_floor> requiredFloor(const caller &from, const database_state &group,
                                                  time_point now) const;
     struct candidate
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -61,7 +61,7 @@
     if (!from || from->leaving)
         return take();
     from->lastActive = now;
-    if (from->job && !from->job->answered) {
+    if (from->job) {
         if (from->waiting.size() >= pipelineLimit)
             m_outputs.push_back(close_caller{session});
         else
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -99,9 +99,9 @@
         return;
     }
     auto &job = *from.job;
-    if (job.answered || from.leaving) {
+    if (from.leaving) {
         from.job.reset();
-        return from.leaving ? forget(from.number, now) : processNext(from, now);
+        return forget(from.number, now);
     }
     if (mayRepeat(from))
         return retryOrReject(from, server, {statement_error::aborted, std::string(why)}, true, now);
@@ -307,8 +307,6 @@
     } else {
         rollBack(pool, connection, now);
     }
-    if (job.answered)
-        return connectionLost(from, server, "answered late", now);
     const bool repeats = mayRepeat(from) || (!inTransaction && !ran);
     if (repeats)
         return retryOrReject(from, server, why, ran, now);
@@ -431,7 +429,7 @@
     std::vector<session_number> expired;
     std::vector<session_number> silent;
     for (const auto &[number, each] : m_callers) {
-        if (!each.job || each.job->answered)
+        if (!each.job)
             continue;
         if (now >= each.job->deadline) {
             expired.push_back(number);
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -330,7 +330,7 @@
     m_outputs.push_back(send_to_member{connection.id, std::move(statements)});
 }
 
-bool dispatcher::sendOnBound(caller &from, time_point now)
+void dispatcher::sendOnBound(caller &from, time_point now)
 {
     auto *pool = poolOf(from.bound);
     auto *connection = pool ? pool->find(from.bound) : nullptr;
@@ -340,11 +340,10 @@
     if (connection->viewDependent && !viewHolds(group(from), now)) {
         connectionLost(from, from.boundServer, "the primary is being changed", now);
         drop(*pool, connection->id, now);
-        return false;
+        return;
     }
     connection->since = now;
     sendStatement(from, *connection, setup(from, *connection, now), now);
-    return true;
 }
 
 /** \returns the statements that bring the connection to the session's values and prepare what the
