--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -53,11 +53,11 @@
 
 TEST(PlatformLines, AStatementCannotBeSmuggledBehindAnotherOne)
 {
-    for (const std::string bytes : {"QUERY a READ x\nQUERY b WRITE x 1\r\n",
-                                    "QUERY a READ x\rQUERY b WRITE x 1\r\n"}) {
+    for (const std::string bytes :
+         {"QUERY a READ x\nQUERY b WRITE x 1\r\n", "QUERY a READ x\rQUERY b WRITE x 1\r\n"}) {
         line_reader reader;
         reader.append(bytes);
-        EXPECT_THROW(while (reader.next()) { }, decode_error) << bytes;
+        EXPECT_THROW(while (reader.next()){}, decode_error) << bytes;
     }
 }
 
@@ -203,12 +203,12 @@
     const auto entry = decodeServerEntry("i-1", whole);
     ASSERT_TRUE(entry);
     EXPECT_EQ(entry->startedAtMs, 17);
-    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
-                 {"\"ready\"", "\"resting\""},
-                 {"\"replica\"", "7"},
-                 {"\"capacity\":5", "\"capacity\":\"5\""},
-                 {"\"address\":\"10.0.0.1:1\",", ""},
-                 {"}", ""}}) {
+    for (const auto &[from, to] :
+         std::vector<std::pair<std::string, std::string>>{{"\"ready\"", "\"resting\""},
+                                                          {"\"replica\"", "7"},
+                                                          {"\"capacity\":5", "\"capacity\":\"5\""},
+                                                          {"\"address\":\"10.0.0.1:1\",", ""},
+                                                          {"}", ""}}) {
         auto changed = whole;
         changed.replace(changed.find(from), from.size(), to);
         EXPECT_FALSE(decodeServerEntry("i-1", changed)) << changed;
@@ -243,9 +243,8 @@
 TEST(PlatformStore, AnOrderCarriesItsHolderAndToken)
 {
     const auto order = orderPromotion("db1", "i-1", "node-3", 8);
-    EXPECT_EQ(order.headers,
-              (std::vector<std::pair<std::string, std::string>>{{"Lease-Holder", "node-3"},
-                                                                {"Fencing-Token", "8"}}));
+    EXPECT_EQ(order.headers, (std::vector<std::pair<std::string, std::string>>{
+                                     {"Lease-Holder", "node-3"}, {"Fencing-Token", "8"}}));
 }
 
 TEST(PlatformSettings, EveryMissingKeyIsNamedAtOnce)
@@ -255,7 +254,8 @@
         FAIL();
     } catch (const decode_error &failure) {
         const std::string text = failure.what();
-        for (const auto *key : {"zone is missing", "platform.address is no address", "internal_ports"})
+        for (const auto *key :
+             {"zone is missing", "platform.address is no address", "internal_ports"})
             EXPECT_NE(text.find(key), std::string::npos) << key << " in " << text;
     }
 }
