--- a/sycamorespan/src/Failover/view_ledger.cpp
+++ b/sycamorespan/src/Failover/view_ledger.cpp
@@ -7,7 +7,6 @@
 
 void view_ledger::applySnapshot(const std::vector<primary_view> &views, reference_time confirmed)
 {
-    m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
     std::ranges::for_each(views, [&](const primary_view &view) { applyWritten(view, confirmed); });
 }
 
@@ -69,6 +68,17 @@
     return known == m_entries.end() ? std::nullopt : known->second.confirmed;
 }
 
+std::optional<reference_time> view_ledger::confirmed() const
+{
+    std::optional<reference_time> oldest;
+    for (const auto &[database, known] : m_entries) {
+        if (!known.confirmed)
+            return std::nullopt;
+        oldest = std::min(oldest.value_or(*known.confirmed), *known.confirmed);
+    }
+    return oldest;
+}
+
 /** The oldest of the newest statements of all instances that could have begun a change. */
 std::optional<reference_time> view_ledger::vouchedBy() const
 {
--- a/sycamorespan/src/Failover/view_ledger.h
+++ b/sycamorespan/src/Failover/view_ledger.h
@@ -68,8 +68,10 @@
     /** \returns when the store was last known to hold the view of \a database. */
     std::optional<reference_time> confirmed(const database_id &database) const;
 
-    /** \returns the newest reading of the store that is known. */
-    std::optional<reference_time> confirmed() const { return m_confirmed; }
+    /** \returns a reading of the store by which every known view was confirmed; nothing if one was
+     * not.
+     */
+    std::optional<reference_time> confirmed() const;
 
     /** \returns the reference time until which the view of \a database may be used; nothing if it
      * may not be.
@@ -89,7 +91,6 @@
 
     view_policy m_policy;
     std::map<database_id, entry> m_entries;
-    std::optional<reference_time> m_confirmed;
     std::set<instance_id> m_registered; // without this one
     std::map<instance_id, reference_time> m_vouched;
 };
--- a/test/failover_views.cpp
+++ b/test/failover_views.cpp
@@ -68,6 +68,14 @@
     EXPECT_EQ(ledger.confirmed(), reference_time(10s));
 }
 
+TEST(FailoverViews, ASnapshotWithoutAViewDoesNotPassItOnAsConfirmed)
+{
+    view_ledger ledger(policy);
+    ledger.applySnapshot({steady(1)}, 10s);
+    ledger.applySnapshot({}, 20s);
+    EXPECT_EQ(ledger.confirmed(), reference_time(10s));
+}
+
 TEST(FailoverViews, AllInstancesTogetherExtendAViewWhileTheStoreIsDown)
 {
     view_ledger ledger(policy);
