One rollback of a session's connection, one reading of settings, one conversion of addresses

From reading the whole change: four copies of the rollback, two readers of the settings file, toNative twice, one switch over the steps twice; an unused method and field removed. Behaviour is unchanged.

--- a/programs/node/main.cpp
+++ b/programs/node/main.cpp
@@ -1,9 +1,6 @@
 #include "programs/common/daemon_main.h"
 #include "programs/node/node.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace {
 
 using namespace sycamorespan;
@@ -14,23 +11,12 @@
     return {settings::log_level::info, settings::log_format::text};
 }
 
-std::string readSettingsFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file)
-        throw error("settings file \"" + path + "\" can't be read");
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 void runNode(const std::string &path)
 {
     setUpLogging(nodeLogSettings(), std::cout);
     std::signal(SIGPIPE, SIG_IGN);
     ev::default_loop loop;
-    node::node program(loop, platform::parseSettings(readSettingsFile(path)), path,
-                       programs::systemRandom());
+    node::node program(loop, platform::readSettings(path), path, programs::systemRandom());
     const auto stop = [&program] { program.stop(); };
     const signal_watcher terminate(loop, SIGTERM, stop);
     const signal_watcher interrupt(loop, SIGINT, stop);
@@ -69,7 +55,7 @@
         if (path.empty())
             throw error("--settings is missing; see --help");
         if (options.action == daemon_command::checkSettings) {
-            static_cast<void>(platform::parseSettings(readSettingsFile(path)));
+            static_cast<void>(platform::readSettings(path));
             std::cout << "valid\n";
             return EXIT_SUCCESS;
         }
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -6,9 +6,7 @@
 #include "sycamorespan/src/Net/http_message.h"
 
 #include <algorithm>
-#include <fstream>
 #include <iterator>
-#include <sstream>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -89,16 +87,6 @@
     return report;
 }
 
-std::string readFile(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file)
-        throw error("settings file \"" + path + "\" can't be read");
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 std::string milliseconds(duration value)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
@@ -749,7 +737,7 @@
 {
     const auto now = suspendAwareNow();
     try {
-        auto settings = platform::parseSettings(readFile(m_settingsFile));
+        auto settings = platform::readSettings(m_settingsFile);
         m_settings.drainNotice = settings.drainNotice;
         m_settings.stopNotice = settings.stopNotice;
         m_settings.configurationBound = settings.configurationBound;
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -465,7 +465,7 @@
     }
 }
 
-void view_keeper::finishAsk(const server_id &server, std::optional<member_status> status)
+void view_keeper::finishAsk(const server_id &server, std::optional<replication_status> status)
 {
     auto &control = m_controls[server];
     if (!control.asked)
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -92,7 +92,7 @@
     void perform(const change_action::order_promotion &action, time_point now);
     void perform(const change_action::note &action, time_point now);
     void ask(const server_id &server, const outgoing_statement &statement, time_point now);
-    void finishAsk(const server_id &server, std::optional<member_status> status);
+    void finishAsk(const server_id &server, std::optional<replication_status> status);
     void checkAsked(time_point now);
     void applyViews(time_point now);
     void applyView(const primary_view &view, time_point now);
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -268,6 +268,7 @@
                  time_point now);
     void rollBack(member_pool &pool, member_connection &connection, time_point now);
     void drop(member_pool &pool, connection_id connection, time_point now);
+    void releaseBound(caller &from, time_point now);
     void unbind(caller &from);
     void endTransaction(caller &from, time_point now);
     void record(const caller &from, const statement_job &ended, std::string outcome,
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -331,13 +331,7 @@
 /** The caller's transaction is over; what is open of it at the member is rolled back. */
 void dispatcher::endTransaction(caller &from, time_point now)
 {
-    if (from.bound != 0) {
-        if (auto *pool = poolOf(from.bound)) {
-            if (auto *connection = pool->find(from.bound))
-                rollBack(*pool, *connection, now);
-        }
-        unbind(from);
-    }
+    releaseBound(from, now);
     if (from.admitted) {
         m_outputs.push_back(settle_admission{from.number, from.workspace, true});
         from.admitted = false;
@@ -396,12 +390,7 @@
     for (auto &[key, each] : m_callers) {
         if (each.state != session_state::inTransaction || each.job || each.rolledBack)
             continue;
-        if (each.bound != 0) {
-            if (auto *pool = poolOf(each.bound))
-                if (auto *connection = pool->find(each.bound))
-                    rollBack(*pool, *connection, now);
-            unbind(each);
-        }
+        releaseBound(each, now);
         each.rolledBack = true;
     }
     return take();
@@ -415,10 +404,7 @@
             continue;
         if (!isPrimary(state, each.boundServer))
             continue;
-        if (auto *pool = poolOf(each.bound))
-            if (auto *connection = pool->find(each.bound))
-                rollBack(*pool, *connection, now);
-        unbind(each);
+        releaseBound(each, now);
         each.rolledBack = true;
     }
     return take();
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -322,6 +322,17 @@
     from.boundServer = {};
 }
 
+/** Rolls back what is open on a session's connection, if it has one, and parts the two. */
+void dispatcher::releaseBound(caller &from, time_point now)
+{
+    if (from.bound == 0)
+        return;
+    auto *pool = poolOf(from.bound);
+    if (auto *connection = pool ? pool->find(from.bound) : nullptr)
+        rollBack(*pool, *connection, now);
+    unbind(from);
+}
+
 /** Ends what is open on a connection and makes it idle again. */
 void dispatcher::rollBack(member_pool &pool, member_connection &connection, time_point now)
 {
@@ -497,12 +508,7 @@
         if (each.state != session_state::inTransaction || each.job || each.rolledBack
             || now - each.lastActive < limit)
             continue;
-        if (each.bound != 0) {
-            if (auto *pool = poolOf(each.bound))
-                if (auto *connection = pool->find(each.bound))
-                    rollBack(*pool, *connection, now);
-            unbind(each);
-        }
+        releaseBound(each, now);
         each.rolledBack = true;
     }
 }
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -155,7 +155,7 @@
 
 change_outputs group_supervisor::memberAnswered(const database_id &database,
                                                 const server_id &server,
-                                                const std::optional<member_status> &status,
+                                                const std::optional<replication_status> &status,
                                                 const supervision_surroundings &around,
                                                 time_point now)
 {
--- a/sycamorespan/src/Failover/group_supervisor.h
+++ b/sycamorespan/src/Failover/group_supervisor.h
@@ -63,7 +63,7 @@
     change_outputs viewConflict(const database_id &database, time_point now);
     change_outputs viewUnknown(const database_id &database, time_point now);
     change_outputs memberAnswered(const database_id &database, const server_id &server,
-                                  const std::optional<member_status> &status,
+                                  const std::optional<replication_status> &status,
                                   const supervision_surroundings &around, time_point now);
     change_outputs orderAnswered(const database_id &database, std::optional<bool> accepted,
                                  const supervision_surroundings &around, time_point now);
@@ -84,7 +84,7 @@
         std::optional<time_point> votedSince;
         time_point probed;
         bool probeFailed = false;
-        std::optional<member_status> probe;
+        std::optional<replication_status> probe;
     };
 
     change_surroundings surroundingsOf(const database_id &database,
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -421,31 +421,33 @@
     return std::nullopt;
 }
 
+/** Does what the present step allows now. */
+void synchronous_change::advance(const change_surroundings &around, time_point now)
+{
+    switch (m_step) {
+    case step::adopting:
+        return adopt(around, now);
+    case step::surveying:
+        return survey(around, now);
+    case step::confirming:
+        return confirm(around, now);
+    default:
+        return;
+    }
+}
+
 change_outputs synchronous_change::memberAnswered(const server_id &server,
-                                                  const std::optional<member_status> &status,
+                                                  const std::optional<replication_status> &status,
                                                   const change_surroundings &around, time_point now)
 {
     if (!isRunning() || !status)
         return take();
     auto &member = m_members[server];
     member.status = status;
-    member.answered = now;
     member.listed = std::max(member.listed, now);
-    switch (m_step) {
-    case step::adopting:
-        adopt(around, now);
-        break;
-    case step::surveying:
-        if (server == m_old && status->role == replication_role::replica)
-            m_steppedDown = true;
-        survey(around, now);
-        break;
-    case step::confirming:
-        confirm(around, now);
-        break;
-    default:
-        break;
-    }
+    if (m_step == step::surveying && server == m_old && status->role == replication_role::replica)
+        m_steppedDown = true;
+    advance(around, now);
     return take();
 }
 
@@ -512,19 +514,7 @@
         resolve(around, now);
     if (m_writing || m_unresolved)
         return take();
-    switch (m_step) {
-    case step::adopting:
-        adopt(around, now);
-        break;
-    case step::surveying:
-        survey(around, now);
-        break;
-    case step::confirming:
-        confirm(around, now);
-        break;
-    default:
-        break;
-    }
+    advance(around, now);
     return take();
 }
 
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -15,14 +15,14 @@
 namespace sycamorespan {
 
 /** \brief A member's answer to a status, pause or step-down statement. */
-struct member_status
+struct replication_status
 {
     replication_role role = replication_role::replica;
     term_number term = 0; ///< the newest that it knows
     log_position received; ///< end of its log
     term_number pausedFor = 0; ///< the term that it was paused for; 0: it receives
 
-    auto operator<=>(const member_status &) const = default;
+    auto operator<=>(const replication_status &) const = default;
 };
 
 /** \brief Constants of a synchronous_change. */
@@ -160,7 +160,7 @@
     change_outputs viewConflict(time_point now);
     change_outputs viewUnknown(time_point now);
     change_outputs memberAnswered(const server_id &server,
-                                  const std::optional<member_status> &status,
+                                  const std::optional<replication_status> &status,
                                   const change_surroundings &around, time_point now);
     /** \param accepted  nothing: no answer
      */
@@ -181,15 +181,15 @@
 
     struct member_state
     {
-        std::optional<member_status> status;
+        std::optional<replication_status> status;
         time_point asked;
-        time_point answered;
         time_point listed; ///< last seen in the list
     };
 
     change_outputs take() { return std::exchange(m_outputs, {}); }
     void write(view_phase phase, const server_id &primary, term_number term,
                const change_surroundings &around, step next, time_point now);
+    void advance(const change_surroundings &around, time_point now);
     void survey(const change_surroundings &around, time_point now);
     void ask(const server_id &server, outgoing_statement statement, duration interval,
              time_point now);
--- a/sycamorespan/src/Failover/view_ledger.cpp
+++ b/sycamorespan/src/Failover/view_ledger.cpp
@@ -43,11 +43,6 @@
     known->second = std::max(known->second, stated);
 }
 
-void view_ledger::noteGone(const instance_id &instance, reference_time at)
-{
-    vouch(instance, {}, at);
-}
-
 const primary_view *view_ledger::find(const database_id &database) const
 {
     const auto known = m_entries.find(database);
--- a/sycamorespan/src/Failover/view_ledger.h
+++ b/sycamorespan/src/Failover/view_ledger.h
@@ -59,9 +59,6 @@
     void vouch(const instance_id &instance, const std::vector<primary_view> &views,
                reference_time stated);
 
-    /** \brief The process of \a instance is certainly gone: nothing listens at its address. */
-    void noteGone(const instance_id &instance, reference_time at);
-
     const primary_view *find(const database_id &database) const;
     std::vector<primary_view> views() const;
 
--- a/sycamorespan/src/Net/datagram_socket.cpp
+++ b/sycamorespan/src/Net/datagram_socket.cpp
@@ -1,6 +1,7 @@
 #include "sycamorespan/src/Net/datagram_socket.h"
 
 #include "sycamorespan/Core"
+#include "sycamorespan/src/Net/internal/socket_address.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -18,19 +19,9 @@
 /** Datagrams read in one turn, so that a flood can't keep the loop from other work. */
 constexpr int datagramsPerTurn = 32;
 
-sockaddr_in toNative(const endpoint &address)
-{
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_port = htons(address.port);
-    if (::inet_pton(AF_INET, address.address.c_str(), &name.sin_addr) != 1)
-        throw error("'" + address.address + "' is not an IP number");
-    return name;
-}
-
 file_descriptor bindDatagramSocket(const endpoint &address)
 {
-    const auto name = toNative(address);
+    const auto name = internal::toNative(address);
     file_descriptor socket(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!socket
         || ::bind(socket.get(), reinterpret_cast<const sockaddr *>(&name), sizeof name) != 0)
@@ -52,7 +43,7 @@
 
 void datagram_socket::send(const endpoint &to, std::string_view bytes)
 {
-    const auto name = toNative(to);
+    const auto name = internal::toNative(to);
     const auto sent = ::sendto(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
                                reinterpret_cast<const sockaddr *>(&name), sizeof name);
     if (sent < 0)
--- a/sycamorespan/src/Net/tcp_socket.cpp
+++ b/sycamorespan/src/Net/tcp_socket.cpp
@@ -1,6 +1,7 @@
 #include "sycamorespan/src/Net/tcp_socket.h"
 
 #include "sycamorespan/Core"
+#include "sycamorespan/src/Net/internal/socket_address.h"
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
@@ -19,21 +20,11 @@
     return error("cannot connect to " + address.str() + ": " + std::strerror(errno));
 }
 
-sockaddr_in toNative(const endpoint &address)
-{
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_port = htons(address.port);
-    if (::inet_pton(AF_INET, address.address.c_str(), &name.sin_addr) != 1)
-        throw error("'" + address.address + "' is not an IP number");
-    return name;
-}
-
 } // namespace
 
 file_descriptor connectTo(const endpoint &address)
 {
-    const auto name = toNative(address);
+    const auto name = internal::toNative(address);
     file_descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!socket)
         throw connectFailure(address);
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -199,7 +199,7 @@
         const auto length = asked.log.empty() ? 0 : asked.log.back();
         carryOut(m_supervisor.memberAnswered(
                 database, action.server,
-                member_status{asked.role, asked.term, {asked.term, length}, asked.pausedFor},
+                replication_status{asked.role, asked.term, {asked.term, length}, asked.pausedFor},
                 surroundings(), now));
     }
 
--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -157,7 +157,7 @@
 TEST(PlatformMembers, StatusRowsAreDecoded)
 {
     EXPECT_EQ(decodeMemberStatus("replica 3 3.1209 4 12 2 17"),
-              (member_status{replication_role::replica, 3, {3, 1209}, 4}));
+              (replication_status{replication_role::replica, 3, {3, 1209}, 4}));
     EXPECT_THROW(decodeMemberStatus("leader 3 3.1 0 0 0 0"), decode_error);
     EXPECT_THROW(decodeMemberStatus(""), decode_error);
 }
