Remember in the view's row which replicas may hold an acknowledged commit

A data centre was cut off with the primary and a draining replica; that replica alone confirmed two commits and left. All instances were then killed, so that the next supervisor never saw it listed: it paused the two replicas that were left and promoted the longer log. Ruled out: the 10 s of memory of a supervisor (it had died); a view used too long (the commits were acknowledged before the change). Change: the rows of a change under way carry the runs of the members as its first supervisor knew them. A run that left, or started anew with an empty log, keeps the change waiting for the old primary's whole log while that is listed; if both are gone, for 10 s. An old primary that started anew no longer counts as complete.

--- a/programs/node/coordination_rows.cpp
+++ b/programs/node/coordination_rows.cpp
@@ -1,5 +1,8 @@
 #include "programs/node/coordination_rows.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace sycamorespan::node::coordination_rows {
@@ -49,12 +52,17 @@
 
 std::string encode(const primary_view &view)
 {
+    auto holders = json::array();
+    std::ranges::for_each(view.holders, [&](const log_holder &holder) {
+        holders.push_back({{"server", holder.server.str()}, {"started_at", holder.startedAtMs}});
+    });
     return json{{"database", view.database.str()},
                 {"primary", view.primary.str()},
                 {"term", view.term},
                 {"phase", static_cast<int>(view.phase)},
                 {"planned", view.planned},
-                {"fence", view.fence}}
+                {"fence", view.fence},
+                {"holders", holders}}
             .dump();
 }
 
@@ -79,13 +87,18 @@
         const auto phase = fields.at("phase").get<int>();
         if (phase < 0 || phase > static_cast<int>(view_phase::ordered))
             return std::nullopt;
+        std::vector<log_holder> holders;
+        for (const auto &holder : fields.at("holders"))
+            holders.push_back({server_id(holder.at("server").get<std::string>()),
+                               holder.at("started_at").get<std::int64_t>()});
         return primary_view{database_id(fields.at("database").get<std::string>()),
                             revision,
                             server_id(fields.at("primary").get<std::string>()),
                             fields.at("term").get<term_number>(),
                             static_cast<view_phase>(phase),
                             fields.at("planned").get<bool>(),
-                            fields.at("fence").get<std::uint64_t>()};
+                            fields.at("fence").get<std::uint64_t>(),
+                            std::move(holders)};
     });
 }
 
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -1,6 +1,8 @@
 #include "sycamorespan/src/Failover/synchronous_change.h"
+#include "sycamorespan/src/Core/map_projections.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <string_view>
 #include <utility>
@@ -96,11 +98,48 @@
 
 void synchronous_change::updateMembers(const change_surroundings &around, time_point now)
 {
-    std::ranges::for_each(around.members,
-                          [&](const server_entry &entry) { m_members[entry.id].listed = now; });
+    std::ranges::for_each(around.members, [&](const server_entry &entry) {
+        auto &member = m_members[entry.id];
+        member.listed = now;
+        const bool isNewRun =
+                m_holders.insert_or_assign(log_holder{entry.id, entry.startedAtMs}, now).second;
+        if (isNewRun)
+            member.status.reset(); // it was of a former run
+    });
     std::erase_if(m_members, [&](const auto &each) {
         return now - each.second.listed > m_policy.lapsedMember;
     });
+    const bool oldMayAnswer = isRunning() && holdsAllCommits(m_old)
+                              && std::ranges::any_of(around.members, [&](const server_entry &each) {
+                                     return each.id == m_old;
+                                 });
+    if (oldMayAnswer)
+        return;
+    std::erase_if(m_holders,
+                  [&](const auto &each) { return now - each.second > m_policy.lapsedMember; });
+}
+
+/** \returns whether \a server, as the old primary, has had one log all the while: another run of it
+ * has lost what the former one held.
+ */
+bool synchronous_change::holdsAllCommits(const server_id &server) const
+{
+    const auto isRun = [&](const log_holder &each) { return each.server == server; };
+    return std::ranges::count_if(m_holders, isRun, keyOf) == 1;
+}
+
+bool synchronous_change::isListedRun(const log_holder &holder,
+                                     const change_surroundings &around) const
+{
+    const auto *entry = entryOf(around, holder.server);
+    return entry && entry->startedAtMs == holder.startedAtMs;
+}
+
+std::vector<log_holder> synchronous_change::holders() const
+{
+    std::vector<log_holder> result;
+    std::ranges::transform(m_holders, std::back_inserter(result), keyOf);
+    return result;
 }
 
 change_outputs synchronous_change::begin(change_reason reason, const change_surroundings &around,
@@ -131,6 +170,10 @@
         adopt(around, now);
         return take();
     }
+    std::ranges::for_each(around.view->holders, [&](const log_holder &holder) {
+        m_holders.try_emplace(holder, now);
+        m_members.try_emplace(holder.server).first->second.listed = now;
+    });
     m_oldTerm = around.view->term;
     if (around.view->phase == view_phase::ordered && around.latest)
         m_foreignOrder = *around.latest + m_policy.foreignOrderWait;
@@ -147,9 +190,10 @@
                                const change_surroundings &around, step next, time_point now)
 {
     enter(next, now);
-    m_wanted = {
-            m_database,  around.view ? around.view->revision : 0, primary, term, phase, m_planned,
-            around.fence};
+    m_wanted = {m_database,   around.view ? around.view->revision : 0,
+                primary,      term,
+                phase,        m_planned,
+                around.fence, phase == view_phase::steady ? std::vector<log_holder>() : holders()};
     m_writing = true;
     m_outputs.push_back(write_view{m_wanted});
 }
@@ -380,13 +424,16 @@
         server_id server;
     };
     std::vector<ranked> known;
-    bool everyReplicaFenced = true;
+    const auto isFenced = [&](const log_holder &holder) {
+        if (holder.server == m_old)
+            return true;
+        const auto member = m_members.find(holder.server);
+        return member != m_members.end() && member->second.status
+               && member->second.status->pausedFor > m_oldTerm && isListedRun(holder, around);
+    };
+    const bool everyReplicaFenced = std::ranges::all_of(m_holders, isFenced, keyOf);
     for (const auto &[id, member] : m_members) {
-        if (id == m_old)
-            continue;
-        const bool fenced = member.status && member.status->pausedFor > m_oldTerm;
-        everyReplicaFenced = everyReplicaFenced && fenced;
-        if (!member.status)
+        if (id == m_old || !member.status)
             continue;
         const auto *entry = entryOf(around, id);
         known.push_back({member.status->received, entry && entry->state == server_state::ready,
@@ -405,7 +452,8 @@
                 best = &each;
         return best ? std::optional(best->server) : std::nullopt;
     };
-    if (m_steppedDown) {
+    const bool oldLogIsWhole = m_steppedDown && holdsAllCommits(m_old);
+    if (oldLogIsWhole) {
         const auto last = m_members.at(m_old).status->received;
         if (auto best = bestOf(last))
             return best;
@@ -416,7 +464,7 @@
         return bestOf(longest);
     }
     const auto *entry = entryOf(around, m_old);
-    if (m_steppedDown && !m_planned && entry && entry->state == server_state::ready)
+    if (oldLogIsWhole && !m_planned && entry && entry->state == server_state::ready)
         return m_old; // only its own log is certainly complete
     return std::nullopt;
 }
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -36,7 +36,10 @@
     duration foreignOrderWait = 2s; ///< another supervisor's order may be sent until then
     duration orderPatience = 4s; ///< without effect another member is chosen
     duration catchUpLimit = 400ms; ///< for a replica to receive the old primary's last commits
-    duration lapsedMember = 10s; ///< a member that left the list may hold commits so long
+    /** A member that left the list may hold commits so long; while the old primary is listed, its
+     * log can still show them, so that the change waits for it.
+     */
+    duration lapsedMember = 10s;
     duration writeRetry = 300ms; ///< after a write of the store that had no answer
     duration storeReadInterval = 200ms; ///< of the row, while its state is unknown
     duration expectedPromotion = 1s; ///< until one was measured
@@ -196,6 +199,9 @@
     void adopt(const change_surroundings &around, time_point now);
     bool released(const change_surroundings &around) const;
     bool isLeaving(const server_id &server, const change_surroundings &around) const;
+    bool holdsAllCommits(const server_id &server) const;
+    bool isListedRun(const log_holder &holder, const change_surroundings &around) const;
+    std::vector<log_holder> holders() const;
     bool awaitsStayingMember(const change_surroundings &around, time_point now) const;
     std::optional<server_id> choose(const change_surroundings &around, time_point now);
     void confirm(const change_surroundings &around, time_point now);
@@ -229,6 +235,7 @@
     std::optional<time_point> m_fencingSince;
     bool m_paused = false;
     std::map<server_id, member_state> m_members;
+    std::map<log_holder, time_point> m_holders; ///< and when each was last seen in the list
     server_id m_chosen;
     time_point m_ordered;
     std::optional<time_point> m_firstOrder;
--- a/sycamorespan/src/Membership/peer_report.cpp
+++ b/sycamorespan/src/Membership/peer_report.cpp
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 /** Of the layout below; a report of another layout is refused. */
-constexpr int layoutVersion = 1;
+constexpr int layoutVersion = 2;
 
 json optionalTime(const std::optional<reference_time> &time)
 {
@@ -40,10 +40,30 @@
     return log_position{value.at(0).get<term_number>(), value.at(1).get<std::uint64_t>()};
 }
 
+template<typename Items, typename Encode>
+json listOf(const Items &items, Encode encode)
+{
+    json list = json::array();
+    std::ranges::for_each(items, [&](const auto &item) { list.push_back(encode(item)); });
+    return list;
+}
+
+template<typename Item, typename Decode>
+std::vector<Item> readList(const json &list, Decode decode)
+{
+    std::vector<Item> items;
+    std::ranges::transform(list.get_ref<const json::array_t &>(), std::back_inserter(items),
+                           decode);
+    return items;
+}
+
 json viewFields(const primary_view &view)
 {
     return json::array({view.database.str(), view.revision, view.primary.str(), view.term,
-                        static_cast<int>(view.phase), view.planned, view.fence});
+                        static_cast<int>(view.phase), view.planned, view.fence,
+                        listOf(view.holders, [](const log_holder &holder) {
+                            return json::array({holder.server.str(), holder.startedAtMs});
+                        })});
 }
 
 primary_view readView(const json &fields)
@@ -57,7 +77,11 @@
             fields.at(3).get<term_number>(),
             static_cast<view_phase>(phase),
             fields.at(5).get<bool>(),
-            fields.at(6).get<std::uint64_t>()};
+            fields.at(6).get<std::uint64_t>(),
+            readList<log_holder>(fields.at(7), [](const json &holder) {
+                return log_holder{server_id(holder.at(0).get<std::string>()),
+                                  holder.at(1).get<std::int64_t>()};
+            })};
 }
 
 json databaseFields(const database_report &report)
@@ -76,23 +100,6 @@
             fields.at(5).get<bool>()};
 }
 
-template<typename Items, typename Encode>
-json listOf(const Items &items, Encode encode)
-{
-    json list = json::array();
-    std::ranges::for_each(items, [&](const auto &item) { list.push_back(encode(item)); });
-    return list;
-}
-
-template<typename Item, typename Decode>
-std::vector<Item> readList(const json &list, Decode decode)
-{
-    std::vector<Item> items;
-    std::ranges::transform(list.get_ref<const json::array_t &>(), std::back_inserter(items),
-                           decode);
-    return items;
-}
-
 } // namespace
 
 std::string encodePeerReport(const peer_report &report)
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -94,6 +94,30 @@
             back.log = leader->second.log;
     }
 
+    /** Another supervisor takes over: all that it knows is in the store. */
+    void replaceSupervisor()
+    {
+        m_supervisor = group_supervisor({}, {});
+        m_supervisor.setHolder(true);
+    }
+
+    /** The member ends for good, with its log. */
+    void remove(const std::string &id)
+    {
+        member(id).isUp = false;
+        std::erase_if(servers, [&](const server_entry &entry) { return entry.id.str() == id; });
+    }
+
+    /** The process of a member is another one under the same name, with an empty log. */
+    void restartEmpty(const std::string &id)
+    {
+        member(id).log.clear();
+        member(id).isUp = true;
+        for (auto &entry : servers)
+            if (entry.id.str() == id)
+                ++entry.startedAtMs;
+    }
+
     const primary_view *view() const { return ledger.find(database); }
 
     bool isSteadyAt(const std::string &id) const
@@ -245,7 +269,7 @@
     group_supervisor m_supervisor;
     std::uint64_t m_commits = 0;
     term_number m_term = 1;
-    primary_view m_row{database, 0, {}, 0, view_phase::steady, false, 0};
+    primary_view m_row{database, 0, {}, 0, view_phase::steady, false, 0, {}};
     std::uint64_t m_revision = 0;
     std::vector<promotion> m_promotions;
 };
@@ -286,6 +310,73 @@
     EXPECT_TRUE(world.lost.empty());
 }
 
+/** The only replica that confirmed a commit leaves while the primary can't be reached, and the next
+ * supervisor never saw it listed.
+ */
+TEST(FailoverSynchronous, AReplicaThatLeftDuringAChangeIsRememberedByTheNextSupervisor)
+{
+    change_world world;
+    world.pass(1s);
+    world.deaf = {server_id("s3")};
+    EXPECT_TRUE(world.commit("s1"));
+    world.member("s1").isUp = false;
+    world.member("s2").isUp = false;
+    world.pass(2s);
+    world.remove("s2");
+    world.replaceSupervisor();
+    world.pass(20s);
+    EXPECT_TRUE(world.orders.empty()) << "s1 is listed and alone holds the commit";
+    world.member("s1").isUp = true;
+    world.pass(5s);
+    EXPECT_TRUE(world.isSteadyAt("s1"));
+    EXPECT_TRUE(world.lost.empty());
+}
+
+TEST(FailoverSynchronous, AChangeGoesOnOnceThePrimaryIsGoneTooForLong)
+{
+    change_world world;
+    world.pass(1s);
+    world.remove("s1");
+    world.remove("s2");
+    world.pass(20s);
+    EXPECT_TRUE(world.isSteadyAt("s3"));
+}
+
+TEST(FailoverSynchronous, AReplicaThatStartedAnewIsNoWitnessOfItsFormerLog)
+{
+    change_world world;
+    world.pass(1s);
+    world.deaf = {server_id("s3")};
+    EXPECT_TRUE(world.commit("s1"));
+    world.deaf = {server_id("s2"), server_id("s3")};
+    world.member("s1").isUp = false;
+    world.restartEmpty("s2");
+    world.pass(5s);
+    EXPECT_TRUE(world.orders.empty());
+    world.member("s1").isUp = true;
+    world.pass(5s);
+    EXPECT_TRUE(world.isSteadyAt("s1"));
+    EXPECT_TRUE(world.lost.empty());
+}
+
+TEST(FailoverSynchronous, APrimaryThatStartedAnewDoesNotCountAsComplete)
+{
+    change_world world;
+    world.pass(1s);
+    world.deaf = {server_id("s3")};
+    EXPECT_TRUE(world.commit("s1"));
+    world.restartEmpty("s1");
+    world.member("s1").role = replication_role::replica;
+    world.member("s2").isUp = false;
+    world.falseVotes = 6;
+    world.pass(5s);
+    EXPECT_TRUE(world.orders.empty()) << "s2 alone holds the commit";
+    world.member("s2").isUp = true;
+    world.pass(5s);
+    EXPECT_TRUE(world.isSteadyAt("s2"));
+    EXPECT_TRUE(world.lost.empty());
+}
+
 TEST(FailoverSynchronous, AnInstanceThatDoesNotReleaseIsWaitedFor)
 {
     change_world world;
