Have three instances follow the store and pass news on between instances

Instances took the store as out of reach for 2 s after they had sent a question that waits 2 s, so that ranks flapped and dozens followed; all others read the table for each news; at a start all 77 took themselves for the first. Ruled out: heartbeats of members (their rows change only with more than the sequence number). Change: the store is in reach by when its answer arrived; the wait stays below that limit; three followers, and the holder at once; the others fetch configuration and servers from the instance that reported them, and ask the store if that fails. Lapsed entries that a follower keeps are passed on too. One reading without any view suffices until there should be one.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -21,10 +21,11 @@
 
 /** The store may hold a question for changes back for two fifths of the time in which a new
  * configuration has to be in force: a connection that went silent is noticed and replaced in it.
+ * Its answers also show that the store is in reach, so that the wait stays below that limit.
  */
 duration feedWait(const platform::node_settings &settings)
 {
-    return settings.configurationBound * 2 / 5;
+    return std::min(settings.configurationBound * 2 / 5, view_keeper::storeSilence * 3 / 5);
 }
 
 /** A leaving member gets nothing new after three quarters of its notice. */
@@ -35,16 +36,22 @@
     return policy;
 }
 
-/** Instances that wait for changes at the store; the others hear of them from these. */
-constexpr std::size_t followers = 6;
+/** Instances that wait for changes at the store; the others hear of them from these. Two may be
+ * lost at once before the next in rank notice.
+ */
+constexpr std::size_t followers = 3;
+
+/** After its start, until an instance has been heard by the others and has heard them: two
+ * intervals of full reports.
+ */
+constexpr duration introduction = 1s;
 
-/** A peer's newer state is fetched from it when the store doesn't give it for so long. */
+/** Between two fetches of a newer state from another instance. */
 constexpr duration peerFetchInterval = 300ms;
+/** A large fleet spreads its fetches over so long, for the sake of the few that have the news. */
+constexpr duration peerFetchSpread = 200ms;
 constexpr duration peerTimeout = 500ms;
 
-/** Between two readings of the list of servers because another instance knows a newer one. */
-constexpr duration serverRefreshInterval = 300ms;
-
 /** An instance that hears nothing from other data centres for so long is cut off. */
 constexpr duration isolationPatience = 300ms;
 /** Of the silence of a member in another data centre before it counts as out of reach. */
@@ -66,6 +73,10 @@
 /** Of the work that follows from who is live: below the interval of reports. */
 constexpr duration peerUpdateInterval = 100ms;
 
+/** What instances fetch from each other. */
+const std::string configurationPath = "/configuration";
+const std::string serversPath = "/servers";
+
 constexpr char reportMark = 'R';
 constexpr char quotaMark = 'Q';
 constexpr duration newsDelay = 2ms;
@@ -100,6 +111,7 @@
     , m_settings(std::move(settings))
     , m_settingsFile(std::move(settingsFile))
     , m_random(std::move(random))
+    , m_started(suspendAwareNow())
     , m_self{m_settings.instance, m_random() >> 1U,
              endpoint{m_settings.address, m_settings.firstPeerPort}.str(), m_settings.dataCentre}
     , m_log(line_budget_policy{})
@@ -150,11 +162,16 @@
                [this] { return state(); },
                [this] { return m_ready; },
                {},
-               {{"/configuration", [this] { return m_configurationText; }},
-                {"/servers", [this] { return json(m_serverTexts).dump(); }}}})
+               {{configurationPath, [this] { return m_configurationText; }},
+                {serversPath,
+                 [this] {
+                     return json{{"revision", m_serversRevision}, {"servers", m_serverTexts}}
+                             .dump();
+                 }}}})
     , m_tick(loop, [this] { tick(); })
     , m_reportTimer(loop, [this] { sendReports(); })
     , m_newsTimer(loop, [this] { sendReports(); })
+    , m_peerFetch(loop, [this] { fetchFromPeer(); })
 {
     m_tick.startRepeating(tickInterval);
     m_reportTimer.startOnce(m_peers.fullInterval());
@@ -442,14 +459,10 @@
 {
     const auto now = suspendAwareNow();
     std::vector<server_entry> entries;
-    if (whole)
-        m_serverTexts.clear();
     for (const auto &row : content.rows) {
         const auto entry =
                 row.deleted ? std::nullopt : platform::decodeServerEntry(row.key, row.value);
-        if (row.deleted)
-            m_serverTexts.erase(row.key);
-        else
+        if (entry)
             m_serverTexts[row.key] = row.value;
         if (!row.deleted && !entry)
             m_log.write(line_importance::failure, "server entry not understood",
@@ -485,6 +498,11 @@
         return;
     const auto now = suspendAwareNow();
     const auto entries = m_roster.entries();
+    // Others are told of entries that lapsed in an outage for as long as this instance keeps them.
+    std::erase_if(m_serverTexts, [&](const auto &text) {
+        return std::ranges::none_of(
+                entries, [&](const server_entry &entry) { return entry.id.str() == text.first; });
+    });
     m_views.setServers(entries);
     apply(m_dispatcher.setServers(entries, now));
     std::string draining;
@@ -531,46 +549,77 @@
     m_views.received(report, now);
     const bool newerConfiguration =
             report.configurationVersion > (m_directory ? m_directory->version : 0);
-    if (newerConfiguration)
-        m_configuration.refresh();
     const bool newerServers = report.serversRevision > m_serversRevision;
-    if (newerServers && now - m_serversRefreshed >= serverRefreshInterval) {
-        m_serversRefreshed = now;
-        m_servers.refresh();
-    }
-    if (newerConfiguration || (report.serversRevision > 0 && !m_roster.isKnown()))
-        fetchFromPeer(report, now);
+    if (!newerConfiguration && !newerServers)
+        return;
+    if (follows() && m_views.storeReachable(now))
+        return; // the store's answer is under way
+    m_newsSource = report.sender.address;
+    if (m_peerFetch.isActive() || now - m_peerFetched < peerFetchInterval)
+        return;
+    m_peerFetch.startOnce(
+            m_peers.isSmall() ? duration::zero()
+                              : fromSeconds(toSeconds(peerFetchSpread) * uniformUnit(m_random)));
 }
 
-/** Asks another instance for what the store doesn't give. */
-void node::fetchFromPeer(const peer_report &report, time_point now)
+bool node::follows() const
 {
-    if (m_views.storeReachable(now) || now - m_peerFetched < peerFetchInterval)
-        return;
-    m_peerFetched = now;
-    m_peerClient =
-            std::make_unique<http_client>(m_loop, "http://" + report.sender.address, peerTimeout);
-    m_peerClient->send({"GET", "/configuration", ""}, [this](const http_outcome &outcome) {
-        const auto *response = std::get_if<http_response>(&outcome);
-        if (!response || response->status != 200 || response->body.empty())
-            return;
-        platform::store_rows content;
+    return m_configuration.isFollowing();
+}
+
+/** Asks the instance that last reported something newer for it. */
+void node::fetchFromPeer()
+{
+    m_peerFetched = suspendAwareNow();
+    m_peerClient = std::make_unique<http_client>(m_loop, "http://" + m_newsSource, peerTimeout);
+    m_peerClient->send({"GET", configurationPath, ""},
+                       [this](const http_outcome &outcome) { takePeerConfiguration(outcome); });
+    m_peerClient->send({"GET", serversPath, ""},
+                       [this](const http_outcome &outcome) { takePeerServers(outcome); });
+}
+
+void node::takePeerConfiguration(const http_outcome &outcome)
+{
+    const auto *response = std::get_if<http_response>(&outcome);
+    if (!response || response->status != 200) {
+        notePeerFetchFailed(configurationPath);
+        return m_configuration.refresh();
+    }
+    platform::store_rows content;
+    if (!response->body.empty())
         content.rows.push_back({{}, platform::configurationKey, response->body, 0, false});
-        takeConfiguration(content);
-    });
-    m_peerClient->send({"GET", "/servers", ""}, [this](const http_outcome &outcome) {
-        const auto *response = std::get_if<http_response>(&outcome);
-        const auto texts = response && response->status == 200
-                                   ? json::parse(response->body, nullptr, false)
-                                   : json();
-        if (!texts.is_object() || m_views.storeReachable(suspendAwareNow()))
-            return;
+    takeConfiguration(content);
+}
+
+void node::takePeerServers(const http_outcome &outcome)
+{
+    const auto *response = std::get_if<http_response>(&outcome);
+    const auto fields = response && response->status == 200
+                                ? json::parse(response->body, nullptr, false)
+                                : json();
+    if (!fields.is_object() || !fields.contains("revision") || !fields.contains("servers")) {
+        notePeerFetchFailed(serversPath);
+        return m_servers.refresh();
+    }
+    try {
         platform::store_rows content;
-        for (const auto &[id, text] : texts.items())
-            if (text.is_string())
-                content.rows.push_back({{}, id, text.get<std::string>(), 0, false});
-        takeServers(content, true);
-    });
+        content.revision = fields.at("revision").get<std::uint64_t>();
+        for (const auto &[id, text] : fields.at("servers").items())
+            content.rows.push_back({{}, id, text.get<std::string>(), 0, false});
+        if (content.revision > m_serversRevision)
+            takeServers(content, true);
+    } catch (const json::exception &failure) {
+        m_metrics.countMalformedMessage();
+        m_log.write(line_importance::failure, "message of an instance not understood",
+                    {{"error", failure.what()}, {"address", m_newsSource}}, suspendAwareNow());
+    }
+}
+
+/** The store is asked instead. */
+void node::notePeerFetchFailed(const std::string &path)
+{
+    m_log.write(line_importance::failure, "fetch from instance failed",
+                {{"address", m_newsSource}, {"path", path}}, suspendAwareNow());
 }
 
 peer_report node::makeReport(time_point now) const
@@ -632,9 +681,12 @@
     std::ranges::for_each(m_roster.entries(), [&](const server_entry &entry) {
         m_dispatcher.setOthersLoad(entry.id, m_peers.othersWorking(entry.id, now));
     });
-    const bool follows = m_peers.rank(now) < followers;
-    m_configuration.setFollowing(follows);
-    m_servers.setFollowing(follows);
+    // The holder of the duty tells everybody. Of the others all would take themselves for the first
+    // at a start.
+    const bool knowsOthers = m_views.hasReadRows() && now - m_started > introduction;
+    const bool following = m_views.isHolder() || (knowsOthers && m_peers.rank(now) < followers);
+    m_configuration.setFollowing(following);
+    m_servers.setFollowing(following);
 }
 
 // Readiness and stop.
@@ -752,7 +804,8 @@
     const auto now = suspendAwareNow();
     m_closedCallers.clear();
     m_closedMembers.clear();
-    m_roster.tick(now);
+    if (m_roster.tick(now) && follows())
+        m_servers.refresh(); // its revision tells the others
     applyServers();
     if (now - m_peersUpdated >= peerUpdateInterval) {
         m_peersUpdated = now;
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -71,7 +71,11 @@
     void sendReports();
     peer_report makeReport(time_point now) const;
     void updatePeers(time_point now);
-    void fetchFromPeer(const peer_report &report, time_point now);
+    bool follows() const;
+    void fetchFromPeer();
+    void takePeerConfiguration(const http_outcome &outcome);
+    void takePeerServers(const http_outcome &outcome);
+    void notePeerFetchFailed(const std::string &path);
     endpoint reportAddress() const;
 
     // Readiness and stop.
@@ -89,6 +93,7 @@
     platform::node_settings m_settings;
     std::string m_settingsFile;
     random_source m_random;
+    time_point m_started;
     instance_run m_self;
     event_log m_log;
     node_metrics m_metrics;
@@ -107,6 +112,7 @@
     table_follower m_servers;
     std::unique_ptr<http_client> m_peerClient;
     time_point m_peerFetched;
+    std::string m_newsSource; ///< address of the instance that last reported something newer
     std::optional<bool> m_storeAnswers;
 
     caller_channel::handlers m_callerHandlers;
@@ -126,10 +132,10 @@
     loop_timer m_tick;
     loop_timer m_reportTimer;
     loop_timer m_newsTimer;
+    loop_timer m_peerFetch;
 
     time_point m_broadcast;
     time_point m_peersUpdated;
-    time_point m_serversRefreshed;
     bool m_ready = false;
     bool m_isolated = false;
     std::optional<time_point> m_apartSince;
--- a/programs/node/store_client.cpp
+++ b/programs/node/store_client.cpp
@@ -40,8 +40,9 @@
         try {
             if (carriesRows) {
                 answer.content = platform::decodeRows(response->body);
-                m_clock.observe(sent, suspendAwareNow(), answer.content.clock);
-                m_lastAnswered = sent;
+                const auto now = suspendAwareNow();
+                m_clock.observe(sent, now, answer.content.clock);
+                m_lastAnswered = now;
             }
         } catch (const decode_error &) {
             answer.status = 0; // a cut answer: whether the call was performed is unknown
--- a/programs/node/store_client.h
+++ b/programs/node/store_client.h
@@ -41,7 +41,7 @@
 
     const reference_clock &clock() const { return m_clock; }
 
-    /** \returns when the last answered call was sent; nothing before the first. */
+    /** \returns when the last answer arrived; nothing before the first. */
     std::optional<time_point> lastAnswered() const { return m_lastAnswered; }
 
     std::uint64_t calls() const { return m_calls; }
--- a/programs/node/table_follower.h
+++ b/programs/node/table_follower.h
@@ -39,6 +39,7 @@
 
     std::uint64_t revision() const { return m_revision; }
     bool isRead() const { return m_isRead; }
+    bool isFollowing() const { return m_isFollowing; }
 
 private:
     void proceed();
@@ -57,7 +58,7 @@
     std::uint64_t m_revision = 0;
     std::uint64_t m_generation = 0; ///< of the question for changes under way
     bool m_isRead = false;
-    bool m_isFollowing = true;
+    bool m_isFollowing = false;
     bool m_reading = false;
     bool m_waiting = false;
 };
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -26,8 +26,6 @@
 constexpr duration writeTimeout = 1s;
 constexpr duration orderTimeout = 1s;
 constexpr duration registerRetry = 300ms;
-/** The store counts as out of reach after missing two confirmations. */
-constexpr duration storeSilence = 2s;
 
 /** Statements under way at a primary that leaves may end for so long: four times the longest usual
  * statement. Open transactions that wait for their caller are ended after half of it.
@@ -140,7 +138,10 @@
     const auto latest = m_store.clock().latest(now);
     const auto confirmed = m_ledger.confirmed();
     const auto patience = fromSeconds(toSeconds(confirmPatience) * m_readOrder);
-    const bool missing = !latest || !confirmed || *latest - *confirmed > confirmMissing + patience;
+    const auto limit = confirmMissing + patience;
+    // Before the first view is written, a reading that found none will do for as long.
+    const bool foundNone = m_rowsRead && m_ledger.views().empty() && now - *m_rowsRead <= limit;
+    const bool missing = !foundNone && (!latest || !confirmed || *latest - *confirmed > limit);
     const bool due = m_election.isHolder() ? now - m_lastRead > confirmInterval
                                            : missing && now - m_lastRead > ownReadInterval;
     const bool needed = m_election.needsRead() && now - m_lastRead > ownReadInterval;
@@ -165,6 +166,7 @@
 void view_keeper::takeRows(const store_answer &answer)
 {
     const auto now = suspendAwareNow();
+    m_rowsRead = now;
     std::vector<primary_view> views;
     std::vector<instance_run> instances;
     supervisor_claim claim;
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -45,7 +45,14 @@
     /** \brief Adds what this part knows to a report. */
     void fill(peer_report &report, time_point now) const;
 
+    /** The store counts as out of reach without an answer for so long: the holder misses two
+     * confirmations.
+     */
+    static constexpr duration storeSilence = 2s;
+
     bool storeReachable(time_point now) const;
+    /** \returns whether the rows were read, so that the other instances are known. */
+    bool hasReadRows() const { return m_rowsRead.has_value(); }
     bool isRegistered() const { return m_registeredRevision != 0; }
     /** \returns whether every known database has a usable primary. */
     bool allUsable(time_point now) const;
@@ -126,6 +133,7 @@
     bool m_wasHolder = false;
     bool m_leaving = false;
     time_point m_lastRead;
+    std::optional<time_point> m_rowsRead; ///< last successful reading
     time_point m_registerAfter;
     double m_readOrder; ///< this instance's place among those that read for themselves, 0 to 1
     duration m_promotionTook;
--- a/sycamorespan/src/Membership/server_roster.cpp
+++ b/sycamorespan/src/Membership/server_roster.cpp
@@ -63,7 +63,7 @@
     m_known = true;
 }
 
-void server_roster::tick(time_point now)
+bool server_roster::tick(time_point now)
 {
     const auto isOver = [&](const auto &each) {
         if (!each.second.missingSince || !m_returned)
@@ -71,8 +71,9 @@
         const auto back = std::max(*m_returned, *each.second.missingSince);
         return now - back >= m_policy.returnLimit + m_policy.slack;
     };
-    if (std::erase_if(m_listed, isOver) > 0)
-        m_changed = true;
+    const bool dropped = std::erase_if(m_listed, isOver) > 0;
+    m_changed = m_changed || dropped;
+    return dropped;
 }
 
 std::vector<server_entry> server_roster::entries() const
--- a/sycamorespan/src/Membership/server_roster.h
+++ b/sycamorespan/src/Membership/server_roster.h
@@ -44,8 +44,8 @@
     /** \brief The store answered at \a now. */
     void noteAnswer(time_point now);
 
-    /** \brief Drops entries whose time to come back is over. */
-    void tick(time_point now);
+    /** \brief Drops entries whose time to come back is over. \returns whether there were any. */
+    bool tick(time_point now);
 
     /** \returns whether entries() has changed since the last call. */
     bool takeChanged() { return std::exchange(m_changed, false); }
