Give a holder time to be heard by an instance that was cut off

It took the duty in the middle of four changes of primary; the next supervisor waits 2 s for orders of the former, so that four databases had none for 4 s more. Ruled out: the holder's load (its orders were answered; it lost the duty by the claim). Change: silence counts from when the store was in reach again at the earliest. The test failed without that line.

--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -235,6 +235,11 @@
     const auto &holder = m_election.claim().holder;
     election_view view;
     view.storeReachable = storeReachable(now);
+    if (!view.storeReachable)
+        m_storeSince.reset();
+    else if (!m_storeSince)
+        m_storeSince = now;
+    view.storeReachableFor = m_storeSince ? now - *m_storeSince : duration::zero();
     view.holderSilence = m_peers.silence(holder, now);
     if (const auto *report = m_peers.reportOf(holder)) {
         view.holderReachesStore = report->storeReachable;
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -135,6 +135,7 @@
     bool m_claiming = false;
     bool m_wasHolder = false;
     bool m_leaving = false;
+    std::optional<time_point> m_storeSince; ///< the store has been in reach
     std::set<database_id> m_suspected; ///< databases whose primary this instance misses
     time_point m_lastRead;
     std::optional<time_point> m_rowsRead; ///< last successful reading
--- a/sycamorespan/src/Failover/supervisor_election.cpp
+++ b/sycamorespan/src/Failover/supervisor_election.cpp
@@ -52,7 +52,10 @@
         return rank == 0;
     if (view.heardByOthers)
         return false;
-    return silence > m_policy.silenceLimit + turn + (alone ? m_policy.aloneDelay : 0ms);
+    // Silence from a time without the store was this instance's own: it has just come back and may
+    // not have heard the others yet.
+    const auto counted = std::min(silence, view.storeReachableFor);
+    return counted > m_policy.silenceLimit + turn + (alone ? m_policy.aloneDelay : 0ms);
 }
 
 std::optional<supervisor_claim> supervisor_election::propose(const election_view &view,
--- a/sycamorespan/src/Failover/supervisor_election.h
+++ b/sycamorespan/src/Failover/supervisor_election.h
@@ -37,6 +37,7 @@
 struct election_view
 {
     bool storeReachable = false;
+    duration storeReachableFor = duration::max(); ///< without a break
     std::optional<duration> holderSilence; ///< since the holder was heard here; none: never
     bool holderReachesStore = true; ///< as it says
     bool holderLeaving = false;
--- a/test/failover_election.cpp
+++ b/test/failover_election.cpp
@@ -69,6 +69,19 @@
     EXPECT_FALSE(election.propose(view, start + 10s));
 }
 
+/** It was cut off from everybody, and the store answers before the others are heard again. */
+TEST(FailoverElection, AnInstanceThatIsBackGivesTheHolderTimeToBeHeard)
+{
+    auto election = following(held);
+    auto view = around();
+    view.holderSilence = 5s;
+    view.storeReachableFor = 100ms;
+    EXPECT_FALSE(election.propose(view, start + 10s));
+    view.holderSilence = 7s;
+    view.storeReachableFor = 2s;
+    EXPECT_TRUE(election.propose(view, start + 12s));
+}
+
 TEST(FailoverElection, AHolderWithoutTheStoreHandsOn)
 {
     auto election = following(held);
