Drop log lines instead of waiting for a reader of the output

A line is now written only if the output takes PIPE_BUF bytes at once, and is kept below that; dropped lines are counted with the others. Tests: a full pipe drops and holds nothing up; a line with long quoted fields fits into one write.

--- a/programs/node/event_log.h
+++ b/programs/node/event_log.h
@@ -13,11 +13,14 @@
 
 using event_fields = std::vector<std::pair<std::string, std::string>>;
 
-/** \brief The node's log lines, bounded in number; what matters most is kept. */
+/** \brief The node's log lines, bounded in number and length; what matters most is kept. Output
+ * that nobody reads drops lines and stops nothing.
+ */
 class event_log
 {
 public:
-    explicit event_log(const line_budget_policy &policy);
+    /** \param output  descriptor that the lines end up at */
+    event_log(const line_budget_policy &policy, int output);
 
     void write(line_importance importance, std::string_view event, const event_fields &fields,
                time_point now);
@@ -25,10 +28,12 @@
     std::uint64_t dropped() const { return m_budget.dropped(); }
 
 private:
+    bool wouldBlock() const;
     void reportDropped(time_point now);
 
     logger m_logger;
     line_budget m_budget;
+    int m_output;
     std::uint64_t m_reported = 0;
     time_point m_reportedAt;
 };
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace sycamorespan::node {
 
@@ -114,7 +115,7 @@
     , m_started(suspendAwareNow())
     , m_self{m_settings.instance, m_random() >> 1U,
              endpoint{m_settings.address, m_settings.firstPeerPort}.str(), m_settings.dataCentre}
-    , m_log(line_budget_policy{})
+    , m_log(line_budget_policy{}, STDOUT_FILENO)
     , m_dispatcher(dispatchPolicy(m_settings), m_settings.dataCentre)
     , m_peers(m_self, peer_policy{})
     , m_roster(roster_policy{})
--- a/sycamorespan/src/Logging/line_budget.h
+++ b/sycamorespan/src/Logging/line_budget.h
@@ -51,6 +51,9 @@
         return true;
     }
 
+    /** \brief Counts a line that could not be written for another reason. */
+    void countDropped() { ++m_dropped; }
+
     std::uint64_t dropped() const { return m_dropped; }
 
 private:
--- a/test/logging.cpp
+++ b/test/logging.cpp
@@ -1,11 +1,18 @@
 #include "sycamorespan/Logging"
 #include "sycamorespan/Core"
 
+#include "programs/node/event_log.h"
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <climits>
 #include <sstream>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 namespace sycamorespan {
 namespace {
 
@@ -40,6 +47,68 @@
     EXPECT_EQ(parsed.at("reason"), "\xef\xbf\xbd\"\n");
 }
 
+/** \brief A pipe whose reader can be late. */
+class output_pipe
+{
+public:
+    output_pipe() { EXPECT_EQ(pipe2(m_ends.data(), O_NONBLOCK), 0); }
+    ~output_pipe()
+    {
+        close(m_ends[0]);
+        close(m_ends[1]);
+    }
+    output_pipe(const output_pipe &) = delete;
+    output_pipe &operator=(const output_pipe &) = delete;
+
+    int writeEnd() const { return m_ends[1]; }
+
+    void fill()
+    {
+        const std::array<char, PIPE_BUF> bytes{};
+        while (write(m_ends[1], bytes.data(), bytes.size()) > 0) { }
+    }
+
+    void drain()
+    {
+        std::array<char, PIPE_BUF> bytes{};
+        while (read(m_ends[0], bytes.data(), bytes.size()) > 0) { }
+    }
+
+private:
+    std::array<int, 2> m_ends{};
+};
+
+TEST(logging, aLateReaderDropsTheNodesLinesAndHoldsNothingUp)
+{
+    std::ostringstream stream;
+    setUpLogging({}, stream);
+    output_pipe output;
+    node::event_log log({}, output.writeEnd());
+    output.fill();
+    log.write(line_importance::state, "view changed", {}, time_point(1h));
+    EXPECT_EQ(stream.str(), "");
+    EXPECT_EQ(log.dropped(), 1U);
+    output.drain();
+    log.write(line_importance::state, "view usable", {}, time_point(1h));
+    EXPECT_NE(stream.str().find("event=\"log lines dropped\" count=1"), std::string::npos);
+    EXPECT_NE(stream.str().find("event=\"view usable\""), std::string::npos);
+    setUpLogging({}, std::cerr);
+}
+
+TEST(logging, theNodesLinesFitIntoOneWriteOfAPipe)
+{
+    std::ostringstream stream;
+    setUpLogging({}, stream);
+    output_pipe output;
+    node::event_log log({}, output.writeEnd());
+    const std::string quotes(PIPE_BUF, '"');
+    log.write(line_importance::state, "state", {{"first", quotes}, {"second", quotes}},
+              time_point(1h));
+    EXPECT_LE(stream.str().size(), std::size_t{PIPE_BUF});
+    EXPECT_NE(stream.str().find("second="), std::string::npos);
+    setUpLogging({}, std::cerr);
+}
+
 TEST(logging, leavesOutLighterLines)
 {
     EXPECT_EQ(lineOf({log_level::warning, settings::log_format::text}, log_level::info, {}), "");
