Let one instance of each data centre follow the store

Version 12 was acknowledged at 34.6 and in force nowhere before 38.75: followers were the first three by name, all of the data centre that was cut off, and counted as live for 5.5 s. Ruled out: the fetch between instances (nobody had the version). Change: the first of each data centre follows, and the holder of the duty.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -37,11 +37,6 @@
     return policy;
 }
 
-/** Instances that wait for changes at the store; the others hear of them from these. Two may be
- * lost at once before the next in rank notice.
- */
-constexpr std::size_t followers = 3;
-
 /** After its start, until an instance has been heard by the others and has heard them: two
  * intervals of full reports.
  */
@@ -685,7 +680,7 @@
     // The holder of the duty tells everybody. Of the others all would take themselves for the first
     // at a start.
     const bool knowsOthers = m_views.hasReadRows() && now - m_started > introduction;
-    const bool following = m_views.isHolder() || (knowsOthers && m_peers.rank(now) < followers);
+    const bool following = m_views.isHolder() || (knowsOthers && m_peers.isFirstOfDataCentre(now));
     m_configuration.setFollowing(following);
     m_servers.setFollowing(following);
 }
--- a/sycamorespan/src/Membership/peer_table.cpp
+++ b/sycamorespan/src/Membership/peer_table.cpp
@@ -210,10 +210,15 @@
     return order;
 }
 
-std::size_t peer_table::rank(time_point now) const
+bool peer_table::isFirstOfDataCentre(time_point now) const
 {
+    const auto isNearby = [this](const instance_id &id) {
+        const auto known = m_peers.find(id);
+        return known == m_peers.end() || known->second.run.dataCentre == m_self.dataCentre;
+    };
     const auto order = ranked(now);
-    return static_cast<std::size_t>(std::ranges::find(order, m_self.instance) - order.begin());
+    const auto first = std::ranges::find_if(order, isNearby);
+    return first != order.end() && *first == m_self.instance;
 }
 
 std::vector<instance_run> peer_table::forgotten(time_point now) const
--- a/sycamorespan/src/Membership/peer_table.h
+++ b/sycamorespan/src/Membership/peer_table.h
@@ -86,10 +86,14 @@
      */
     std::optional<bool> hearsOtherDataCentres(time_point now) const;
 
-    /** \returns this instance's place among the live ones, in an order that is the same for all. */
-    std::size_t rank(time_point now) const;
+    /** \returns the live instances that reach the store, this one included, in an order that is the
+     * same for all.
+     */
     std::vector<instance_id> ranked(time_point now) const;
 
+    /** \returns whether this instance is the first of its data centre in that order. */
+    bool isFirstOfDataCentre(time_point now) const;
+
     /** \returns registered instances that have been silent for long. */
     std::vector<instance_run> forgotten(time_point now) const;
 
--- a/test/membership_peers.cpp
+++ b/test/membership_peers.cpp
@@ -78,6 +78,33 @@
     EXPECT_TRUE(peers.askable(later + 1h).empty());
 }
 
+/** The loss of a data centre leaves the others somebody who hears of changes in the store. */
+TEST(MembershipPeers, EachDataCentreHasOneThatFollowsTheStore)
+{
+    const std::vector<instance_run> fleet{run("a1", "a"), run("a2", "a"), run("a3", "a"),
+                                          run("b1", "b"), run("b2", "b")};
+    std::set<std::string> first;
+    for (const auto &each : fleet) {
+        peer_table peers(each, {});
+        for (const auto &other : fleet)
+            peers.received(reportOf(other), start);
+        if (peers.isFirstOfDataCentre(start))
+            first.insert(each.instance.str());
+    }
+    EXPECT_EQ(first, (std::set<std::string>{"a1", "b1"}));
+}
+
+TEST(MembershipPeers, AnInstanceThatCannotReachTheStoreIsNotTheFirstOfItsDataCentre)
+{
+    peer_table peers(run("a2", "a"), {});
+    auto report = reportOf(run("a1", "a"));
+    peers.received(report, start);
+    EXPECT_FALSE(peers.isFirstOfDataCentre(start));
+    report.storeReachable = false;
+    peers.received(report, start);
+    EXPECT_TRUE(peers.isFirstOfDataCentre(start));
+}
+
 TEST(MembershipPeers, AViewIsReleasedOnceEveryRegisteredInstanceSaysSo)
 {
     peer_table peers(run("i0", "a"), {});
