--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -109,10 +109,8 @@
     std::erase_if(m_members, [&](const auto &each) {
         return now - each.second.listed > m_policy.lapsedMember;
     });
-    const bool oldMayAnswer = isRunning() && holdsAllCommits(m_old)
-                              && std::ranges::any_of(around.members, [&](const server_entry &each) {
-                                     return each.id == m_old;
-                                 });
+    const bool oldMayAnswer =
+            isRunning() && holdsAllCommits(m_old) && entryOf(around, m_old) != nullptr;
     if (oldMayAnswer)
         return;
     std::erase_if(m_holders,
