Serve reads from fenced members while a change of primary waits

Floors for reads come only from a primary, so that reads were refused as well once the last floor was older than their bound (1.5 or 2.5 s): 'database is changing its primary' was the cause of nearly all refusals between 34 and 41 s.

Ruled out: ordering the promotion before the views lapse. A replica that joins or restarts in between could confirm commits of the old primary that the promoted member lacks.

Change: once all replicas are paused, or the old primary has stepped down and all are replicas, no commit can be acknowledged. The supervisor states the longest position as a floor, covering the time of the oldest question that it rests on less the time in which a joining replica is listed, and asks again every 200 ms until the next primary is in use. Not without synchronous replicas.

--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -280,6 +280,9 @@
                        && m_peers.released(database, revision, now);
             },
             [this, now](const database_id &database) { return votesOn(database, now); },
+            [this](const database_id &database) {
+                return m_dispatcher.synchronousReplicas(database);
+            },
             m_store.clock().earliest(now),
             m_store.clock().latest(now),
             storeReachable(now)};
@@ -438,6 +441,19 @@
     ask(action.server, action.statement, now);
 }
 
+void view_keeper::perform(const change_action::state_floor &action, time_point now)
+{
+    m_dispatcher.addFloor(action.database, action.floor, now);
+    if (!action.isFirst)
+        return;
+    m_log.write(line_importance::state, "floor of a fenced database",
+                {{"database", action.database.str()},
+                 {"term", std::to_string(action.floor.position.term)},
+                 {"position", std::to_string(action.floor.position.offset)}},
+                now);
+    m_handlers.onNews();
+}
+
 void view_keeper::ask(const server_id &server, const outgoing_statement &statement, time_point now)
 {
     auto &control = m_controls[server];
@@ -512,7 +528,8 @@
                        && release != m_releases.end() && release->second.isUsable;
     if (leads)
         m_dispatcher.addFloor(control.database, {status->received, control.askedAt}, now);
-    carryOut(m_supervisor.memberAnswered(control.database, server, status, surroundings(now), now),
+    carryOut(m_supervisor.memberAnswered(control.database, server, status, control.askedAt,
+                                         surroundings(now), now),
              now);
 }
 
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -98,6 +98,7 @@
     void perform(const change_action::read_views &action, time_point now);
     void perform(const change_action::ask_member &action, time_point now);
     void perform(const change_action::order_promotion &action, time_point now);
+    void perform(const change_action::state_floor &action, time_point now);
     void perform(const change_action::note &action, time_point now);
     void ask(const server_id &server, const outgoing_statement &statement, time_point now);
     void finishAsk(const server_id &server, std::optional<replication_status> status);
--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -164,6 +164,12 @@
     return known == m_databases.end() ? std::nullopt : known->second.floors.newest();
 }
 
+std::size_t dispatcher::synchronousReplicas(const database_id &database) const
+{
+    const auto known = m_directory->databases.find(database);
+    return known == m_directory->databases.end() ? 0 : known->second.synchronousReplicas;
+}
+
 std::optional<time_point> dispatcher::silentSince(const server_id &server) const
 {
     const auto known = m_pools.find(server);
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -136,6 +136,8 @@
 
     std::vector<member_load> loads() const;
     std::optional<freshness_floor> newestFloor(const database_id &database) const;
+    /** \returns how many replicas hold a commit before it is acknowledged; 0 if not known */
+    std::size_t synchronousReplicas(const database_id &database) const;
     /** \returns since when \a server has answered nothing that it owes; nothing while it answers */
     std::optional<time_point> silentSince(const server_id &server) const;
     /** \returns when anything last came from \a server; nothing if nothing did. */
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -53,6 +53,7 @@
         here.view = *view;
         here.allReleased = around.released(database, view->revision);
     }
+    here.synchronousReplicas = around.synchronousReplicas(database);
     here.earliest = around.earliest;
     here.latest = around.latest;
     here.storeReachable = around.storeReachable;
@@ -159,11 +160,10 @@
     return stateOf(database).change.viewUnknown(now);
 }
 
-change_outputs group_supervisor::memberAnswered(const database_id &database,
-                                                const server_id &server,
-                                                const std::optional<replication_status> &status,
-                                                const supervision_surroundings &around,
-                                                time_point now)
+change_outputs
+group_supervisor::memberAnswered(const database_id &database, const server_id &server,
+                                 const std::optional<replication_status> &status, time_point asked,
+                                 const supervision_surroundings &around, time_point now)
 {
     auto &state = stateOf(database);
     const auto *view = around.ledger.find(database);
@@ -173,7 +173,8 @@
     }
     if (!m_isHolder)
         return {};
-    return state.change.memberAnswered(server, status, surroundingsOf(database, around), now);
+    return state.change.memberAnswered(server, status, asked, surroundingsOf(database, around),
+                                       now);
 }
 
 change_outputs group_supervisor::orderAnswered(const database_id &database,
--- a/sycamorespan/src/Failover/group_supervisor.h
+++ b/sycamorespan/src/Failover/group_supervisor.h
@@ -43,6 +43,8 @@
     /** \returns whether every instance has dropped views of the database before the revision. */
     std::function<bool(const database_id &, std::uint64_t)> released;
     std::function<primary_votes(const database_id &)> votes;
+    /** \returns how many replicas hold a commit of the database before it is acknowledged. */
+    std::function<std::size_t(const database_id &)> synchronousReplicas;
     std::optional<reference_time> earliest;
     std::optional<reference_time> latest;
     bool storeReachable = false;
@@ -67,7 +69,7 @@
     change_outputs viewConflict(const database_id &database, time_point now);
     change_outputs viewUnknown(const database_id &database, time_point now);
     change_outputs memberAnswered(const database_id &database, const server_id &server,
-                                  const std::optional<replication_status> &status,
+                                  const std::optional<replication_status> &status, time_point asked,
                                   const supervision_surroundings &around, time_point now);
     change_outputs orderAnswered(const database_id &database, std::optional<bool> accepted,
                                  const supervision_surroundings &around, time_point now);
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -153,6 +153,7 @@
     m_firstOrder.reset();
     m_askTerm = 0;
     m_paused = false;
+    m_floor.reset();
     m_intentAt.reset();
     m_foreignOrder.reset();
     m_chosen = {};
@@ -221,7 +222,6 @@
         m_ordered = now;
         if (!m_firstOrder)
             m_firstOrder = now;
-        m_members[m_chosen].asked = now + m_policy.confirmAfter - m_policy.confirmInterval;
         m_outputs.push_back(order_promotion{m_database, m_chosen, around.fence});
         break;
     case step::publishing:
@@ -380,6 +380,7 @@
         m_paused = true;
         ask(id, member_statement::pause{m_askTerm}, m_policy.askInterval, now);
     }
+    renewFloor(around, now);
     if (!released(around) || !around.storeReachable)
         return;
     const auto chosen = choose(around, now);
@@ -422,14 +423,10 @@
         server_id server;
     };
     std::vector<ranked> known;
-    const auto isFenced = [&](const log_holder &holder) {
-        if (holder.server == m_old)
-            return true;
-        const auto member = m_members.find(holder.server);
-        return member != m_members.end() && member->second.status
-               && member->second.status->pausedFor > m_oldTerm && isListedRun(holder, around);
+    const auto isOldOrFenced = [&](const log_holder &holder) {
+        return holder.server == m_old || isFenced(holder, around);
     };
-    const bool everyReplicaFenced = std::ranges::all_of(m_holders, isFenced, keyOf);
+    const bool everyReplicaFenced = std::ranges::all_of(m_holders, isOldOrFenced, keyOf);
     for (const auto &[id, member] : m_members) {
         if (id == m_old || !member.status)
             continue;
@@ -467,6 +464,64 @@
     return std::nullopt;
 }
 
+bool synchronous_change::isFenced(const log_holder &holder, const change_surroundings &around) const
+{
+    const auto member = m_members.find(holder.server);
+    return member != m_members.end() && member->second.status
+           && member->second.status->pausedFor > m_oldTerm && isListedRun(holder, around);
+}
+
+/** \returns a position that no acknowledged commit exceeds, and until when that certainly held. */
+std::optional<freshness_floor>
+synchronous_change::lastFloor(const change_surroundings &around) const
+{
+    if (around.synchronousReplicas == 0 || !around.storeReachable || m_holders.empty())
+        return std::nullopt;
+    const bool oldIsReplica = m_steppedDown && holdsAllCommits(m_old);
+    std::optional<freshness_floor> floor;
+    for (const auto &holder : m_holders | std::views::keys) {
+        const auto member = m_members.find(holder.server);
+        const bool isOld = holder.server == m_old;
+        if (isOld && !oldIsReplica)
+            continue; // it can't acknowledge anything without a replica
+        const bool isReplica = member != m_members.end() && member->second.status
+                               && member->second.status->role == replication_role::replica
+                               && isListedRun(holder, around);
+        if (!isReplica || (!oldIsReplica && !isFenced(holder, around)))
+            return std::nullopt;
+        const auto &state = member->second;
+        const freshness_floor own{state.status->received, state.statusAsked};
+        floor = floor ? freshness_floor{std::max(floor->position, own.position),
+                                        std::min(floor->coversUntil, own.coversUntil)}
+                      : own;
+    }
+    if (floor)
+        floor->coversUntil -= m_policy.listingDelay;
+    return floor;
+}
+
+void synchronous_change::stateFloor(const change_surroundings &around)
+{
+    if (m_step != step::surveying && m_step != step::writingOrder && m_step != step::confirming)
+        return;
+    const auto floor = lastFloor(around);
+    if (!floor || (m_floor && floor->coversUntil <= m_floor->coversUntil))
+        return;
+    m_outputs.push_back(state_floor{m_database, *floor, !m_floor});
+    m_floor = floor;
+}
+
+/** Asks those again whose answers the floor rests on. */
+void synchronous_change::renewFloor(const change_surroundings &around, time_point now)
+{
+    if (!lastFloor(around))
+        return;
+    std::ranges::for_each(m_holders | std::views::keys, [&](const log_holder &holder) {
+        if (holder.server != m_old || m_steppedDown)
+            ask(holder.server, member_statement::status{}, m_policy.floorInterval, now);
+    });
+}
+
 /** Does what the present step allows now. */
 void synchronous_change::advance(const change_surroundings &around, time_point now)
 {
@@ -484,15 +539,18 @@
 
 change_outputs synchronous_change::memberAnswered(const server_id &server,
                                                   const std::optional<replication_status> &status,
+                                                  time_point asked,
                                                   const change_surroundings &around, time_point now)
 {
     if (!isRunning() || !status)
         return take();
     auto &member = m_members[server];
     member.status = status;
+    member.statusAsked = asked;
     member.listed = std::max(member.listed, now);
     if (m_step == step::surveying && server == m_old && status->role == replication_role::replica)
         m_steppedDown = true;
+    stateFloor(around);
     advance(around, now);
     return take();
 }
@@ -531,7 +589,10 @@
         write(view_phase::ordered, m_chosen, m_oldTerm, around, step::writingOrder, now);
         return;
     }
-    ask(m_chosen, member_statement::status{}, m_policy.confirmInterval, now);
+    const bool isDue = now - m_ordered >= m_policy.confirmAfter;
+    if (isDue)
+        ask(m_chosen, member_statement::status{}, m_policy.confirmInterval, now);
+    renewFloor(around, now);
 }
 
 void synchronous_change::finish(const change_surroundings &, time_point now)
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMORESPAN_FAILOVER_SYNCHRONOUS_CHANGE_H
 #define SYCAMORESPAN_FAILOVER_SYNCHRONOUS_CHANGE_H
 
+#include "sycamorespan/src/Dispatch/freshness_floors.h"
 #include "sycamorespan/src/Dispatch/statement.h"
 #include "sycamorespan/src/Failover/view_ledger.h"
 #include "sycamorespan/src/Membership/server_entry.h"
@@ -44,6 +45,11 @@
     duration storeReadInterval = 200ms; ///< of the row, while its state is unknown
     duration expectedPromotion = 1s; ///< until one was measured
     duration expectedSurvey = 150ms; ///< fencing and reading of positions on live members
+    duration floorInterval = 200ms; ///< a seventh of the smallest staleness bound in use
+    /** A replica that joins may confirm commits before it is seen in the list: the time for its
+     * entry to be written and for the news of it, a hundred times the usual.
+     */
+    duration listingDelay = 500ms;
 
     auto operator<=>(const change_policy &) const = default;
 };
@@ -54,6 +60,7 @@
     std::uint64_t fence = 0; ///< of this supervisor
     std::vector<server_entry> members; ///< of the database, as listed
     std::optional<primary_view> view; ///< newest known
+    std::size_t synchronousReplicas = 0; ///< that hold a commit before it is acknowledged
     bool allReleased = false; ///< every instance has dropped views before the newest revision
     std::optional<reference_time> earliest; ///< bounds of the reference clock's reading
     std::optional<reference_time> latest;
@@ -97,6 +104,16 @@
     auto operator<=>(const order_promotion &) const = default;
 };
 
+/** \brief Reads may rely on \c floor: no commit beyond it was acknowledged until then. */
+struct state_floor
+{
+    database_id database;
+    freshness_floor floor;
+    bool isFirst = false; ///< of this change: others wait for it
+
+    auto operator<=>(const state_floor &) const = default;
+};
+
 /** \brief A line for the log. */
 struct note
 {
@@ -111,7 +128,7 @@
 
 using change_output = std::variant<change_action::write_view, change_action::read_views,
                                    change_action::ask_member, change_action::order_promotion,
-                                   change_action::note>;
+                                   change_action::state_floor, change_action::note>;
 using change_outputs = std::vector<change_output>;
 
 /** \brief Why a primary is replaced. */
@@ -136,6 +153,9 @@
  * 5. once the member reports that it leads, the new view is written.
  * Each step can be repeated, by this supervisor or the next. Without step 1 or 3 it waits: a slow
  * change is better than a lost commit.
+ *
+ * From step 2 on nothing is acknowledged until the next primary is used. The positions then read
+ * are floors for reads, stated again and again, so that replicas serve them all the while.
  */
 class synchronous_change
 {
@@ -162,8 +182,11 @@
                                const change_surroundings &around, time_point now);
     change_outputs viewConflict(time_point now);
     change_outputs viewUnknown(time_point now);
+    /** \param status  nothing: no answer
+     *  \param asked   when the question was sent, or before
+     */
     change_outputs memberAnswered(const server_id &server,
-                                  const std::optional<replication_status> &status,
+                                  const std::optional<replication_status> &status, time_point asked,
                                   const change_surroundings &around, time_point now);
     /** \param accepted  nothing: no answer
      */
@@ -185,6 +208,7 @@
     struct member_state
     {
         std::optional<replication_status> status;
+        time_point statusAsked; ///< the status was read at this time or later
         time_point asked;
         time_point listed; ///< last seen in the list
     };
@@ -204,6 +228,10 @@
     std::vector<log_holder> holders() const;
     bool awaitsStayingMember(const change_surroundings &around, time_point now) const;
     std::optional<server_id> choose(const change_surroundings &around, time_point now);
+    bool isFenced(const log_holder &holder, const change_surroundings &around) const;
+    std::optional<freshness_floor> lastFloor(const change_surroundings &around) const;
+    void stateFloor(const change_surroundings &around);
+    void renewFloor(const change_surroundings &around, time_point now);
     void confirm(const change_surroundings &around, time_point now);
     void finish(const change_surroundings &around, time_point now);
     void updateMembers(const change_surroundings &around, time_point now);
@@ -234,6 +262,7 @@
     bool m_steppedDown = false;
     std::optional<time_point> m_fencingSince;
     bool m_paused = false;
+    std::optional<freshness_floor> m_floor; ///< the last one stated
     std::map<server_id, member_state> m_members;
     std::map<log_holder, time_point> m_holders; ///< and when each was last seen in the list
     server_id m_chosen;
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <random>
+#include <utility>
 
 namespace {
 
@@ -63,8 +64,10 @@
             each.log = leader.log;
             held = true;
         }
-        if (held)
+        if (held) {
             acknowledged.push_back(m_commits);
+            acknowledgedAt.push_back(now);
+        }
         return held;
     }
 
@@ -74,6 +77,7 @@
         while (now < end) {
             now += 20ms;
             finishPromotions();
+            deliverAnswers();
             carryOut(m_supervisor.tick(surroundings(), now));
         }
     }
@@ -118,6 +122,18 @@
                 ++entry.startedAtMs;
     }
 
+    /** \returns whether no commit beyond a floor was acknowledged in the time that it covers. */
+    bool floorsHold() const
+    {
+        return std::ranges::all_of(floors, [this](const freshness_floor &floor) {
+            for (std::size_t index = 0; index < acknowledged.size(); ++index)
+                if (acknowledgedAt[index] <= floor.coversUntil
+                    && acknowledged[index] > floor.position.offset)
+                    return false;
+            return true;
+        });
+    }
+
     const primary_view *view() const { return ledger.find(database); }
 
     bool isSteadyAt(const std::string &id) const
@@ -130,6 +146,10 @@
     std::map<server_id, member_model> members;
     std::set<server_id> deaf;
     std::vector<std::uint64_t> acknowledged;
+    std::vector<time_point> acknowledgedAt;
+    std::vector<freshness_floor> floors; ///< as stated during changes
+    duration answerDelay{}; ///< of members
+    std::size_t synchronousReplicas = 1;
     std::vector<server_id> lost; ///< promoted without an acknowledged commit
     view_ledger ledger{view_policy{}};
     std::vector<order_promotion> orders;
@@ -145,6 +165,14 @@
     reference_time clock() const { return now.time_since_epoch(); }
 
 private:
+    struct delayed_answer
+    {
+        server_id server;
+        replication_status status;
+        time_point asked;
+        time_point arrives;
+    };
+
     struct promotion
     {
         server_id server;
@@ -163,6 +191,7 @@
                     const auto unreachable = missing ? witnesses : falseVotes;
                     return primary_votes{instances, witnesses - unreachable, unreachable, 0};
                 },
+                [this](const database_id &) { return synchronousReplicas; },
                 clock(),
                 clock(),
                 storeReachable};
@@ -206,7 +235,7 @@
     {
         auto &asked = members[action.server];
         if (!asked.isUp) {
-            carryOut(m_supervisor.memberAnswered(database, action.server, std::nullopt,
+            carryOut(m_supervisor.memberAnswered(database, action.server, std::nullopt, now,
                                                  surroundings(), now));
             return;
         }
@@ -224,12 +253,32 @@
                    },
                    action.statement);
         const auto length = asked.log.empty() ? 0 : asked.log.back();
-        carryOut(m_supervisor.memberAnswered(
-                database, action.server,
-                replication_status{asked.role, asked.term, {asked.term, length}, asked.pausedFor},
-                surroundings(), now));
+        const replication_status status{
+                asked.role, asked.term, {asked.term, length}, asked.pausedFor};
+        if (answerDelay > duration::zero()) {
+            m_answers.push_back({action.server, status, now, now + answerDelay});
+            return;
+        }
+        carryOut(m_supervisor.memberAnswered(database, action.server, status, now, surroundings(),
+                                             now));
+    }
+
+    void deliverAnswers()
+    {
+        std::vector<delayed_answer> due;
+        std::erase_if(m_answers, [&](const delayed_answer &each) {
+            if (each.arrives > now)
+                return false;
+            due.push_back(each);
+            return true;
+        });
+        for (const auto &each : due)
+            carryOut(m_supervisor.memberAnswered(database, each.server, each.status, each.asked,
+                                                 surroundings(), now));
     }
 
+    void perform(const state_floor &action) { floors.push_back(action.floor); }
+
     void perform(const order_promotion &action)
     {
         orders.push_back(action);
@@ -275,6 +324,7 @@
     primary_view m_row{database, 0, {}, 0, view_phase::steady, false, 0, {}};
     std::uint64_t m_revision = 0;
     std::vector<promotion> m_promotions;
+    std::vector<delayed_answer> m_answers;
 };
 
 TEST(FailoverSynchronous, AFirstPrimaryIsFoundAndNotReplaced)
@@ -297,6 +347,72 @@
     EXPECT_TRUE(world.lost.empty());
 }
 
+/** An instance that is cut off holds a change up; reads needn't wait for it. */
+TEST(FailoverSynchronous, FloorsAreStatedWhileAChangeWaitsForAnInstance)
+{
+    constexpr duration smallestBound = 1500ms; // of the users' routes
+    constexpr duration spread = 500ms; // between two reports of an instance
+    change_world world;
+    world.pass(1s);
+    EXPECT_TRUE(world.commit("s1"));
+    world.member("s1").isUp = false;
+    world.allRelease = false;
+    while (world.intentTimes.empty())
+        world.pass(20ms);
+    world.pass(100ms);
+    ASSERT_FALSE(world.floors.empty());
+    while (!world.isSteadyAt("s2") && !world.isSteadyAt("s3")) {
+        world.pass(20ms);
+        if (world.view()->phase == view_phase::steady)
+            break;
+        EXPECT_EQ(world.floors.back().position.offset, 1U);
+        const bool isPromoted = world.member("s2").role == replication_role::primary
+                                || world.member("s3").role == replication_role::primary;
+        if (!isPromoted) {
+            EXPECT_LT(world.now - world.floors.back().coversUntil, smallestBound - spread);
+        }
+    }
+    EXPECT_GE(world.now - time_point(world.intentTimes.front()), view_policy{}.validity);
+    EXPECT_TRUE(world.floorsHold());
+}
+
+/** A floor holds for the time of the question, however late its answer comes. */
+TEST(FailoverSynchronous, AFloorCoversNothingAfterTheQuestionItRestsOn)
+{
+    change_world world;
+    world.pass(1s);
+    world.member("s1").isUp = false;
+    world.allRelease = false;
+    world.answerDelay = 300ms;
+    world.pass(3s);
+    ASSERT_FALSE(world.floors.empty());
+    for (const auto &floor : world.floors)
+        EXPECT_LE(floor.coversUntil, world.now - world.answerDelay);
+}
+
+/** A primary that needs no replica may go on acknowledging, paused replicas or not. */
+TEST(FailoverSynchronous, NoFloorIsStatedWithoutSynchronousReplicas)
+{
+    change_world world;
+    world.synchronousReplicas = 0;
+    world.pass(1s);
+    world.member("s1").isUp = false;
+    world.allRelease = false;
+    world.pass(2s);
+    EXPECT_TRUE(world.floors.empty());
+}
+
+/** A replica that doesn't answer may have confirmed commits that the other one lacks. */
+TEST(FailoverSynchronous, NoFloorIsStatedWhileAReplicaIsNotFenced)
+{
+    change_world world;
+    world.pass(1s);
+    world.member("s1").isUp = false;
+    world.member("s2").isUp = false;
+    world.pass(2s);
+    EXPECT_TRUE(world.floors.empty());
+}
+
 TEST(FailoverSynchronous, WithoutOneReplicaAChangeWaits)
 {
     change_world world;
@@ -510,11 +626,13 @@
                 world.storeReachable = !world.storeReachable;
             world.losesAnswers = chance(0.05);
             world.allRelease = chance(0.7);
+            world.answerDelay = chance(0.3) ? 160ms : 0ms;
             for (const auto &[id, member] : world.members)
                 if (member.role == replication_role::primary)
                     world.commit(id.str());
             world.pass(60ms);
             ASSERT_TRUE(world.lost.empty()) << "seed " << seed << " step " << step;
+            ASSERT_TRUE(world.floorsHold()) << "seed " << seed << " step " << step;
         }
         for (auto &member : world.members)
             if (!member.second.isUp)
@@ -522,6 +640,7 @@
         world.deaf.clear();
         world.storeReachable = true;
         world.losesAnswers = false;
+        world.answerDelay = 0ms;
         world.allRelease = true;
         world.pass(12s);
         ASSERT_TRUE(world.view() && world.view()->phase == view_phase::steady) << "seed " << seed;
