Keep a primary that answers again, publish a former supervisor's order

Nothing could be promoted, as a replica had left a moment before. When the cut healed, the supervisor fenced the primary, promoted the same member again (1.1 s), and all processes lost power 0.5 s after the order. The next supervisor waited 2 s for orders of the former one, fenced everything and promoted another member: no primary until 45.2 s, though the first promotion had taken effect at about 41.5 s.

Change: a primary that didn't answer when its change began and answers before anything was ordered is kept, once in 10 s. A change that finds the row of an order asks the ordered member first and publishes it once it leads; views that were out of use before that order aren't waited for again. Replicas are resumed until they say so, for 1 s. Found by the random faults on the way: patience with an order counted from the first order of the change, also to another member; a member chosen again after an order without effect counted as stepped down for ever; an old primary that came back empty counted as complete until its new run was listed.

--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -107,8 +107,10 @@
     const bool missedByMany =
             votes.unreachable >= std::max<std::size_t>(partOf(votes.live), 1)
             && now - *state.votedSince > m_policy.votesFor + m_policy.probeTimeout;
-    if (votes.unreachable > 0 && (missedByAll || missedByMany))
+    if (votes.unreachable > 0 && missedByAll)
         return change_reason::unreachable;
+    if (votes.unreachable > 0 && missedByMany)
+        return change_reason::missed;
     if (now - state.probed > m_policy.probeInterval) {
         state.probed = now;
         outputs.push_back(
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -26,6 +26,8 @@
         return "the primary left the list";
     case change_reason::unreachable:
         return "the primary does not answer";
+    case change_reason::missed:
+        return "many instances miss the primary";
     case change_reason::demoted:
         return "the primary is a replica now";
     case change_reason::resumption:
@@ -75,6 +77,7 @@
         return std::nullopt;
     case step::adopting:
         return now;
+    case step::resuming:
     case step::writingIntent:
     case step::surveying:
     case step::writingOrder:
@@ -94,6 +97,7 @@
     m_step = step::none;
     m_writing = false;
     m_unresolved = false;
+    m_paused.clear();
 }
 
 void synchronous_change::updateMembers(const change_surroundings &around, time_point now)
@@ -151,8 +155,10 @@
     m_steppedDown = false;
     m_fencingSince.reset();
     m_firstOrder.reset();
+    m_hasOrdered = false;
     m_askTerm = 0;
-    m_paused = false;
+    m_paused.clear();
+    m_wasReleased = false;
     m_floor.reset();
     m_intentAt.reset();
     m_foreignOrder.reset();
@@ -174,17 +180,40 @@
         m_members.try_emplace(holder.server).first->second.listed = now;
     });
     m_oldTerm = around.view->term;
-    if (around.view->phase == view_phase::ordered && around.latest)
-        m_foreignOrder = *around.latest + m_policy.foreignOrderWait;
     m_old = around.view->primary;
     noteEvent("change of primary begins", {{"reason", std::string(nameOf(reason))},
                                            {"primary", m_old.str()},
                                            {"term", std::to_string(m_oldTerm)},
                                            {"fence", std::to_string(around.fence)}});
+    if (around.view->phase == view_phase::ordered) {
+        // Nothing is ordered before the views are dropped, and none was usable since.
+        m_wasReleased = true;
+        if (around.latest)
+            m_foreignOrder = *around.latest + m_policy.foreignOrderWait;
+        enter(step::resuming, now);
+        awaitForeignOrder(around, now);
+        return take();
+    }
     write(view_phase::withdrawn, m_old, m_oldTerm, around, step::writingIntent, now);
     return take();
 }
 
+void synchronous_change::awaitForeignOrder(const change_surroundings &around, time_point now)
+{
+    const auto &status = m_members[m_old].status;
+    if (status && status->role == replication_role::primary && status->term > m_oldTerm) {
+        noteEvent("promotion of the former supervisor took effect", {{"primary", m_old.str()}});
+        write(view_phase::steady, m_old, status->term, around, step::publishing, now);
+        return;
+    }
+    const bool over = !m_foreignOrder || (around.earliest && *around.earliest >= *m_foreignOrder);
+    if (over || !entryOf(around, m_old)) {
+        write(view_phase::withdrawn, m_old, m_oldTerm, around, step::writingIntent, now);
+        return;
+    }
+    ask(m_old, member_statement::status{}, m_policy.confirmInterval, now);
+}
+
 void synchronous_change::write(view_phase phase, const server_id &primary, term_number term,
                                const change_surroundings &around, step next, time_point now)
 {
@@ -220,6 +249,7 @@
         }
         enter(step::confirming, now);
         m_ordered = now;
+        m_hasOrdered = true;
         if (!m_firstOrder)
             m_firstOrder = now;
         m_outputs.push_back(order_promotion{m_database, m_chosen, around.fence});
@@ -317,7 +347,7 @@
         return false;
     if (m_foreignOrder && (!around.earliest || *around.earliest < *m_foreignOrder))
         return false;
-    if (around.allReleased)
+    if (around.allReleased || m_wasReleased)
         return true;
     return around.earliest && *around.earliest > *m_intentAt + m_views.validity + m_views.margin;
 }
@@ -361,9 +391,18 @@
         return;
     if (m_askTerm <= m_oldTerm || m_askTerm < nextTerm())
         m_askTerm = nextTerm();
-    const auto old = m_members.find(m_old);
-    if (!m_old.empty() && !m_steppedDown && old != m_members.end())
-        ask(m_old, member_statement::step_down{m_askTerm}, m_policy.askInterval, now);
+    if (mayKeepOld(now) && oldLeadsAgain(around)) {
+        m_kept = now;
+        noteEvent("primary answers again and is kept", {{"primary", m_old.str()}});
+        write(view_phase::steady, m_old, m_oldTerm, around, step::publishing, now);
+        return;
+    }
+    if (!m_old.empty() && !m_steppedDown && m_members.contains(m_old)) {
+        if (mayKeepOld(now) && !m_members.at(m_old).status)
+            ask(m_old, member_statement::status{}, m_policy.askInterval, now);
+        else
+            ask(m_old, member_statement::step_down{m_askTerm}, m_policy.askInterval, now);
+    }
     if (!m_fencingSince)
         m_fencingSince = now;
     const bool catchingUp = m_planned && now - *m_fencingSince < m_policy.catchUpLimit;
@@ -377,7 +416,7 @@
         const auto &status = m_members.at(id).status;
         if (status && status->pausedFor > m_oldTerm)
             continue;
-        m_paused = true;
+        m_paused.insert(id);
         ask(id, member_statement::pause{m_askTerm}, m_policy.askInterval, now);
     }
     renewFloor(around, now);
@@ -395,6 +434,36 @@
     write(view_phase::ordered, m_chosen, m_oldTerm, around, step::writingOrder, now);
 }
 
+/** \returns whether the old primary still leads if it answers: nothing was ordered since its view
+ * was steady, and it wasn't told to step down.
+ */
+bool synchronous_change::mayKeepOld(time_point now) const
+{
+    return m_reason == change_reason::unreachable && !m_hasOrdered
+           && (!m_kept || *m_kept >= m_begun || now - *m_kept > m_policy.keptPause);
+}
+
+bool synchronous_change::oldLeadsAgain(const change_surroundings &around) const
+{
+    if (!oldLogIsWhole() || isLeaving(m_old, around))
+        return false;
+    const auto &status = *m_members.at(m_old).status;
+    return status.role == replication_role::primary && status.term == m_oldTerm;
+}
+
+/** \returns whether the old primary has shown a log that certainly holds every acknowledged commit.
+ * One that started anew may not be listed as another run yet: its log is shorter than others.
+ */
+bool synchronous_change::oldLogIsWhole() const
+{
+    const auto old = m_members.find(m_old);
+    return old != m_members.end() && old->second.status && holdsAllCommits(m_old)
+           && std::ranges::none_of(m_members, [&](const auto &each) {
+                  const auto &status = each.second.status;
+                  return status && status->received > old->second.status->received;
+              });
+}
+
 bool synchronous_change::isLeaving(const server_id &server, const change_surroundings &around) const
 {
     const auto *entry = entryOf(around, server);
@@ -447,8 +516,8 @@
                 best = &each;
         return best ? std::optional(best->server) : std::nullopt;
     };
-    const bool oldLogIsWhole = m_steppedDown && holdsAllCommits(m_old);
-    if (oldLogIsWhole) {
+    const bool oldIsComplete = m_steppedDown && oldLogIsWhole();
+    if (oldIsComplete) {
         const auto last = m_members.at(m_old).status->received;
         if (auto best = bestOf(last))
             return best;
@@ -459,7 +528,7 @@
         return bestOf(longest);
     }
     const auto *entry = entryOf(around, m_old);
-    if (oldLogIsWhole && !m_planned && entry && entry->state == server_state::ready)
+    if (oldIsComplete && !m_planned && entry && entry->state == server_state::ready)
         return m_old; // only its own log is certainly complete
     return std::nullopt;
 }
@@ -479,7 +548,7 @@
         return std::nullopt;
     const bool oldIsReplica = m_steppedDown && holdsAllCommits(m_old);
     std::optional<freshness_floor> floor;
-    for (const auto &holder : m_holders | std::views::keys) {
+    for (const auto &[holder, seen] : m_holders) {
         const auto member = m_members.find(holder.server);
         const bool isOld = holder.server == m_old;
         if (isOld && !oldIsReplica)
@@ -516,10 +585,11 @@
 {
     if (!lastFloor(around))
         return;
-    std::ranges::for_each(m_holders | std::views::keys, [&](const log_holder &holder) {
+    const auto askAgain = [&](const log_holder &holder) {
         if (holder.server != m_old || m_steppedDown)
             ask(holder.server, member_statement::status{}, m_policy.floorInterval, now);
-    });
+    };
+    std::ranges::for_each(m_holders, askAgain, keyOf);
 }
 
 /** Does what the present step allows now. */
@@ -528,6 +598,8 @@
     switch (m_step) {
     case step::adopting:
         return adopt(around, now);
+    case step::resuming:
+        return awaitForeignOrder(around, now);
     case step::surveying:
         return survey(around, now);
     case step::confirming:
@@ -542,14 +614,16 @@
                                                   time_point asked,
                                                   const change_surroundings &around, time_point now)
 {
+    if (!isRunning() && status && status->pausedFor == 0)
+        m_paused.erase(server);
     if (!isRunning() || !status)
         return take();
     auto &member = m_members[server];
     member.status = status;
     member.statusAsked = asked;
     member.listed = std::max(member.listed, now);
-    if (m_step == step::surveying && server == m_old && status->role == replication_role::replica)
-        m_steppedDown = true;
+    if (m_step == step::surveying && server == m_old)
+        m_steppedDown = status->role == replication_role::replica;
     stateFloor(around);
     advance(around, now);
     return take();
@@ -562,13 +636,24 @@
         return take();
     if (accepted == false) {
         noteEvent("promotion refused by the platform", {{"server", m_chosen.str()}});
-        m_members[m_chosen].status.reset();
-        m_members[m_chosen].asked = {};
-        enter(step::surveying, now);
+        surveyAgain(now);
     }
     return take();
 }
 
+/** The promotion of the chosen member failed, or may still take effect: it is to be fenced again.
+ */
+void synchronous_change::surveyAgain(time_point now)
+{
+    auto &chosen = m_members[m_chosen];
+    chosen.status.reset();
+    chosen.asked = {};
+    m_firstOrder.reset();
+    if (m_chosen == m_old)
+        m_steppedDown = false;
+    enter(step::surveying, now);
+}
+
 void synchronous_change::confirm(const change_surroundings &around, time_point now)
 {
     const auto &status = m_members[m_chosen].status;
@@ -578,10 +663,8 @@
         return;
     }
     if (now - *m_firstOrder > m_policy.orderPatience) {
-        m_firstOrder.reset();
         noteEvent("promotion had no effect", {{"server", m_chosen.str()}});
-        m_members[m_chosen].status.reset();
-        enter(step::surveying, now);
+        surveyAgain(now);
         return;
     }
     if (now - m_ordered > m_policy.orderInterval + m_promotionTook && around.storeReachable) {
@@ -597,11 +680,6 @@
 
 void synchronous_change::finish(const change_surroundings &, time_point now)
 {
-    if (m_paused) {
-        for (const auto &[id, member] : m_members)
-            if (id != m_wanted.primary && member.status && member.status->pausedFor > 0)
-                m_outputs.push_back(ask_member{id, member_statement::resume{}});
-    }
     noteEvent("primary published",
               {{"primary", m_wanted.primary.str()},
                {"term", std::to_string(m_wanted.term)},
@@ -610,13 +688,28 @@
                                        .count())}});
     enter(step::none, now);
     m_notBefore = now;
+    m_finished = now;
+    m_paused.erase(m_wanted.primary);
+    resumeReplicas(now);
+}
+
+/** Lets replicas receive again that were told to pause, whether they answered or not. */
+void synchronous_change::resumeReplicas(time_point now)
+{
+    if (now - m_finished > m_policy.resumeLimit)
+        m_paused.clear();
+    std::ranges::for_each(m_paused, [&](const server_id &server) {
+        ask(server, member_statement::resume{}, m_policy.askInterval, now);
+    });
 }
 
 change_outputs synchronous_change::tick(const change_surroundings &around, time_point now)
 {
     updateMembers(around, now);
-    if (!isRunning())
+    if (!isRunning()) {
+        resumeReplicas(now);
         return take();
+    }
     if (m_unresolved)
         resolve(around, now);
     if (m_writing || m_unresolved)
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -34,7 +34,11 @@
     duration confirmAfter = 400ms; ///< the first of them; promotions take 600 ms and more
     duration orderInterval = 900ms; ///< an order that had no effect is repeated after it
     duration orderLimit = 1s; ///< from the written order to its sending; later it is given up
-    duration foreignOrderWait = 2s; ///< another supervisor's order may be sent until then
+    /** Another supervisor's order may be sent, and take effect, until then. */
+    duration foreignOrderWait = 2s;
+    /** A primary that was kept, as it answered again, is not kept once more so soon. */
+    duration keptPause = 10s;
+    duration resumeLimit = 1s; ///< shorter than any takeover: the next supervisor may pause anew
     duration orderPatience = 4s; ///< without effect another member is chosen
     duration catchUpLimit = 400ms; ///< for a replica to receive the old primary's last commits
     /** A member that left the list may hold commits so long; while the old primary is listed, its
@@ -137,7 +141,8 @@
     adoption, ///< no view exists yet: find out who is primary
     leaving, ///< it drains
     gone, ///< it left the list
-    unreachable, ///< instances get no answer from it
+    unreachable, ///< neither instances nor the supervisor get an answer from it
+    missed, ///< it answers the supervisor, but many instances get no answer
     demoted, ///< it says that it is a replica
     resumption, ///< another supervisor's change is unfinished
 };
@@ -154,6 +159,9 @@
  * Each step can be repeated, by this supervisor or the next. Without step 1 or 3 it waits: a slow
  * change is better than a lost commit.
  *
+ * A primary that was out of reach and answers again before anything was ordered is kept. An order
+ * of a former supervisor that has taken effect is published.
+ *
  * From step 2 on nothing is acknowledged until the next primary is used. The positions then read
  * are floors for reads, stated again and again, so that replicas serve them all the while.
  */
@@ -198,6 +206,7 @@
     enum class step {
         none,
         adopting,
+        resuming, ///< the former supervisor's order may take effect
         writingIntent,
         surveying,
         writingOrder,
@@ -221,6 +230,11 @@
     void ask(const server_id &server, outgoing_statement statement, duration interval,
              time_point now);
     void adopt(const change_surroundings &around, time_point now);
+    void awaitForeignOrder(const change_surroundings &around, time_point now);
+    bool mayKeepOld(time_point now) const;
+    bool oldLogIsWhole() const;
+    bool oldLeadsAgain(const change_surroundings &around) const;
+    void resumeReplicas(time_point now);
     bool released(const change_surroundings &around) const;
     bool isLeaving(const server_id &server, const change_surroundings &around) const;
     bool holdsAllCommits(const server_id &server) const;
@@ -232,6 +246,7 @@
     std::optional<freshness_floor> lastFloor(const change_surroundings &around) const;
     void stateFloor(const change_surroundings &around);
     void renewFloor(const change_surroundings &around, time_point now);
+    void surveyAgain(time_point now);
     void confirm(const change_surroundings &around, time_point now);
     void finish(const change_surroundings &around, time_point now);
     void updateMembers(const change_surroundings &around, time_point now);
@@ -261,13 +276,17 @@
     term_number m_askTerm = 0;
     bool m_steppedDown = false;
     std::optional<time_point> m_fencingSince;
-    bool m_paused = false;
+    bool m_wasReleased = false; ///< before this change began
+    std::optional<time_point> m_kept; ///< when an old primary was kept for the last time
+    std::set<server_id> m_paused; ///< told to pause in this change
+    time_point m_finished; ///< the last change of this supervisor
     std::optional<freshness_floor> m_floor; ///< the last one stated
     std::map<server_id, member_state> m_members;
     std::map<log_holder, time_point> m_holders; ///< and when each was last seen in the list
     server_id m_chosen;
     time_point m_ordered;
-    std::optional<time_point> m_firstOrder;
+    std::optional<time_point> m_firstOrder; ///< to the chosen member
+    bool m_hasOrdered = false; ///< in this change
     duration m_promotionTook{};
     change_outputs m_outputs;
 };
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -49,11 +49,14 @@
 
     member_model &member(const std::string &id) { return members[server_id(id)]; }
 
-    /** \returns whether a commit was acknowledged. */
+    /** A primary is used only once its view was published; a former one may be used for ever.
+     * \returns whether a commit was acknowledged
+     */
     bool commit(const std::string &id)
     {
         auto &leader = member(id);
-        if (!leader.isUp || leader.role != replication_role::primary)
+        if (!leader.isUp || leader.role != replication_role::primary
+            || !m_published.contains({server_id(id), leader.term}))
             return false;
         leader.log.push_back(++m_commits);
         bool held = false;
@@ -161,6 +164,7 @@
     bool allRelease = true;
     bool storeReachable = true;
     bool losesAnswers = false;
+    bool losesOrders = false;
 
     reference_time clock() const { return now.time_since_epoch(); }
 
@@ -217,6 +221,8 @@
         m_row.revision = ++m_revision;
         if (action.view.phase == view_phase::withdrawn)
             intentTimes.push_back(clock());
+        else if (action.view.phase == view_phase::steady)
+            m_published.emplace(action.view.primary, action.view.term);
         if (std::exchange(losesAnswers, false)) {
             carryOut(m_supervisor.viewUnknown(database, now));
             return;
@@ -283,6 +289,8 @@
     {
         orders.push_back(action);
         orderTimes.push_back(clock());
+        if (losesOrders)
+            return;
         if (!members[action.server].isUp) {
             carryOut(m_supervisor.orderAnswered(database, false, surroundings(), now));
             return;
@@ -325,6 +333,7 @@
     std::uint64_t m_revision = 0;
     std::vector<promotion> m_promotions;
     std::vector<delayed_answer> m_answers;
+    std::set<std::pair<server_id, term_number>> m_published;
 };
 
 TEST(FailoverSynchronous, AFirstPrimaryIsFoundAndNotReplaced)
@@ -413,6 +422,125 @@
     EXPECT_TRUE(world.floors.empty());
 }
 
+/** A data centre with the primary and a replica is cut off and comes back: nothing can be promoted
+ * meanwhile, and nothing needs to be afterwards.
+ */
+TEST(FailoverSynchronous, APrimaryThatAnswersAgainBeforeAnyOrderIsKept)
+{
+    change_world world;
+    world.pass(1s);
+    EXPECT_TRUE(world.commit("s1"));
+    world.member("s1").isUp = false;
+    world.member("s2").isUp = false;
+    world.pass(5s);
+    ASSERT_EQ(world.view()->phase, view_phase::withdrawn);
+    world.comeBack(world.member("s1"));
+    world.comeBack(world.member("s2"));
+    world.pass(200ms);
+    EXPECT_TRUE(world.isSteadyAt("s1"));
+    EXPECT_EQ(world.view()->term, 1U);
+    EXPECT_TRUE(world.orders.empty());
+    world.pass(200ms);
+    EXPECT_EQ(world.member("s2").pausedFor, 0U);
+    EXPECT_EQ(world.member("s3").pausedFor, 0U);
+    EXPECT_TRUE(world.commit("s1"));
+}
+
+TEST(FailoverSynchronous, APrimaryThatIsMissedSoonAfterItWasKeptIsReplaced)
+{
+    change_world world;
+    world.pass(1s);
+    world.allRelease = false;
+    world.member("s1").isUp = false;
+    while (world.intentTimes.empty())
+        world.pass(20ms);
+    world.comeBack(world.member("s1"));
+    world.pass(200ms);
+    ASSERT_TRUE(world.isSteadyAt("s1"));
+    world.member("s1").isUp = false;
+    while (world.intentTimes.size() < 2)
+        world.pass(20ms);
+    world.comeBack(world.member("s1"));
+    world.pass(4s);
+    EXPECT_FALSE(world.isSteadyAt("s1"));
+    EXPECT_EQ(world.view()->phase, view_phase::steady);
+    EXPECT_TRUE(world.lost.empty());
+}
+
+/** Its entry in the list may still be the one of its former run. */
+TEST(FailoverSynchronous, APrimaryThatComesBackEmptyIsNotKept)
+{
+    change_world world;
+    world.pass(1s);
+    EXPECT_TRUE(world.commit("s1"));
+    world.member("s1").isUp = false;
+    world.member("s2").isUp = false;
+    world.pass(3s);
+    world.member("s1").log.clear();
+    world.member("s1").isUp = true;
+    world.pass(1s);
+    EXPECT_NE(world.view()->phase, view_phase::steady);
+    world.comeBack(world.member("s2"));
+    world.pass(4s);
+    EXPECT_EQ(world.view()->phase, view_phase::steady);
+    EXPECT_FALSE(world.isSteadyAt("s1"));
+    EXPECT_TRUE(world.lost.empty());
+}
+
+/** An answer to a pause may be lost though the replica is paused. */
+TEST(FailoverSynchronous, AReplicaWhoseAnswerWasLostIsResumedToo)
+{
+    change_world world;
+    world.pass(1s);
+    world.member("s1").isUp = false;
+    world.answerDelay = 10s;
+    while (world.intentTimes.empty())
+        world.pass(20ms);
+    world.pass(200ms);
+    EXPECT_GT(world.member("s3").pausedFor, 0U);
+    world.answerDelay = 0ms;
+    world.comeBack(world.member("s1"));
+    world.pass(1s);
+    ASSERT_TRUE(world.isSteadyAt("s1"));
+    EXPECT_EQ(world.member("s3").pausedFor, 0U);
+}
+
+/** All processes end between an order and its publication. */
+TEST(FailoverSynchronous, AnOrderThatTookEffectIsPublishedByTheNextSupervisor)
+{
+    constexpr duration promotion = 600ms; // of the model
+    change_world world;
+    world.pass(1s);
+    EXPECT_TRUE(world.commit("s1"));
+    world.member("s1").isUp = false;
+    while (world.orders.empty())
+        world.pass(20ms);
+    world.replaceSupervisor();
+    world.pass(promotion + 200ms);
+    EXPECT_EQ(world.view()->phase, view_phase::steady);
+    EXPECT_EQ(world.view()->term, 2U);
+    EXPECT_EQ(world.orders.size(), 1U);
+    EXPECT_TRUE(world.lost.empty());
+}
+
+/** The order was written but never sent; views are out of use since. */
+TEST(FailoverSynchronous, AnOrderWithoutEffectIsReplacedWithoutWaitingForViewsAgain)
+{
+    change_world world;
+    world.pass(1s);
+    world.member("s1").isUp = false;
+    world.losesOrders = true;
+    while (world.orders.empty())
+        world.pass(20ms);
+    world.losesOrders = false;
+    world.allRelease = false; // an instance is cut off now
+    world.replaceSupervisor();
+    const auto limit = change_policy{}.foreignOrderWait + change_policy{}.expectedPromotion;
+    world.pass(limit + 200ms);
+    EXPECT_EQ(world.view()->phase, view_phase::steady);
+    EXPECT_TRUE(world.lost.empty());
+}
+
 TEST(FailoverSynchronous, WithoutOneReplicaAChangeWaits)
 {
     change_world world;
