Don't wait for members that ended once another replica has all they had

The member counted as a possible holder of commits for 10 s, so that nothing could be promoted until the cut healed: six seconds without writes or fresh reads for one database of three.

Change: the supervisor asks a draining member that left the list whether it has ended (nobody listens at its address, or another server answers). Each commit it confirmed is covered by the next position that the primary tells. Once a replica has reached that, the member isn't a holder any more. Only members that had announced their end, as a connection can be refused for other reasons.

Taken out, the comparison of positions makes AReplicaThatEndedIsNeededWhileNoOtherHasItsCommits fail.

--- a/programs/node/member_channel.cpp
+++ b/programs/node/member_channel.cpp
@@ -4,6 +4,7 @@
 #include "sycamorespan/src/Net/tcp_socket.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace sycamorespan::node {
@@ -73,9 +74,9 @@
 {
     if (std::exchange(m_closed, true))
         return;
+    const bool nobodyListens = !m_opened && m_stream->failure() == ECONNREFUSED;
     m_stream->abandon();
-    const auto refusal = m_opened ? std::nullopt : m_answers.refusal();
-    m_handlers.onClosed(refusal);
+    m_handlers.onClosed({m_opened ? std::nullopt : m_answers.refusal(), nobodyListens});
 }
 
 } // namespace sycamorespan::node
--- a/programs/node/member_channel.h
+++ b/programs/node/member_channel.h
@@ -11,6 +11,13 @@
 
 namespace sycamorespan::node {
 
+/** \brief Why a connection to a member ended. */
+struct channel_end
+{
+    std::optional<statement_error> refusal; ///< by the member, if it gave a reason
+    bool nobodyListens = false; ///< at its address
+};
+
 /** \brief The socket of one connection to a member. */
 class member_channel
 {
@@ -19,8 +26,7 @@
     {
         std::function<void(std::optional<log_position>)> onOpened;
         std::function<void(const statement_answer &)> onAnswer;
-        /** The connection broke or was refused, with the member's reason if it gave one. */
-        std::function<void(std::optional<statement_error>)> onClosed;
+        std::function<void(const channel_end &)> onClosed; ///< it broke or was refused
     };
 
     /** \throws error when the connection fails at once */
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -303,18 +303,17 @@
 void node::perform(const dispatch_action::open_member &action)
 {
     const auto connection = action.connection;
-    const auto closed = [this, connection,
-                         server = action.server](std::optional<statement_error> refusal) {
+    const auto closed = [this, connection, server = action.server](const channel_end &end) {
         const auto found = m_members.find(connection);
         if (found == m_members.end())
             return;
         m_log.write(line_importance::failure, "connection to member lost",
                     {{"server", server.str()},
-                     {"error", refusal ? std::string(nameOf(*refusal)) : "closed"}},
+                     {"error", end.refusal ? std::string(nameOf(*end.refusal)) : "closed"}},
                     suspendAwareNow());
         m_closedMembers.push_back(std::move(found->second));
         m_members.erase(found);
-        apply(m_dispatcher.closed(connection, refusal, suspendAwareNow()));
+        apply(m_dispatcher.closed(connection, end.refusal, suspendAwareNow()));
     };
     try {
         m_members.emplace(connection,
@@ -499,7 +498,7 @@
         return std::ranges::none_of(
                 entries, [&](const server_entry &entry) { return entry.id.str() == text.first; });
     });
-    m_views.setServers(entries);
+    m_views.setServers(entries, now);
     apply(m_dispatcher.setServers(entries, now));
     std::string draining;
     std::ranges::for_each(entries, [&](const server_entry &entry) {
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -44,6 +44,10 @@
 
 constexpr duration askTimeout = 400ms;
 constexpr duration askRepeat = 25ms; ///< after a refusal for want of a slot
+/** Members that left the list can still be asked whether they have ended: as long as a change may
+ * wait for them.
+ */
+constexpr duration departedMemory = change_policy{}.lapsedMember;
 constexpr duration controlIdle = 3s; ///< then a connection for supervision is closed
 
 /** Until one was measured. */
@@ -85,6 +89,19 @@
     return last && now - *last < storeSilence;
 }
 
+void view_keeper::setServers(const std::vector<server_entry> &servers, time_point now)
+{
+    m_servers = servers;
+    std::ranges::for_each(servers, [&](const server_entry &entry) {
+        m_lastEntries.insert_or_assign(entry.id, listed_entry{entry, now});
+    });
+    std::erase_if(m_lastEntries, [&](const auto &each) {
+        const bool isListed =
+                std::ranges::find(servers, each.first, &server_entry::id) != servers.end();
+        return !isListed && now - each.second.listed > departedMemory;
+    });
+}
+
 void view_keeper::tick(time_point now)
 {
     m_closed.clear();
@@ -468,16 +485,17 @@
             control.channel->send({statement});
         return;
     }
-    const auto entry = std::ranges::find(m_servers, server, &server_entry::id);
-    if (entry == m_servers.end()) {
+    const auto known = m_lastEntries.find(server);
+    if (known == m_lastEntries.end()) {
         control.asked.reset();
         return;
     }
-    control.database = entry->database;
+    const auto &entry = known->second.entry;
+    control.database = entry.database;
     control.open = false;
     try {
         control.channel = std::make_unique<member_channel>(
-                m_loop, parseEndpoint(entry->address), entry->database, supervisorName, server,
+                m_loop, parseEndpoint(entry.address), entry.database, supervisorName, server,
                 member_channel::handlers{
                         [this, server](std::optional<log_position>) {
                             auto &opened = m_controls[server];
@@ -502,11 +520,14 @@
                                 finishAsk(server, std::nullopt);
                             }
                         },
-                        [this, server](std::optional<statement_error>) {
+                        [this, server](const channel_end &end) {
                             auto &lost = m_controls[server];
                             if (lost.channel)
                                 m_closed.push_back(std::move(lost.channel));
                             lost.open = false;
+                            const auto at = suspendAwareNow();
+                            if (end.nobodyListens || end.refusal == statement_error::moved)
+                                carryOut(m_supervisor.memberEnded(lost.database, server, at), at);
                             finishAsk(server, std::nullopt);
                         }});
     } catch (const error &) {
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -34,7 +34,7 @@
                 const endpoint &duties, dispatcher &statements, peer_table &peers, event_log &log,
                 random_source random, handlers callbacks);
 
-    void setServers(const std::vector<server_entry> &servers) { m_servers = servers; }
+    void setServers(const std::vector<server_entry> &servers, time_point now);
     void received(const peer_report &report, time_point now);
     void tick(time_point now);
 
@@ -75,6 +75,12 @@
         std::optional<time_point> usableUntil;
     };
 
+    struct listed_entry
+    {
+        server_entry entry;
+        time_point listed; ///< when it was in the list last
+    };
+
     struct control_connection
     {
         std::unique_ptr<member_channel> channel;
@@ -124,6 +130,7 @@
     random_source m_random;
     handlers m_handlers;
     std::vector<server_entry> m_servers;
+    std::map<server_id, listed_entry> m_lastEntries; ///< also of members that left lately
     view_ledger m_ledger;
     supervisor_election m_election;
     group_supervisor m_supervisor;
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -179,6 +179,12 @@
                                        now);
 }
 
+change_outputs group_supervisor::memberEnded(const database_id &database, const server_id &server,
+                                             time_point now)
+{
+    return m_isHolder ? stateOf(database).change.memberEnded(server, now) : change_outputs();
+}
+
 change_outputs group_supervisor::orderAnswered(const database_id &database,
                                                std::optional<bool> accepted,
                                                const supervision_surroundings &around,
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -105,8 +105,11 @@
     std::ranges::for_each(around.members, [&](const server_entry &entry) {
         auto &member = m_members[entry.id];
         member.listed = now;
-        const bool isNewRun =
-                m_holders.insert_or_assign(log_holder{entry.id, entry.startedAtMs}, now).second;
+        const bool isDraining = entry.state == server_state::draining;
+        const bool isNewRun = m_holders
+                                      .insert_or_assign(log_holder{entry.id, entry.startedAtMs},
+                                                        holder_state{now, isDraining, {}})
+                                      .second;
         if (isNewRun)
             member.status.reset(); // it was of a former run
     });
@@ -117,8 +120,9 @@
             isRunning() && holdsAllCommits(m_old) && entryOf(around, m_old) != nullptr;
     if (oldMayAnswer)
         return;
-    std::erase_if(m_holders,
-                  [&](const auto &each) { return now - each.second > m_policy.lapsedMember; });
+    std::erase_if(m_holders, [&](const auto &each) {
+        return now - each.second.listed > m_policy.lapsedMember;
+    });
 }
 
 /** \returns whether \a server, as the old primary, has had one log all the while: another run of it
@@ -176,7 +180,7 @@
         return take();
     }
     std::ranges::for_each(around.view->holders, [&](const log_holder &holder) {
-        m_holders.try_emplace(holder, now);
+        m_holders.try_emplace(holder, holder_state{now, false, {}});
         m_members.try_emplace(holder.server).first->second.listed = now;
     });
     m_oldTerm = around.view->term;
@@ -391,6 +395,12 @@
         return;
     if (m_askTerm <= m_oldTerm || m_askTerm < nextTerm())
         m_askTerm = nextTerm();
+    if (const auto late = promotedLate()) {
+        noteEvent("promotion took effect late", {{"primary", late->str()}});
+        const auto term = m_members.at(*late).status->term;
+        write(view_phase::steady, *late, term, around, step::publishing, now);
+        return;
+    }
     if (mayKeepOld(now) && oldLeadsAgain(around)) {
         m_kept = now;
         noteEvent("primary answers again and is kept", {{"primary", m_old.str()}});
@@ -527,9 +537,8 @@
         const auto longest = std::ranges::max_element(known, {}, &ranked::received)->received;
         return bestOf(longest);
     }
-    const auto *entry = entryOf(around, m_old);
-    if (oldIsComplete && !m_planned && entry && entry->state == server_state::ready)
-        return m_old; // only its own log is certainly complete
+    if (oldIsComplete && !m_planned && entryOf(around, m_old))
+        return m_old; // only its own log is certainly complete; if it drains, it hands over next
     return std::nullopt;
 }
 
@@ -548,7 +557,7 @@
         return std::nullopt;
     const bool oldIsReplica = m_steppedDown && holdsAllCommits(m_old);
     std::optional<freshness_floor> floor;
-    for (const auto &[holder, seen] : m_holders) {
+    for (const auto &[holder, state] : m_holders) {
         const auto member = m_members.find(holder.server);
         const bool isOld = holder.server == m_old;
         if (isOld && !oldIsReplica)
@@ -558,8 +567,7 @@
                                && isListedRun(holder, around);
         if (!isReplica || (!oldIsReplica && !isFenced(holder, around)))
             return std::nullopt;
-        const auto &state = member->second;
-        const freshness_floor own{state.status->received, state.statusAsked};
+        const freshness_floor own{member->second.status->received, member->second.statusAsked};
         floor = floor ? freshness_floor{std::max(floor->position, own.position),
                                         std::min(floor->coversUntil, own.coversUntil)}
                       : own;
@@ -614,13 +622,24 @@
                                                   time_point asked,
                                                   const change_surroundings &around, time_point now)
 {
-    if (!isRunning() && status && status->pausedFor == 0)
-        m_paused.erase(server);
-    if (!isRunning() || !status)
+    const bool isOfFormerChange = isRunning() && asked < m_begun;
+    if (!status || isOfFormerChange)
         return take();
     auto &member = m_members[server];
     member.status = status;
     member.statusAsked = asked;
+    if (!isRunning()) {
+        if (status->pausedFor == 0)
+            m_paused.erase(server);
+        const bool leads = status->role == replication_role::primary && around.view
+                           && around.view->phase == view_phase::steady
+                           && around.view->primary == server && around.view->term == status->term;
+        if (leads) {
+            m_primaryPosition = freshness_floor{status->received, asked};
+            m_primaryPositionTerm = status->term;
+        }
+        return take();
+    }
     member.listed = std::max(member.listed, now);
     if (m_step == step::surveying && server == m_old)
         m_steppedDown = status->role == replication_role::replica;
@@ -629,6 +648,61 @@
     return take();
 }
 
+change_outputs synchronous_change::memberEnded(const server_id &server, time_point now)
+{
+    for (auto &[holder, state] : m_holders)
+        if (holder.server == server && state.isDraining && !state.ended)
+            state.ended = now;
+    return take();
+}
+
+/** Every commit that a member had confirmed when it ended is covered by a position that the primary
+ * told afterwards. A replica that has reached it holds them all.
+ */
+void synchronous_change::dropEndedHolders(const change_surroundings &around, time_point now)
+{
+    if (!around.view || around.view->phase != view_phase::steady)
+        return;
+    const auto &primary = around.view->primary;
+    std::optional<time_point> lastEnd;
+    for (const auto &[holder, state] : m_holders) {
+        if (holder.server == primary || !state.isDraining || isListedRun(holder, around))
+            continue;
+        if (state.ended)
+            lastEnd = std::max(lastEnd.value_or(*state.ended), *state.ended);
+        else if (!entryOf(around, holder.server))
+            ask(holder.server, member_statement::status{}, m_policy.departedInterval, now);
+    }
+    if (!lastEnd)
+        return;
+    if (!m_primaryPosition || m_primaryPositionTerm != around.view->term
+        || m_primaryPosition->coversUntil < *lastEnd)
+        return ask(primary, member_statement::status{}, m_policy.askInterval, now);
+    const auto hasReached = [&](const server_entry &entry) {
+        const auto member = m_members.find(entry.id);
+        return entry.id != primary && member != m_members.end() && member->second.status
+               && member->second.status->role == replication_role::replica
+               && member->second.statusAsked >= *lastEnd
+               && member->second.status->received >= m_primaryPosition->position;
+    };
+    if (std::ranges::none_of(around.members, hasReached)) {
+        std::ranges::for_each(around.members, [&](const server_entry &entry) {
+            if (entry.id != primary)
+                ask(entry.id, member_statement::status{}, m_policy.askInterval, now);
+        });
+        return;
+    }
+    std::erase_if(m_holders, [&](const auto &each) {
+        const auto &[holder, state] = each;
+        if (!state.ended || *state.ended > m_primaryPosition->coversUntil)
+            return false;
+        noteEvent("member that ended is not needed any more",
+                  {{"server", holder.server.str()},
+                   {"received", textOf(m_primaryPosition->position)}});
+        return true;
+    });
+}
+
 change_outputs synchronous_change::orderAnswered(std::optional<bool> accepted,
                                                  const change_surroundings &, time_point now)
 {
@@ -641,6 +715,19 @@
     return take();
 }
 
+/** \returns the member that leads by an order of this change that was given up. */
+std::optional<server_id> synchronous_change::promotedLate() const
+{
+    if (!m_hasOrdered)
+        return std::nullopt;
+    const auto leads = [this](const auto &each) {
+        const auto &status = each.second.status;
+        return status && status->role == replication_role::primary && status->term > m_oldTerm;
+    };
+    const auto found = std::ranges::find_if(m_members, leads);
+    return found == m_members.end() ? std::nullopt : std::optional(found->first);
+}
+
 /** The promotion of the chosen member failed, or may still take effect: it is to be fenced again.
  */
 void synchronous_change::surveyAgain(time_point now)
@@ -708,6 +795,7 @@
     updateMembers(around, now);
     if (!isRunning()) {
         resumeReplicas(now);
+        dropEndedHolders(around, now);
         return take();
     }
     if (m_unresolved)
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -38,6 +38,7 @@
     duration foreignOrderWait = 2s;
     /** A primary that was kept, as it answered again, is not kept once more so soon. */
     duration keptPause = 10s;
+    duration departedInterval = 250ms; ///< between two questions whether a member has ended
     duration resumeLimit = 1s; ///< shorter than any takeover: the next supervisor may pause anew
     duration orderPatience = 4s; ///< without effect another member is chosen
     duration catchUpLimit = 400ms; ///< for a replica to receive the old primary's last commits
@@ -162,6 +163,10 @@
  * A primary that was out of reach and answers again before anything was ordered is kept. An order
  * of a former supervisor that has taken effect is published.
  *
+ * A member that left may have been the only one to confirm a commit, so that a change waits for it.
+ * Not so if it has ended, and another replica holds all that the primary had acknowledged
+ * afterwards: that is found out before any change is needed.
+ *
  * From step 2 on nothing is acknowledged until the next primary is used. The positions then read
  * are floors for reads, stated again and again, so that replicas serve them all the while.
  */
@@ -196,6 +201,8 @@
     change_outputs memberAnswered(const server_id &server,
                                   const std::optional<replication_status> &status, time_point asked,
                                   const change_surroundings &around, time_point now);
+    /** \brief Nobody answers at the address of \a server, or another server does. */
+    change_outputs memberEnded(const server_id &server, time_point now);
     /** \param accepted  nothing: no answer
      */
     change_outputs orderAnswered(std::optional<bool> accepted, const change_surroundings &around,
@@ -222,6 +229,13 @@
         time_point listed; ///< last seen in the list
     };
 
+    struct holder_state
+    {
+        time_point listed; ///< last seen in the list
+        bool isDraining = false; ///< when it was seen last
+        std::optional<time_point> ended; ///< it had ended by then
+    };
+
     change_outputs take() { return std::exchange(m_outputs, {}); }
     void write(view_phase phase, const server_id &primary, term_number term,
                const change_surroundings &around, step next, time_point now);
@@ -244,8 +258,10 @@
     std::optional<server_id> choose(const change_surroundings &around, time_point now);
     bool isFenced(const log_holder &holder, const change_surroundings &around) const;
     std::optional<freshness_floor> lastFloor(const change_surroundings &around) const;
+    void dropEndedHolders(const change_surroundings &around, time_point now);
     void stateFloor(const change_surroundings &around);
     void renewFloor(const change_surroundings &around, time_point now);
+    std::optional<server_id> promotedLate() const;
     void surveyAgain(time_point now);
     void confirm(const change_surroundings &around, time_point now);
     void finish(const change_surroundings &around, time_point now);
@@ -282,7 +298,9 @@
     time_point m_finished; ///< the last change of this supervisor
     std::optional<freshness_floor> m_floor; ///< the last one stated
     std::map<server_id, member_state> m_members;
-    std::map<log_holder, time_point> m_holders; ///< and when each was last seen in the list
+    std::map<log_holder, holder_state> m_holders;
+    std::optional<freshness_floor> m_primaryPosition; ///< the last that the primary in use told
+    term_number m_primaryPositionTerm = 0; ///< of its reign
     server_id m_chosen;
     time_point m_ordered;
     std::optional<time_point> m_firstOrder; ///< to the chosen member
