--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -525,9 +525,8 @@
                             if (lost.channel)
                                 m_closed.push_back(std::move(lost.channel));
                             lost.open = false;
-                            const auto at = suspendAwareNow();
                             if (end.nobodyListens || end.refusal == statement_error::moved)
-                                carryOut(m_supervisor.memberEnded(lost.database, server, at), at);
+                                m_supervisor.memberEnded(lost.database, server, suspendAwareNow());
                             finishAsk(server, std::nullopt);
                         }});
     } catch (const error &) {
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -179,10 +179,11 @@
                                        now);
 }
 
-change_outputs group_supervisor::memberEnded(const database_id &database, const server_id &server,
-                                             time_point now)
+void group_supervisor::memberEnded(const database_id &database, const server_id &server,
+                                   time_point now)
 {
-    return m_isHolder ? stateOf(database).change.memberEnded(server, now) : change_outputs();
+    if (m_isHolder)
+        stateOf(database).change.memberEnded(server, now);
 }
 
 change_outputs group_supervisor::orderAnswered(const database_id &database,
--- a/sycamorespan/src/Failover/group_supervisor.h
+++ b/sycamorespan/src/Failover/group_supervisor.h
@@ -72,8 +72,7 @@
                                   const std::optional<replication_status> &status, time_point asked,
                                   const supervision_surroundings &around, time_point now);
     /** \brief Nobody answers at the address of \a server, or another server does. */
-    change_outputs memberEnded(const database_id &database, const server_id &server,
-                               time_point now);
+    void memberEnded(const database_id &database, const server_id &server, time_point now);
     change_outputs orderAnswered(const database_id &database, std::optional<bool> accepted,
                                  const supervision_surroundings &around, time_point now);
 
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -202,6 +202,9 @@
     return take();
 }
 
+/** Publishes what a former supervisor ordered once it has taken effect; begins anew if it can't any
+ * more.
+ */
 void synchronous_change::awaitForeignOrder(const change_surroundings &around, time_point now)
 {
     const auto &status = m_members[m_old].status;
@@ -648,12 +651,11 @@
     return take();
 }
 
-change_outputs synchronous_change::memberEnded(const server_id &server, time_point now)
+void synchronous_change::memberEnded(const server_id &server, time_point now)
 {
     for (auto &[holder, state] : m_holders)
         if (holder.server == server && state.isDraining && !state.ended)
             state.ended = now;
-    return take();
 }
 
 /** Every commit that a member had confirmed when it ended is covered by a position that the primary
@@ -720,12 +722,16 @@
 {
     if (!m_hasOrdered)
         return std::nullopt;
-    const auto leads = [this](const auto &each) {
-        const auto &status = each.second.status;
-        return status && status->role == replication_role::primary && status->term > m_oldTerm;
-    };
-    const auto found = std::ranges::find_if(m_members, leads);
-    return found == m_members.end() ? std::nullopt : std::optional(found->first);
+    std::optional<server_id> newest;
+    term_number newestTerm = m_oldTerm;
+    for (const auto &[id, member] : m_members) {
+        const auto &status = member.status;
+        if (status && status->role == replication_role::primary && status->term > newestTerm) {
+            newest = id;
+            newestTerm = status->term;
+        }
+    }
+    return newest;
 }
 
 /** The promotion of the chosen member failed, or may still take effect: it is to be fenced again.
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -36,9 +36,13 @@
     duration orderLimit = 1s; ///< from the written order to its sending; later it is given up
     /** Another supervisor's order may be sent, and take effect, until then. */
     duration foreignOrderWait = 2s;
-    /** A primary that was kept, as it answered again, is not kept once more so soon. */
+    /** A primary that was kept, as it answered again, is not kept once more so soon: longer than
+     * two changes take that wait for views to lapse.
+     */
     duration keptPause = 10s;
-    duration departedInterval = 250ms; ///< between two questions whether a member has ended
+    /** Between two questions whether a member has ended: a fifth of a member's check-in interval.
+     */
+    duration departedInterval = 250ms;
     duration resumeLimit = 1s; ///< shorter than any takeover: the next supervisor may pause anew
     duration orderPatience = 4s; ///< without effect another member is chosen
     duration catchUpLimit = 400ms; ///< for a replica to receive the old primary's last commits
@@ -202,7 +206,7 @@
                                   const std::optional<replication_status> &status, time_point asked,
                                   const change_surroundings &around, time_point now);
     /** \brief Nobody answers at the address of \a server, or another server does. */
-    change_outputs memberEnded(const server_id &server, time_point now);
+    void memberEnded(const server_id &server, time_point now);
     /** \param accepted  nothing: no answer
      */
     change_outputs orderAnswered(std::optional<bool> accepted, const change_surroundings &around,
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -269,7 +269,7 @@
     {
         auto &asked = members[action.server];
         if (asked.isGone)
-            carryOut(m_supervisor.memberEnded(database, action.server, now));
+            m_supervisor.memberEnded(database, action.server, now);
         if (!asked.isUp) {
             carryOut(m_supervisor.memberAnswered(database, action.server, std::nullopt, now,
                                                  surroundings(), now));
