Soak: overlapping restarts of one instance start one process

Cause: two faults that ended the same process both started the next one; one of the two was forgotten and ran on after the soak (found by its leftover processes, ended by their ids). Now only the first waiter starts the next process.

--- a/test/process_soak.py
+++ b/test/process_soak.py
@@ -271,7 +271,10 @@
             link.mode = "open"
 
     async def restart(self, node):
-        await asyncio.to_thread(node.process.wait)
+        process = node.process
+        await asyncio.to_thread(process.wait)
+        if node.process is not process:
+            return  # an overlapping fault has started the next one
         node.log.close()
         node.start()
 
