One piece each for a member's status, a promotion that took effect, a view's publication

Read again as a whole. synchronous_change looked a member's status up in six places, wrote the view of a new primary in five and asked in three whether a member leads by a promotion: statusOf, publish and leadsAnew serve them. survey looked up what its loop already held. view_keeper searched the list for entries that it had just marked as listed.

dispatch_load and quota_pressure had event queues of their own beside test/event_queue.h; both use it now. change_world gets passUntil, loseFirstPrimary and one copy of the search for the leader.

--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -96,9 +96,7 @@
         m_lastEntries.insert_or_assign(entry.id, listed_entry{entry, now});
     });
     std::erase_if(m_lastEntries, [&](const auto &each) {
-        const bool isListed =
-                std::ranges::find(servers, each.first, &server_entry::id) != servers.end();
-        return !isListed && now - each.second.listed > departedMemory;
+        return now - each.second.listed > departedMemory; // a listed one was just seen
     });
 }
 
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -207,11 +207,9 @@
  */
 void synchronous_change::awaitForeignOrder(const change_surroundings &around, time_point now)
 {
-    const auto &status = m_members[m_old].status;
-    if (status && status->role == replication_role::primary && status->term > m_oldTerm) {
+    if (leadsAnew(m_old)) {
         noteEvent("promotion of the former supervisor took effect", {{"primary", m_old.str()}});
-        write(view_phase::steady, m_old, status->term, around, step::publishing, now);
-        return;
+        return publish(m_old, around, now);
     }
     const bool over = !m_foreignOrder || (around.earliest && *around.earliest >= *m_foreignOrder);
     if (over || !entryOf(around, m_old)) {
@@ -233,6 +231,28 @@
     m_outputs.push_back(write_view{m_wanted});
 }
 
+/** Writes the view of a member that has said that it leads. */
+void synchronous_change::publish(const server_id &primary, const change_surroundings &around,
+                                 time_point now)
+{
+    write(view_phase::steady, primary, statusOf(primary)->term, around, step::publishing, now);
+}
+
+/** \returns what the member answered last; nullptr if it hasn't yet. */
+const replication_status *synchronous_change::statusOf(const server_id &server) const
+{
+    const auto member = m_members.find(server);
+    return member != m_members.end() && member->second.status ? &*member->second.status : nullptr;
+}
+
+/** \returns whether a promotion of the member has taken effect since the view of the old primary.
+ */
+bool synchronous_change::leadsAnew(const server_id &server) const
+{
+    const auto *status = statusOf(server);
+    return status && status->role == replication_role::primary && status->term > m_oldTerm;
+}
+
 change_outputs synchronous_change::viewWritten(std::uint64_t revision, reference_time committed,
                                                const change_surroundings &around, time_point now)
 {
@@ -381,9 +401,7 @@
     if (best && (answered == m_members.size() || now - m_entered > m_policy.catchUpLimit)) {
         m_old = *best;
         noteEvent("primary found", {{"primary", best->str()}, {"term", std::to_string(bestTerm)}});
-        const auto found = *best;
-        write(view_phase::steady, found, bestTerm, around, step::publishing, now);
-        return;
+        return publish(*best, around, now);
     }
     if (!best && answered > 0 && answered == m_members.size()
         && now - m_entered > m_policy.orderPatience)
@@ -400,18 +418,15 @@
         m_askTerm = nextTerm();
     if (const auto late = promotedLate()) {
         noteEvent("promotion took effect late", {{"primary", late->str()}});
-        const auto term = m_members.at(*late).status->term;
-        write(view_phase::steady, *late, term, around, step::publishing, now);
-        return;
+        return publish(*late, around, now);
     }
     if (mayKeepOld(now) && oldLeadsAgain(around)) {
         m_kept = now;
         noteEvent("primary answers again and is kept", {{"primary", m_old.str()}});
-        write(view_phase::steady, m_old, m_oldTerm, around, step::publishing, now);
-        return;
+        return publish(m_old, around, now);
     }
     if (!m_old.empty() && !m_steppedDown && m_members.contains(m_old)) {
-        if (mayKeepOld(now) && !m_members.at(m_old).status)
+        if (mayKeepOld(now) && !statusOf(m_old))
             ask(m_old, member_statement::status{}, m_policy.askInterval, now);
         else
             ask(m_old, member_statement::step_down{m_askTerm}, m_policy.askInterval, now);
@@ -419,15 +434,14 @@
     if (!m_fencingSince)
         m_fencingSince = now;
     const bool catchingUp = m_planned && now - *m_fencingSince < m_policy.catchUpLimit;
-    for (const auto &[id, mapped] : m_members) {
+    for (const auto &[id, member] : m_members) {
         if (id == m_old)
             continue;
         if (catchingUp) {
             ask(id, member_statement::status{}, m_policy.askInterval / 4, now);
             continue;
         }
-        const auto &status = m_members.at(id).status;
-        if (status && status->pausedFor > m_oldTerm)
+        if (member.status && member.status->pausedFor > m_oldTerm)
             continue;
         m_paused.insert(id);
         ask(id, member_statement::pause{m_askTerm}, m_policy.askInterval, now);
@@ -460,7 +474,7 @@
 {
     if (!oldLogIsWhole() || isLeaving(m_old, around))
         return false;
-    const auto &status = *m_members.at(m_old).status;
+    const auto &status = *statusOf(m_old);
     return status.role == replication_role::primary && status.term == m_oldTerm;
 }
 
@@ -469,12 +483,11 @@
  */
 bool synchronous_change::oldLogIsWhole() const
 {
-    const auto old = m_members.find(m_old);
-    return old != m_members.end() && old->second.status && holdsAllCommits(m_old)
-           && std::ranges::none_of(m_members, [&](const auto &each) {
-                  const auto &status = each.second.status;
-                  return status && status->received > old->second.status->received;
-              });
+    const auto *old = statusOf(m_old);
+    return old && holdsAllCommits(m_old) && std::ranges::none_of(m_members, [&](const auto &each) {
+               const auto &status = each.second.status;
+               return status && status->received > old->received;
+           });
 }
 
 bool synchronous_change::isLeaving(const server_id &server, const change_surroundings &around) const
@@ -531,7 +544,7 @@
     };
     const bool oldIsComplete = m_steppedDown && oldLogIsWhole();
     if (oldIsComplete) {
-        const auto last = m_members.at(m_old).status->received;
+        const auto last = statusOf(m_old)->received;
         if (auto best = bestOf(last))
             return best;
     }
@@ -547,9 +560,8 @@
 
 bool synchronous_change::isFenced(const log_holder &holder, const change_surroundings &around) const
 {
-    const auto member = m_members.find(holder.server);
-    return member != m_members.end() && member->second.status
-           && member->second.status->pausedFor > m_oldTerm && isListedRun(holder, around);
+    const auto *status = statusOf(holder.server);
+    return status && status->pausedFor > m_oldTerm && isListedRun(holder, around);
 }
 
 /** \returns a position that no acknowledged commit exceeds, and until when that certainly held. */
@@ -561,16 +573,15 @@
     const bool oldIsReplica = m_steppedDown && holdsAllCommits(m_old);
     std::optional<freshness_floor> floor;
     for (const auto &[holder, state] : m_holders) {
-        const auto member = m_members.find(holder.server);
+        const auto *status = statusOf(holder.server);
         const bool isOld = holder.server == m_old;
         if (isOld && !oldIsReplica)
             continue; // it can't acknowledge anything without a replica
-        const bool isReplica = member != m_members.end() && member->second.status
-                               && member->second.status->role == replication_role::replica
-                               && isListedRun(holder, around);
+        const bool isReplica =
+                status && status->role == replication_role::replica && isListedRun(holder, around);
         if (!isReplica || (!oldIsReplica && !isFenced(holder, around)))
             return std::nullopt;
-        const freshness_floor own{member->second.status->received, member->second.statusAsked};
+        const freshness_floor own{status->received, m_members.at(holder.server).statusAsked};
         floor = floor ? freshness_floor{std::max(floor->position, own.position),
                                         std::min(floor->coversUntil, own.coversUntil)}
                       : own;
@@ -681,11 +692,10 @@
         || m_primaryPosition->coversUntil < *lastEnd)
         return ask(primary, member_statement::status{}, m_policy.askInterval, now);
     const auto hasReached = [&](const server_entry &entry) {
-        const auto member = m_members.find(entry.id);
-        return entry.id != primary && member != m_members.end() && member->second.status
-               && member->second.status->role == replication_role::replica
-               && member->second.statusAsked >= *lastEnd
-               && member->second.status->received >= m_primaryPosition->position;
+        const auto *status = statusOf(entry.id);
+        return entry.id != primary && status && status->role == replication_role::replica
+               && m_members.at(entry.id).statusAsked >= *lastEnd
+               && status->received >= m_primaryPosition->position;
     };
     if (std::ranges::none_of(around.members, hasReached)) {
         std::ranges::for_each(around.members, [&](const server_entry &entry) {
@@ -723,14 +733,9 @@
     if (!m_hasOrdered)
         return std::nullopt;
     std::optional<server_id> newest;
-    term_number newestTerm = m_oldTerm;
-    for (const auto &[id, member] : m_members) {
-        const auto &status = member.status;
-        if (status && status->role == replication_role::primary && status->term > newestTerm) {
+    for (const auto &[id, member] : m_members)
+        if (leadsAnew(id) && (!newest || member.status->term > statusOf(*newest)->term))
             newest = id;
-            newestTerm = status->term;
-        }
-    }
     return newest;
 }
 
@@ -749,11 +754,9 @@
 
 void synchronous_change::confirm(const change_surroundings &around, time_point now)
 {
-    const auto &status = m_members[m_chosen].status;
-    if (status && status->role == replication_role::primary && status->term > m_oldTerm) {
+    if (leadsAnew(m_chosen)) {
         m_promotionTook = now - m_ordered;
-        write(view_phase::steady, m_chosen, status->term, around, step::publishing, now);
-        return;
+        return publish(m_chosen, around, now);
     }
     if (now - *m_firstOrder > m_policy.orderPatience) {
         noteEvent("promotion had no effect", {{"server", m_chosen.str()}});
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -243,6 +243,9 @@
     change_outputs take() { return std::exchange(m_outputs, {}); }
     void write(view_phase phase, const server_id &primary, term_number term,
                const change_surroundings &around, step next, time_point now);
+    void publish(const server_id &primary, const change_surroundings &around, time_point now);
+    const replication_status *statusOf(const server_id &server) const;
+    bool leadsAnew(const server_id &server) const;
     void advance(const change_surroundings &around, time_point now);
     void survey(const change_surroundings &around, time_point now);
     void ask(const server_id &server, outgoing_statement statement, duration interval,
--- a/test/dispatch_load.cpp
+++ b/test/dispatch_load.cpp
@@ -3,6 +3,8 @@
 
 #include "sycamorespan/Dispatch"
 
+#include "test/event_queue.h"
+
 #include <gtest/gtest.h>
 
 #include <array>
@@ -52,6 +54,7 @@
         : m_pattern(pattern)
         , m_dispatcher(policy, data_centre_id("a"))
     {
+        m_events.runUntil(1h); // the epoch stands for times that are not known
         auto directory = std::make_shared<service_directory>();
         service_route route;
         route.database = m_database;
@@ -74,59 +77,44 @@
             m_members[entry.id];
         }
         m_members[server_id("s3")].slowness = pattern.slowMember;
-        keep(m_dispatcher.setDirectory(directory, m_now));
-        keep(m_dispatcher.setServers(servers, m_now));
-        keep(m_dispatcher.setPrimary(m_database, usable_primary{server_id("s1"), 1, m_now + 1h},
-                                     m_now));
-        m_dispatcher.addFloor(m_database, {{1, 1}, m_now}, m_now);
+        keep(m_dispatcher.setDirectory(directory, now()));
+        keep(m_dispatcher.setServers(servers, now()));
+        keep(m_dispatcher.setPrimary(m_database, usable_primary{server_id("s1"), 1, now() + 1h},
+                                     now()));
+        m_dispatcher.addFloor(m_database, {{1, 1}, now()}, now());
     }
 
     load_result run()
     {
         std::exponential_distribution<double> gap(m_pattern.readsPerSecond);
-        for (auto at = m_now; at < m_now + m_pattern.length; at += fromSeconds(gap(m_random)))
+        for (auto at = now(); at < now() + m_pattern.length; at += fromSeconds(gap(m_random)))
             schedule(at, [this] { arrive(); });
-        const auto end = m_now + m_pattern.length + 2s;
-        for (auto at = m_now; at < end; at += 20ms)
-            schedule(at, [this] { keep(m_dispatcher.tick(m_now)); });
-        while (!m_events.empty()) {
-            auto next = m_events.top();
-            m_events.pop();
-            m_now = next.at;
-            next.action();
-        }
+        const auto end = now() + m_pattern.length + 2s;
+        for (auto at = now(); at < end; at += 20ms)
+            schedule(at, [this] { keep(m_dispatcher.tick(now())); });
+        m_events.runUntil(duration::max());
         return m_result;
     }
 
 private:
-    struct event
-    {
-        time_point at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator<(const event &other) const
-        {
-            return std::tie(at, order) > std::tie(other.at, other.order);
-        }
-    };
+    time_point now() const { return time_point(m_events.now()); }
 
     void schedule(time_point at, std::function<void()> action)
     {
-        m_events.push({at, ++m_order, std::move(action)});
+        m_events.at(at.time_since_epoch(), std::move(action));
     }
 
     void arrive()
     {
         const auto session = ++m_lastSession;
-        m_arrived[session] = m_now;
+        m_arrived[session] = now();
         ++m_result.asked;
-        keep(m_dispatcher.callerConnected(session, "browse", "key", m_now));
+        keep(m_dispatcher.callerConnected(session, "browse", "key", now()));
         caller_request request;
         request.id = std::to_string(session);
         request.text = "READ x";
         request.parsed = caller_statement::direct{statement_access::read};
-        keep(m_dispatcher.requestArrived(session, request, m_now));
+        keep(m_dispatcher.requestArrived(session, request, now()));
     }
 
     void keep(const dispatch_outputs &outputs)
@@ -136,16 +124,16 @@
                                [this](const reply_to_caller &each) { replied(each); },
                                [this](const open_member &each) {
                                    m_servers[each.connection] = each.server;
-                                   schedule(m_now + 13ms, [this, each] {
+                                   schedule(now() + 13ms, [this, each] {
                                        keep(m_dispatcher.opened(each.connection, log_position{1, 1},
-                                                                m_now));
+                                                                now()));
                                    });
                                },
                                [this](const send_to_member &each) {
-                                   schedule(m_now + 1ms, [this, each] { reach(each.connection); });
+                                   schedule(now() + 1ms, [this, each] { reach(each.connection); });
                                },
                                [this](const request_admission &each) {
-                                   keep(m_dispatcher.admitted(each.session, m_now));
+                                   keep(m_dispatcher.admitted(each.session, now()));
                                },
                                [](const auto &) {},
                        },
@@ -154,14 +142,14 @@
 
     void replied(const reply_to_caller &each)
     {
-        const auto took = m_now - m_arrived.at(each.session);
+        const auto took = now() - m_arrived.at(each.session);
         if (each.answer.succeeded()) {
             m_result.inObjective += took <= 400ms ? 1 : 0;
         } else {
             ++m_result.refused;
             m_result.longestRefusal = std::max(m_result.longestRefusal, took);
         }
-        keep(m_dispatcher.callerLeft(each.session, m_now));
+        keep(m_dispatcher.callerLeft(each.session, now()));
     }
 
     void reach(connection_id connection)
@@ -176,20 +164,20 @@
         keep(m_dispatcher.answered(
                 connection,
                 {{}, rejected{statement_error::busy, ""}, session_state::idle, log_position{1, 1}},
-                m_now));
+                now()));
     }
 
     void start(member_model &member, connection_id connection)
     {
         ++member.running;
         std::lognormal_distribution<double> work(-3.6, 0.6); // mean 33 ms
-        schedule(m_now + fromSeconds(work(m_random) * member.slowness), [this, &member,
+        schedule(now() + fromSeconds(work(m_random) * member.slowness), [this, &member,
                                                                          connection] {
             --member.running;
             keep(m_dispatcher.answered(
                     connection,
                     {{"row"}, completed{"receipt"}, session_state::idle, log_position{1, 1}},
-                    m_now));
+                    now()));
             if (!member.waiting.empty()) {
                 const auto next = member.waiting.front();
                 member.waiting.pop_front();
@@ -202,9 +190,7 @@
     database_id m_database{"db"};
     dispatcher m_dispatcher;
     std::mt19937 m_random{seed};
-    time_point m_now{1h};
-    std::priority_queue<event> m_events;
-    std::uint64_t m_order = 0;
+    test::event_queue m_events;
     session_number m_lastSession = 0;
     std::map<session_number, time_point> m_arrived;
     std::map<connection_id, server_id> m_servers;
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -87,6 +87,22 @@
         }
     }
 
+    /** Passes time until \a condition holds. */
+    template<typename Condition>
+    void passUntil(Condition condition)
+    {
+        while (!condition())
+            pass(20ms);
+    }
+
+    /** The primary s1 ends, and the supervisor withdraws its view. */
+    void loseFirstPrimary()
+    {
+        const auto intents = intentTimes.size();
+        member("s1").isUp = false;
+        passUntil([&] { return intentTimes.size() > intents; });
+    }
+
     /** A crashed member comes back with its log, as a replica if another one leads by now. */
     void comeBack(member_model &back)
     {
@@ -96,11 +112,7 @@
         back.role = replication_role::replica;
         back.term = m_term;
         back.pausedFor = 0;
-        const auto leader = std::ranges::find_if(members, [this](const auto &each) {
-            return each.second.role == replication_role::primary && each.second.term == m_term;
-        });
-        if (leader != members.end())
-            back.log = leader->second.log;
+        copyLogOfLeader(back);
     }
 
     /** Another supervisor takes over: all that it knows is in the store. */
@@ -128,11 +140,7 @@
         servers.push_back(entry);
         auto &joined = member(id);
         joined.term = m_term;
-        const auto leader = std::ranges::find_if(members, [this](const auto &each) {
-            return each.second.role == replication_role::primary && each.second.term == m_term;
-        });
-        if (leader != members.end())
-            joined.log = leader->second.log;
+        copyLogOfLeader(joined);
     }
 
     /** The member ends for good, with its log. */
@@ -308,6 +316,14 @@
             m_inUse.reset();
     }
 
+    /** Nothing if nobody leads the newest term. */
+    void copyLogOfLeader(member_model &to)
+    {
+        for (const auto &[id, each] : members)
+            if (each.role == replication_role::primary && each.term == m_term)
+                to.log = each.log;
+    }
+
     void deliverAnswers()
     {
         std::vector<delayed_answer> due;
@@ -403,10 +419,8 @@
     change_world world;
     world.pass(1s);
     EXPECT_TRUE(world.commit("s1"));
-    world.member("s1").isUp = false;
     world.allRelease = false;
-    while (world.intentTimes.empty())
-        world.pass(20ms);
+    world.loseFirstPrimary();
     world.pass(100ms);
     ASSERT_FALSE(world.floors.empty());
     while (!world.isSteadyAt("s2") && !world.isSteadyAt("s3")) {
@@ -490,15 +504,11 @@
     change_world world;
     world.pass(1s);
     world.allRelease = false;
-    world.member("s1").isUp = false;
-    while (world.intentTimes.empty())
-        world.pass(20ms);
+    world.loseFirstPrimary();
     world.comeBack(world.member("s1"));
     world.pass(200ms);
     ASSERT_TRUE(world.isSteadyAt("s1"));
-    world.member("s1").isUp = false;
-    while (world.intentTimes.size() < 2)
-        world.pass(20ms);
+    world.loseFirstPrimary();
     world.comeBack(world.member("s1"));
     world.pass(4s);
     EXPECT_FALSE(world.isSteadyAt("s1"));
@@ -531,10 +541,8 @@
 {
     change_world world;
     world.pass(1s);
-    world.member("s1").isUp = false;
     world.answerDelay = 10s;
-    while (world.intentTimes.empty())
-        world.pass(20ms);
+    world.loseFirstPrimary();
     world.pass(200ms);
     EXPECT_GT(world.member("s3").pausedFor, 0U);
     world.answerDelay = 0ms;
@@ -552,8 +560,7 @@
     world.pass(1s);
     EXPECT_TRUE(world.commit("s1"));
     world.member("s1").isUp = false;
-    while (world.orders.empty())
-        world.pass(20ms);
+    world.passUntil([&] { return !world.orders.empty(); });
     world.replaceSupervisor();
     world.pass(promotion + 200ms);
     EXPECT_EQ(world.view()->phase, view_phase::steady);
@@ -569,8 +576,7 @@
     world.pass(1s);
     world.member("s1").isUp = false;
     world.losesOrders = true;
-    while (world.orders.empty())
-        world.pass(20ms);
+    world.passUntil([&] { return !world.orders.empty(); });
     world.losesOrders = false;
     world.allRelease = false; // an instance is cut off now
     world.replaceSupervisor();
--- a/test/quota_pressure.cpp
+++ b/test/quota_pressure.cpp
@@ -3,10 +3,11 @@
 
 #include "programs/node/quota_gate.h"
 
+#include "test/event_queue.h"
+
 #include <gtest/gtest.h>
 
 #include <memory>
-#include <queue>
 #include <random>
 
 namespace {
@@ -24,6 +25,7 @@
     pressed_fleet(std::size_t instances, workspace_limit limit, duration retryPause)
         : m_retryPause(retryPause)
     {
+        m_events.runUntil(1h); // the epoch stands for times that are not known
         std::vector<placed_holder> holders;
         for (std::size_t index = 0; index < instances; ++index)
             holders.push_back({holder_id("h" + std::to_string(index)),
@@ -38,7 +40,7 @@
                                 if (isCutOff(index) != isCutOff(target))
                                     return;
                                 schedule(1ms, [this, target, message] {
-                                    m_gates[target]->received(message, m_now);
+                                    m_gates[target]->received(message, now());
                                 });
                             }}));
         }
@@ -47,8 +49,8 @@
             for (const auto &each : holders)
                 if (each != holders[index])
                     live.insert(each.holder);
-            m_gates[index]->setHolders(holders, live, m_now);
-            m_gates[index]->setWorkspaces({{workspace, limit}}, m_now);
+            m_gates[index]->setHolders(holders, live, now());
+            m_gates[index]->setWorkspaces({{workspace, limit}}, now());
             schedule(20ms, [this, index] { tick(index); });
         }
     }
@@ -56,7 +58,7 @@
     void addCaller(std::size_t instance)
     {
         const auto request = ++m_lastRequest;
-        m_gates[instance]->admit(workspace, request, m_now);
+        m_gates[instance]->admit(workspace, request, now());
     }
 
     /** Messages between the first data centre and the others are lost from now on. */
@@ -68,7 +70,7 @@
         schedule(after, [this, instance] {
             const auto request = ++m_lastRequest;
             m_single.insert(request);
-            m_gates[instance]->admit(workspace, request, m_now);
+            m_gates[instance]->admit(workspace, request, now());
         });
     }
 
@@ -79,40 +81,23 @@
     std::size_t run(duration time)
     {
         m_admitted = 0;
-        const auto end = m_now + time;
-        while (!m_events.empty() && m_events.top().at < end) {
-            const auto next = m_events.top();
-            m_events.pop();
-            m_now = next.at;
-            next.action();
-        }
-        m_now = end;
+        m_events.runUntil(m_events.now() + time);
         return m_admitted;
     }
 
 private:
-    struct event
-    {
-        time_point at;
-        std::uint64_t order = 0;
-        std::function<void()> action;
-
-        bool operator<(const event &other) const
-        {
-            return std::tie(at, order) > std::tie(other.at, other.order);
-        }
-    };
-
     bool isCutOff(std::size_t instance) const { return m_isCut && instance % dataCentres == 0; }
 
+    time_point now() const { return time_point(m_events.now()); }
+
     void schedule(duration delay, std::function<void()> action)
     {
-        m_events.push({m_now + delay, ++m_order, std::move(action)});
+        m_events.after(delay, std::move(action));
     }
 
     void tick(std::size_t index)
     {
-        m_gates[index]->tick(m_now);
+        m_gates[index]->tick(now());
         schedule(20ms, [this, index] { tick(index); });
     }
 
@@ -122,13 +107,13 @@
             m_admitted += verdict.isAdmitted ? 1 : 0;
             m_singlesRefused += verdict.isAdmitted ? 0 : 1;
             if (verdict.isAdmitted)
-                m_gates[index]->settle(workspace, verdict.request, true, m_now);
+                m_gates[index]->settle(workspace, verdict.request, true, now());
             return;
         }
         if (verdict.isAdmitted) {
             ++m_admitted;
             schedule(5ms, [this, index, verdict] {
-                m_gates[index]->settle(workspace, verdict.request, true, m_now);
+                m_gates[index]->settle(workspace, verdict.request, true, now());
                 addCaller(index);
             });
             return;
@@ -137,10 +122,8 @@
     }
 
     duration m_retryPause;
-    time_point m_now{1h};
     std::vector<std::unique_ptr<quota_gate>> m_gates;
-    std::priority_queue<event> m_events;
-    std::uint64_t m_order = 0;
+    test::event_queue m_events;
     std::uint64_t m_lastRequest = 0;
     std::set<std::uint64_t> m_single;
     bool m_isCut = false;
