A planned stop answers busy sessions, and delivers every answer

A caller behind a slow link lost the rest of a ready answer when its session was closed. Cause: a session was closed only if it was idle at a tick, once in 20 ms, which a busy one never is, and nothing refused its next statement; a busy transaction escaped its notice in the same way. At 5.5 s the process left its event loop whatever ran. A closed caller's channel was destroyed in the next tick with the bytes that its socket had not taken, and closing a socket with unread input resets the connection. Change: graceful_shutdown gives the course as a state without I/O. New transactions are refused after half of the notice, all new operations after three quarters, with BUSY and the end of the session; statements left 0.5 s before the end are answered with what is known of them. byte_stream::closeAfterWrite() writes everything, shuts down its sending side and discards what arrives until the peer closes, within a limit; a peer that only stopped sending gets the queued bytes. The process ends when its connections have. Why it works: no operation begins that could outlive the notice, and a connection is destroyed only after its peer has closed it or a limit has passed. Related paths: the PostgreSQL proxy ends sessions by an event, and gets the delivery from byte_stream; documents between instances and the agent's links wait for the peer in web_connection already; a reload touches no session.

--- a/programs/node/caller_channel.h
+++ b/programs/node/caller_channel.h
@@ -29,7 +29,10 @@
 
     void write(std::string_view lines) { m_stream.write(lines); }
     void closeAfterWrite() { m_stream.closeAfterWrite(); }
+    /** \returns whether the connection is open, also while it is closed after the last answer. */
     bool isOpen() const { return m_stream.isOpen(); }
+    /** \returns the number of bytes of answers that the socket has not accepted. */
+    std::size_t pendingBytes() const { return m_stream.pendingBytes(); }
 
 private:
     void handleBytes(std::string_view bytes);
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -57,20 +58,10 @@
 /** Time without an answer after which a member in another data centre is treated as unreachable. */
 constexpr duration memberUnresponsiveTimeout = 500ms;
 
-/** Time after which no new callers connect to an instance that is not ready. The platform probes
- * readiness once a second and routes new callers elsewhere after two failed probes.
- */
-constexpr duration readinessPropagationDelay = 2200ms;
-/** Maximum number of idle sessions closed per tick during shutdown or isolation, which is 500 per
- * second. It keeps callers from reconnecting all at once.
+/** Maximum number of idle sessions closed per tick during isolation, which is 500 per second. It
+ * keeps callers from reconnecting all at once.
  */
 constexpr std::size_t maxSessionsClosedPerTick = 10;
-/** Open transactions may continue for the shutdown timeout divided by this number. */
-constexpr int transactionNoticeDivisor = 2;
-/** Time before the end of the shutdown timeout at which the instance deregisters and exits, even if
- * sessions remain.
- */
-constexpr duration stopReserve = 500ms;
 
 /** Interval at which the list of live instances is applied to quotas, the dispatcher and the table
  * followers. It is shorter than the interval of reports.
@@ -245,7 +236,7 @@
     apply(m_dispatcher.callerDisconnected(session, suspendAwareNow()));
 }
 
-/** Removes and closes a caller's channel; it is destroyed in the next tick. */
+/** Removes and closes a caller's channel. It is destroyed when its answers are delivered. */
 void node::retireChannel(
         std::unordered_map<session_number, std::unique_ptr<caller_channel>>::iterator caller)
 {
@@ -308,7 +299,8 @@
                 {{"session", std::to_string(action.session)},
                  {"error", std::string(nameOf(action.error.code))},
                  {"reason", action.error.text},
-                 {"configuration_version", std::to_string(m_directory->version)}},
+                 {"configuration_version",
+                  std::to_string(m_directory ? m_directory->version : 0)}},
                 suspendAwareNow());
     perform(dispatch_action::close_caller{action.session});
 }
@@ -761,25 +753,57 @@
 
 void node::advanceShutdown(time_point now)
 {
-    if (!m_stopRequestedAt || m_isDeregistering)
+    if (!m_stopRequestedAt)
         return;
     const auto elapsed = now - *m_stopRequestedAt;
-    if (elapsed > m_settings.shutdownTimeout / transactionNoticeDivisor)
+    const graceful_shutdown course(shutdown_policy{}, m_settings.shutdownTimeout);
+    m_dispatcher.setAcceptedWork(course.acceptedWork(elapsed));
+    if (course.endsTransactions(elapsed))
         apply(m_dispatcher.rollBackIdleTransactionsOnAllServers(now));
-    if (elapsed > readinessPropagationDelay)
-        apply(m_dispatcher.closeIdleSessions(maxSessionsClosedPerTick, now));
-    const bool empty = m_callers.empty() && elapsed > readinessPropagationDelay;
-    if (empty || elapsed > m_settings.shutdownTimeout - stopReserve)
-        deregisterAndExit();
+    if (course.closesIdleSessions(elapsed))
+        apply(m_dispatcher.closeIdleSessions(
+                course.sessionsToClose(m_dispatcher.sessionCount(), elapsed), now));
+    if (course.endsStatements(elapsed))
+        closeAllCallers(now);
+    const bool empty = m_callers.empty() && m_closedCallers.empty();
+    if ((empty && course.closesIdleSessions(elapsed)) || course.endsStatements(elapsed))
+        deregister();
+    if ((empty && m_isDeregistered) || course.mustExit(elapsed))
+        exit();
+}
+
+/** Answers what callers have sent, and closes their connections. */
+void node::closeAllCallers(time_point now)
+{
+    m_callerListener.close();
+    for (const auto &[session, message] : std::exchange(m_pendingConnects, {}))
+        perform(dispatch_action::reject_caller{
+                session, {statement_error::busy, "the instance is shutting down"}});
+    apply(m_dispatcher.closeAllSessions(now));
+    while (!m_callers.empty())
+        retireChannel(m_callers.begin());
 }
 
-void node::deregisterAndExit()
+void node::deregister()
 {
-    m_isDeregistering = true;
+    if (std::exchange(m_isDeregistering, true))
+        return;
     m_callerListener.close();
+    m_views.deregister([this] { m_isDeregistered = true; });
+}
+
+void node::exit()
+{
+    if (std::exchange(m_isExiting, true))
+        return;
+    const auto unsent = std::accumulate(
+            m_closedCallers.begin(), m_closedCallers.end(), std::size_t{0},
+            [](std::size_t sum, const auto &each) { return sum + each->pendingBytes(); });
     m_log.write(line_importance::state, "stopped",
-                {{"sessions_left", std::to_string(m_callers.size())}}, suspendAwareNow());
-    m_views.deregister([this] { m_loop.break_loop(ev::ALL); });
+                {{"sessions_left", std::to_string(m_callers.size())},
+                 {"unsent_bytes", std::to_string(unsent)}},
+                suspendAwareNow());
+    m_loop.break_loop(ev::ALL);
 }
 
 void node::reload()
@@ -803,7 +827,7 @@
     const auto step = [this](std::string_view subject, const std::function<void()> &handle) {
         m_guard.run(subject, handle);
     };
-    m_closedCallers.clear();
+    std::erase_if(m_closedCallers, [](const auto &each) { return !each->isOpen(); });
     m_closedMembers.clear();
     step("list of servers", [&] { updateServers(now); });
     step("list of instances", [&] { updateInstances(now); });
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -89,7 +89,9 @@
     isolation_evidence isolationEvidence(time_point now) const;
     void updateReadiness(time_point now);
     void advanceShutdown(time_point now);
-    void deregisterAndExit();
+    void closeAllCallers(time_point now);
+    void deregister();
+    void exit();
 
     void tick();
     void updateServers(time_point now);
@@ -126,7 +128,7 @@
     caller_channel::handlers m_callerHandlers;
     std::unordered_map<session_number, std::unique_ptr<caller_channel>> m_callers;
     std::unordered_map<connection_id, std::unique_ptr<member_channel>> m_members;
-    std::vector<std::unique_ptr<caller_channel>> m_closedCallers;
+    std::vector<std::unique_ptr<caller_channel>> m_closedCallers; ///< until answers are delivered
     std::vector<std::unique_ptr<member_channel>> m_closedMembers;
     std::map<session_number, platform::connect_message> m_pendingConnects;
     session_number m_lastSession = 0;
@@ -143,6 +145,8 @@
     bool m_isolated = false;
     std::optional<time_point> m_stopRequestedAt;
     bool m_isDeregistering = false;
+    bool m_isDeregistered = false;
+    bool m_isExiting = false;
 };
 
 } // namespace sycamorespan::node
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "sycamorespan/src/Dispatch/caller_state.h"
 #include "sycamorespan/src/Dispatch/dispatch_action.h"
 #include "sycamorespan/src/Dispatch/freshness_floors.h"
+#include "sycamorespan/src/Dispatch/graceful_shutdown.h"
 
 #include <functional>
 #include <memory>
@@ -187,6 +188,16 @@
      * \param count  largest number of sessions to close
      */
     dispatch_outputs closeIdleSessions(std::size_t count, time_point now);
+    /** \brief Sets which new operations are accepted, for a graceful shutdown.
+     *
+     * A refused operation is answered with busy, and its session is closed, so that the caller
+     * continues at another instance. Without new transactions, open ones accept only their end.
+     */
+    void setAcceptedWork(accepted_work accepted) { m_acceptedWork = accepted; }
+    /** \brief Answers all statements in progress with what is known of their outcome, and closes all
+     * sessions.
+     */
+    dispatch_outputs closeAllSessions(time_point now);
     /** \brief Rolls back open transactions that have no statement in progress. */
     dispatch_outputs rollBackIdleTransactionsOnAllServers(time_point now);
 
@@ -301,6 +312,7 @@
     void handle(caller &from, const caller_request &request, const caller_statement::malformed &,
                 time_point now);
     void processFailedTransaction(caller &from, const caller_request &request, time_point now);
+    void refuseForShutdown(caller &from, const caller_request &request, time_point now);
     bool checkAccess(caller &from, time_point now);
     void startJob(caller &from, const caller_request &request, statement_access access,
                   bool isCommit, time_point now);
@@ -386,6 +398,8 @@
     void checkConnections(time_point now);
     void checkTransactions(time_point now);
     void onDeadlineExpired(caller &from, time_point now);
+    void endStatement(caller &from, const std::string &whyNotRun, const std::string &whyUnanswered,
+                      time_point now);
     void retryOverdueRead(caller &from, time_point now);
     void updateOldestUnansweredWrite(database_state &group);
 
@@ -399,6 +413,7 @@
     time_point m_startedAt;
     std::shared_ptr<const service_directory> m_directory;
     std::size_t m_instances = 1;
+    accepted_work m_acceptedWork = accepted_work::all;
     std::unordered_map<session_number, caller> m_callers;
     std::map<database_id, database_state> m_databases;
     std::map<server_id, member_pool> m_pools;
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -3,6 +3,7 @@
 #include "sycamorespan/src/Dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sycamorespan {
 
@@ -19,6 +20,9 @@
 /** Receipt of statements that no member ran. */
 const std::string noReceipt = "-";
 
+/** Reason of refusals while the instance shuts down. */
+const std::string shutdownReason = "the instance is shutting down; retry at another instance";
+
 /** Workspace of callers of open routes whose key belongs to no workspace. */
 const workspace_id anonymousWorkspace("-");
 
@@ -46,6 +50,10 @@
                 session, {statement_error::unknownKey, "the key is not granted to any workspace"}});
         return takeOutputs();
     }
+    if (m_acceptedWork == accepted_work::none) {
+        m_outputs.push_back(reject_caller{session, {statement_error::busy, shutdownReason}});
+        return takeOutputs();
+    }
     auto &added = m_callers[session];
     added.number = session;
     added.databaseName = std::move(databaseName);
@@ -107,13 +115,15 @@
            now);
 }
 
-void dispatcher::handle(caller &from, const caller_request &, const caller_statement::begin &begin,
-                        time_point now)
+void dispatcher::handle(caller &from, const caller_request &request,
+                        const caller_statement::begin &begin, time_point now)
 {
     if (from.state == session_state::inTransaction)
         return reject(from, statement_error::malformed, "a transaction is open already", now);
     if (!checkAccess(from, now))
         return;
+    if (m_acceptedWork != accepted_work::all)
+        return refuseForShutdown(from, request, now);
     from.state = session_state::inTransaction;
     from.readOnly = begin.readOnly;
     from.hasWritten = false;
@@ -181,6 +191,21 @@
     reject(from, statement_error::malformed, statement.reason, now);
 }
 
+/** Refuses a new operation while the instance shuts down, and closes the session. */
+void dispatcher::refuseForShutdown(caller &from, const caller_request &request, time_point now)
+{
+    statement_job refused;
+    refused.request = request;
+    refused.arrivedAt = now;
+    refused.queuedSince = now;
+    refused.latencyDeadline = now + from.route.latencyObjective;
+    from.job = std::move(refused);
+    reject(from, statement_error::busy, shutdownReason, now);
+    // A statement that the caller sent in advance may have begun to run.
+    if (!from.job && from.state == session_state::idle)
+        m_outputs.push_back(close_caller{from.number});
+}
+
 /** Checks the session's route and key again, so that a changed directory applies to its next
  * operation. Rejects the statement and closes the session if either is no longer valid.
  */
@@ -212,6 +237,10 @@
                           bool isCommit, time_point now)
 {
     const bool inTransaction = from.state == session_state::inTransaction;
+    if (inTransaction && !isCommit && m_acceptedWork != accepted_work::all) {
+        releaseBound(from, now);
+        from.rolledBack = true;
+    }
     if (from.rolledBack) {
         from.rolledBack = false;
         if (isCommit)
@@ -223,6 +252,8 @@
     }
     if (!inTransaction && !checkAccess(from, now))
         return;
+    if (!inTransaction && m_acceptedWork == accepted_work::none)
+        return refuseForShutdown(from, request, now);
     if (inTransaction && from.readOnly && access == statement_access::write) {
         from.state = session_state::failedTransaction;
         return reject(from, statement_error::readOnly, "the transaction is read-only", now);
@@ -406,6 +437,21 @@
     return takeOutputs();
 }
 
+dispatch_outputs dispatcher::closeAllSessions(time_point now)
+{
+    m_acceptedWork = accepted_work::none; // refuses statements that callers sent in advance
+    std::vector<session_number> open;
+    std::ranges::transform(m_callers, std::back_inserter(open), keyOf);
+    std::ranges::for_each(open, [&](session_number number) {
+        if (auto *from = findCaller(number))
+            endStatement(*from, shutdownReason,
+                         "the instance is shutting down and the member has not answered", now);
+        if (findCaller(number))
+            m_outputs.push_back(close_caller{number});
+    });
+    return takeOutputs();
+}
+
 dispatch_outputs dispatcher::rollBackIdleTransactionsOnAllServers(time_point now)
 {
     for (auto &[key, each] : m_callers) {
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -502,26 +502,33 @@
 
 /** Rejects a statement whose deadline has passed. */
 void dispatcher::onDeadlineExpired(caller &from, time_point now)
+{
+    endStatement(from,
+                 "no member of database " + from.route.database.str()
+                         + " took the statement in its time; it did not run",
+                 "member " + from.boundServer.str() + " did not answer in the statement's time",
+                 now);
+}
+
+/** Ends the statement in progress with what is known of its outcome.
+ * \param whyNotRun      reason if it has not been sent to a member
+ * \param whyUnanswered  reason if its member has not answered
+ */
+void dispatcher::endStatement(caller &from, const std::string &whyNotRun,
+                              const std::string &whyUnanswered, time_point now)
 {
     if (!from.job)
         return;
-    if (from.job->currentStage != job_stage::running) {
-        reject(from, statement_error::busy,
-               "no member of database " + from.route.database.str()
-                       + " took the statement in its time; it did not run",
-               now);
-        return;
-    }
-    auto *pool = poolOf(from.boundConnection);
-    if (pool)
+    if (from.job->currentStage != job_stage::running)
+        return reject(from, statement_error::busy, whyNotRun, now);
+    if (auto *pool = poolOf(from.boundConnection))
         closeConnection(*pool, from.boundConnection, now);
     const bool inTransaction = from.state == session_state::inTransaction;
     const bool hasNoEffect = inTransaction ? !from.job->isCommit || !from.hasWritten
                                            : from.job->access == statement_access::read;
-    const auto server = from.boundServer;
     unbind(from);
-    reject(from, hasNoEffect ? statement_error::aborted : statement_error::timeout,
-           "member " + server.str() + " did not answer in the statement's time", now);
+    reject(from, hasNoEffect ? statement_error::aborted : statement_error::timeout, whyUnanswered,
+           now);
 }
 
 /** Sends a read whose answer is overdue to another member, as the answer may be lost. */
--- a/sycamorespan/src/Net/byte_stream.cpp
+++ b/sycamorespan/src/Net/byte_stream.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include <sys/socket.h>
 
@@ -10,6 +11,15 @@
 
 constexpr std::size_t readChunkBytes = 16384;
 
+/** Time without a written byte after which a closing connection is dropped. It equals the time after
+ * which an unreachable caller's connection is closed.
+ */
+constexpr duration closeTimeout = 10s;
+/** Time for which a connection waits for the peer to close its side after the last byte: many round
+ * trips between the farthest data centres.
+ */
+constexpr duration peerCloseTimeout = 1s;
+
 bool isTransient(int errorCode)
 {
     return errorCode == EAGAIN || errorCode == EWOULDBLOCK || errorCode == EINTR;
@@ -21,6 +31,7 @@
     : m_socket(std::move(socket))
     , m_handlers(std::move(callbacks))
     , m_watcher(loop)
+    , m_closeTimer(loop, [this] { closeAndNotify(m_outputEnded ? 0 : ETIMEDOUT); })
 {
     m_watcher.set<byte_stream, &byte_stream::onReady>(this);
     m_watcher.start(m_socket.get(), ev::READ);
@@ -36,15 +47,18 @@
 
 void byte_stream::closeAfterWrite()
 {
-    m_closing = true;
-    if (m_socket)
-        flush();
+    if (std::exchange(m_closing, true) || !m_socket)
+        return;
+    m_paused = false; // received bytes are discarded, so that the connection is not reset
+    m_closeTimer.startOnce(closeTimeout);
+    flush();
 }
 
 void byte_stream::abandon()
 {
     m_closing = true;
     m_watcher.stop();
+    m_closeTimer.stop();
     m_socket = file_descriptor();
     m_writeBuffer.clear();
     m_writtenBytes = 0;
@@ -52,6 +66,8 @@
 
 void byte_stream::pauseReading(bool paused)
 {
+    if (m_closing)
+        return;
     m_paused = paused;
     if (m_socket)
         updateWatcher();
@@ -73,12 +89,23 @@
         if (!m_closing)
             m_handlers.onBytes(std::string_view(chunk.data(), static_cast<std::size_t>(count)));
     } else if (count == 0) {
-        closeAndNotify(0);
+        handleEndOfInput();
     } else if (!isTransient(errno)) {
         closeAndNotify(errno);
     }
 }
 
+/** Closes the connection. A peer that only stopped sending still gets the queued bytes. */
+void byte_stream::handleEndOfInput()
+{
+    m_inputEnded = true;
+    if (pendingBytes() == 0)
+        return closeAndNotify(0);
+    closeAfterWrite();
+    if (m_socket)
+        updateWatcher();
+}
+
 void byte_stream::flush()
 {
     while (m_writtenBytes < m_writeBuffer.size()) {
@@ -90,17 +117,30 @@
             return updateWatcher();
         }
         m_writtenBytes += static_cast<std::size_t>(count);
+        if (m_closing)
+            m_closeTimer.startOnce(closeTimeout);
     }
     m_writeBuffer.clear();
     m_writtenBytes = 0;
     if (m_closing)
+        return finishWriting();
+    updateWatcher();
+}
+
+void byte_stream::finishWriting()
+{
+    if (m_inputEnded)
         return closeAndNotify(0);
+    if (::shutdown(m_socket.get(), SHUT_WR) != 0)
+        return closeAndNotify(errno);
+    m_outputEnded = true;
+    m_closeTimer.startOnce(peerCloseTimeout);
     updateWatcher();
 }
 
 void byte_stream::updateWatcher()
 {
-    const int reading = m_paused ? 0 : ev::READ;
+    const int reading = m_paused || m_inputEnded ? 0 : ev::READ;
     const int writing = pendingBytes() > 0 ? ev::WRITE : 0;
     if ((reading | writing) == 0)
         m_watcher.stop();
@@ -112,6 +152,7 @@
 {
     m_failure = errorCode;
     m_watcher.stop();
+    m_closeTimer.stop();
     m_socket = file_descriptor();
     m_handlers.onClosed();
 }
--- a/sycamorespan/src/Net/byte_stream.h
+++ b/sycamorespan/src/Net/byte_stream.h
@@ -9,12 +9,14 @@
 #include <ev++.h>
 
 #include "sycamorespan/src/Net/file_descriptor.h"
+#include "sycamorespan/src/Net/loop_timer.h"
 
 namespace sycamorespan {
 
 /** \brief A connected non-blocking socket with a write buffer.
  *
- * The handlers may destroy the stream only after they have returned to the event loop.
+ * The handlers may destroy the stream only after they have returned to the event loop. Destroying an
+ * open stream drops its queued bytes.
  */
 class byte_stream
 {
@@ -22,7 +24,10 @@
     struct handlers
     {
         std::function<void(std::string_view)> onBytes;
-        /** Called once, when the peer has closed the connection or the socket has failed. */
+        /** Called once, when the peer has closed the connection or the socket has failed, or at the
+         * end of closeAfterWrite(). If the peer has only stopped sending, queued bytes are written
+         * first.
+         */
         std::function<void()> onClosed;
     };
 
@@ -31,7 +36,13 @@
     /** \brief Queues \a bytes and writes as many queued bytes as the socket accepts. */
     void write(std::string_view bytes);
 
-    /** \brief Closes the socket once all queued bytes are written. Received bytes are discarded. */
+    /** \brief Writes all queued bytes, then closes the connection so that they reach the peer.
+     *
+     * Received bytes are discarded. Closing a socket with unread bytes would reset the connection
+     * and drop what the peer has not received, so that only the sending side is shut down at first.
+     * The stream is open until the peer closes its side, or until a timeout of 1 s after the last
+     * byte, or of 10 s in which no byte can be written.
+     */
     void closeAfterWrite();
 
     /** \brief Closes the socket at once, drops queued bytes and calls no handler any more. */
@@ -53,17 +64,22 @@
 private:
     void onReady(ev::io &watcher, int events);
     void readAvailable();
+    void handleEndOfInput();
     void flush();
+    void finishWriting();
     void updateWatcher();
     void closeAndNotify(int errorCode);
 
     file_descriptor m_socket;
     handlers m_handlers;
     ev::io m_watcher;
+    loop_timer m_closeTimer;
     std::string m_writeBuffer;
     std::size_t m_writtenBytes = 0;
     bool m_closing = false;
     bool m_paused = false;
+    bool m_inputEnded = false; ///< the peer sends no more bytes
+    bool m_outputEnded = false; ///< the sending side is shut down
     int m_failure = 0;
 };
 
--- a/test/process_node.py
+++ b/test/process_node.py
@@ -7,6 +7,7 @@
 import tempfile
 import time
 import unittest
+import unittest.mock
 import urllib.request
 
 from loopback import HOST
@@ -181,6 +182,58 @@
         self.assertEqual(await asyncio.wait_for(caller.reader.read(), STOP_BOUND_S), b"")
         self.assertEqual(await asyncio.to_thread(self.nodes[0].process.wait, STOP_BOUND_S), 0)
 
+    async def test_busy_sessions_get_their_answers_at_a_planned_stop(self):
+        """Guards against sessions that are never idle and were cut off at the end of the shutdown."""
+        unanswered = []
+
+        async def keep_reading(number):
+            caller = await self.session("browse")
+            sent = answered = 0
+            try:
+                while True:
+                    while sent < answered + 2:  # the next request waits, so that the session is never idle
+                        caller.writer.write(f"QUERY busy{number}n{sent} READ x\r\n".encode())
+                        sent += 1
+                    line = await caller.reader.readline()
+                    if not line:
+                        break
+                    answered += line.startswith(b"READY")
+            except ConnectionError:
+                pass
+            unanswered.extend(f"busy{number}n{each}" for each in range(answered, sent))
+
+        with unittest.mock.patch("member.STATEMENT_DURATION_S", 0.055):
+            readers = [asyncio.create_task(keep_reading(number)) for number in range(15)]
+            await asyncio.sleep(1)
+            self.nodes[0].process.terminate()
+            await asyncio.wait_for(asyncio.gather(*readers), STOP_BOUND_S)
+        self.assertEqual(await asyncio.to_thread(self.nodes[0].process.wait, STOP_BOUND_S), 0)
+        # The last requests of a session may be on the way when it is closed. They must not be read.
+        ran = {request for member in self.group().members.values() for _, request, _ in member.ran}
+        logged = "\n".join(self.nodes[0].lines())
+        self.assertEqual([request for request in unanswered if request in ran], [])
+        self.assertEqual([request for request in unanswered if f"request={request} " in logged], [])
+
+    async def test_answers_reach_slow_callers_at_a_planned_stop(self):
+        """Guards against answers that were dropped with the buffers of a closed connection."""
+        row = "v" * 500_000
+        for member in self.group().members.values():
+            member.log.append((1, 1, "large", row))
+            member.applied = len(member.log)
+        caller = await self.session()
+        answers = 40  # 20 MB, more than the socket buffers hold
+        caller.writer.write(b"".join(b"QUERY slow%d READ large\r\n" % number for number in range(answers)))
+        await asyncio.sleep(1)
+        self.nodes[0].process.terminate()
+        await asyncio.sleep(3)  # the session is idle, and closed before the caller goes on reading
+        received = b""
+        while part := await caller.reader.read(100_000):
+            received += part
+            await asyncio.sleep(0.005)
+        self.assertEqual(received.count(b"READY I -\r\n"), answers)
+        self.assertEqual(received.count(b"ROW " + row.encode()), answers)
+        self.assertEqual(await asyncio.to_thread(self.nodes[0].process.wait, STOP_BOUND_S), 0)
+
     async def test_service_recovers_after_all_instances_were_killed(self):
         for node in self.nodes:
             node.process.kill()
