An odd entry in a list costs only itself

Reported by operators of similar systems: one odd entry among those of the members ended the machines that read the list, or their following of it. Cause here, by list: a server entry's address was not checked, so that a member with a port out of range counted as a replica that may hold commits and blocked each change of primary; numbers out of range were converted (a capacity of -5 to 2^64 - 5); ids and names with blanks or line breaks went into lines of the members' protocol. An odd route, service or tenant kept a whole version of the operators' lists from taking effect. An error in the handling of rows ended the following of the table. Only the first page of a table was read. A claim that can't be decoded could not be replaced. One odd entry of the platform's instance list hid all instances from the agents; a member's IPv6 address, which the schema allows, threw in each proxy and made it drop its agent's link again and again. Ruled out: deep nesting (20,000 levels: parser and destructors don't recurse). Change: every list is decoded entry by entry; what can't be decoded is left out, with one log line and a counter for each revision. Integers are checked against their range (toInteger), addresses and words against their form, also in reports and coordination rows. Tables are read page by page (store_client::readTable) and followed whatever their handling throws.

--- a/programs/agent/agent.cpp
+++ b/programs/agent/agent.cpp
@@ -323,6 +323,7 @@
             m_proxies.proxies().size(),
             m_peers.connectedPeers().size(),
             m_server.invalidMessages() + m_peers.invalidMessages(),
+            m_instances.rejectedEntries(),
             m_server.counters(),
             m_configuration.counters()};
 }
--- a/programs/agent/agent_metrics.h
+++ b/programs/agent/agent_metrics.h
@@ -20,6 +20,7 @@
     std::size_t proxies = 0;
     std::size_t peers = 0;
     std::uint64_t invalidMessages = 0;
+    std::uint64_t rejectedInstances = 0;
     web_counters server;
     configuration_counters configuration;
 };
--- a/programs/agent/instance_list_task.h
+++ b/programs/agent/instance_list_task.h
@@ -2,9 +2,13 @@
 #define SYCAMORESPAN_PROGRAMS_AGENT_INSTANCE_LIST_TASK_H
 
 #include "sycamorespan/Core"
+#include "sycamorespan/Logging"
 #include "sycamorespan/Net"
 
+#include <cstdint>
 #include <functional>
+#include <string>
+#include <vector>
 
 namespace sycamorespan::agent {
 
@@ -20,14 +24,21 @@
     instance_list_task(ev::loop_ref loop, instance_list_client &client, duration interval,
                        std::function<void(const instance_list &)> onRead, random_source random);
 
+    /** \returns the number of entries that could not be decoded. */
+    std::uint64_t rejectedEntries() const { return m_rejectedEntries; }
+
 private:
     void read();
+    void reportRejected(const std::vector<std::string> &rejected);
     void handle(const instance_list_client::outcome &outcome);
 
     instance_list_client &m_client;
     duration m_interval;
     std::function<void(const instance_list &)> m_onRead;
     random_source m_random;
+    logger m_log;
+    std::vector<std::string> m_rejected; ///< of the last read
+    std::uint64_t m_rejectedEntries = 0;
     loop_timer m_timer;
 };
 
--- a/programs/node/coordination_rows.cpp
+++ b/programs/node/coordination_rows.cpp
@@ -1,5 +1,8 @@
 #include "programs/node/coordination_rows.h"
 
+#include "sycamorespan/src/Core/json_integer.h"
+#include "sycamorespan/src/Net/endpoint.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -27,9 +30,17 @@
         return read(fields);
     } catch (const json::exception &) {
         return std::nullopt;
+    } catch (const decode_error &) {
+        return std::nullopt;
     }
 }
 
+template<typename Integer>
+Integer integerAt(const json &fields, const char *name)
+{
+    return toInteger<Integer>(fields.at(name));
+}
+
 } // namespace
 
 std::string viewKey(const database_id &database)
@@ -89,20 +100,20 @@
 std::optional<primary_view> decodeView(std::string_view value, std::uint64_t revision)
 {
     return decode<primary_view>(value, [&](const json &fields) -> std::optional<primary_view> {
-        const auto phase = fields.at("phase").get<int>();
+        const auto phase = integerAt<int>(fields, "phase");
         if (phase < 0 || phase > static_cast<int>(view_phase::ordered))
             return std::nullopt;
         std::vector<log_holder> holders;
         for (const auto &holder : fields.at("holders"))
             holders.push_back({server_id(holder.at("server").get<std::string>()),
-                               holder.at("started_at").get<std::int64_t>()});
+                               integerAt<std::int64_t>(holder, "started_at")});
         return primary_view{database_id(fields.at("database").get<std::string>()),
                             revision,
                             server_id(fields.at("primary").get<std::string>()),
-                            fields.at("term").get<term_number>(),
+                            integerAt<term_number>(fields, "term"),
                             static_cast<view_phase>(phase),
                             fields.at("planned").get<bool>(),
-                            fields.at("fence").get<std::uint64_t>(),
+                            integerAt<std::uint64_t>(fields, "fence"),
                             std::move(holders)};
     });
 }
@@ -112,18 +123,21 @@
     return decode<supervisor_claim>(value, [&](const json &fields) {
         return std::optional(supervisor_claim{
                 revision, instance_id(fields.at("holder").get<std::string>()),
-                fields.at("boot").get<std::uint64_t>(), fields.at("fence").get<std::uint64_t>()});
+                integerAt<std::uint64_t>(fields, "boot"),
+                integerAt<std::uint64_t>(fields, "fence")});
     });
 }
 
 std::optional<instance_incarnation> decodeInstance(std::string_view value)
 {
     return decode<instance_incarnation>(value, [&](const json &fields) {
+        auto address = fields.at("address").get<std::string>();
+        static_cast<void>(parseEndpoint(address)); // reports are sent to it
         return std::optional(instance_incarnation{
                 instance_id(fields.at("instance").get<std::string>()),
-                fields.at("boot").get<std::uint64_t>(), fields.at("address").get<std::string>(),
+                integerAt<std::uint64_t>(fields, "boot"), std::move(address),
                 data_centre_id(fields.at("data_centre").get<std::string>()),
-                fields.value("capacity", std::uint32_t{0})});
+                fields.contains("capacity") ? integerAt<std::uint32_t>(fields, "capacity") : 0});
     });
 }
 
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -3,6 +3,7 @@
 #include "programs/node/coordination_rows.h"
 
 #include "sycamorespan/src/Core/error.h"
+#include "sycamorespan/src/Core/json_integer.h"
 #include "sycamorespan/src/Core/overloaded.h"
 #include "sycamorespan/src/Net/clock.h"
 #include "sycamorespan/src/Net/http_message.h"
@@ -107,6 +108,7 @@
              capacityOf(m_settings)}
     , m_log(line_budget_policy{}, STDOUT_FILENO)
     , m_guard(m_log, m_metrics)
+    , m_rejectedEntries(m_log, m_metrics)
     , m_dispatcher(dispatchPolicy(m_settings), m_settings.dataCentre, m_startedAt)
     , m_roster(roster_policy{})
     , m_store(loop, m_settings.store, m_guard)
@@ -121,7 +123,11 @@
     , m_views(loop, m_self, m_store, m_settings.promotionService, m_dispatcher, m_fleet.table(),
               m_log, m_guard, m_random,
               {[this](dispatch_outputs outputs) { apply(std::move(outputs)); },
-               [this] { m_fleet.requestReports(); }})
+               [this] { m_fleet.requestReports(); },
+               [this](const platform::store_row &row) {
+                   m_rejectedEntries.note("coordination rows", row.key, row.revision,
+                                          "not a valid row", suspendAwareNow());
+               }})
     , m_quota({holder_id(m_settings.instance.str()), m_self.incarnation},
               {[this](const quota_verdict &verdict) {
                    const auto now = suspendAwareNow();
@@ -133,11 +139,12 @@
                    m_fleet.send(instance_id(to.str()), message);
                }})
     , m_configuration(loop, m_store, platform::table_name::operatorTable, longPollWait(m_settings),
-                      m_random,
+                      m_guard, m_random,
                       {[this](const platform::store_rows &content) { applyConfiguration(content); },
                        [this](const platform::store_rows &content) { applyConfiguration(content); },
                        [this](bool answered) { setStoreAvailable(answered); }})
-    , m_servers(loop, m_store, platform::table_name::servers, longPollWait(m_settings), m_random,
+    , m_servers(loop, m_store, platform::table_name::servers, longPollWait(m_settings), m_guard,
+                m_random,
                 {[this](const platform::store_rows &content) { applyServerRows(content, true); },
                  [this](const platform::store_rows &content) { applyServerRows(content, false); },
                  [this](bool answered) { setStoreAvailable(answered); }})
@@ -440,12 +447,15 @@
         if (row.key != platform::configurationKey || row.deleted)
             continue;
         try {
-            auto directory =
-                    std::make_shared<service_directory>(platform::decodeConfiguration(row.value));
-            if (m_directory && directory->version <= m_directory->version)
+            auto decoded = platform::decodeConfiguration(row.value);
+            const auto version = decoded.directory.version;
+            if (m_directory && version <= m_directory->version)
                 continue;
-            m_directory = std::move(directory);
+            m_directory = std::make_shared<service_directory>(std::move(decoded.directory));
             m_encodedConfiguration = row.value;
+            std::ranges::for_each(decoded.rejected, [&](const platform::rejected_entry &each) {
+                m_rejectedEntries.note(each.list, each.name, version, each.cause, now);
+            });
         } catch (const decode_error &failure) {
             m_log.write(line_importance::state, "configuration could not be decoded",
                         {{"error", failure.what()}, {"revision", std::to_string(row.revision)}},
@@ -467,18 +477,29 @@
         connectCaller(session, message);
 }
 
+/** \returns the entry of a row; nothing if the row was deleted or can't be decoded, which names no
+ * server to use.
+ */
+std::optional<server_entry> node::decodeServerRow(const platform::store_row &row, time_point now)
+{
+    if (row.deleted)
+        return std::nullopt;
+    try {
+        return platform::decodeServerEntry(row.key, row.value);
+    } catch (const decode_error &failure) {
+        m_rejectedEntries.note("servers", row.key, row.revision, failure.what(), now);
+        return std::nullopt;
+    }
+}
+
 void node::applyServerRows(const platform::store_rows &content, bool isSnapshot)
 {
     const auto now = suspendAwareNow();
     std::vector<server_entry> entries;
     for (const auto &row : content.rows) {
-        const auto entry =
-                row.deleted ? std::nullopt : platform::decodeServerEntry(row.key, row.value);
+        const auto entry = decodeServerRow(row, now);
         if (entry)
             m_encodedServers[row.key] = row.value;
-        if (!row.deleted && !entry)
-            m_log.write(line_importance::failure, "server entry could not be decoded",
-                        {{"server", row.key}}, now);
         if (isSnapshot) {
             if (entry)
                 entries.push_back(*entry);
@@ -600,18 +621,24 @@
     try {
         const auto fields = json::parse(document);
         platform::store_rows content;
-        content.revision = fields.at("revision").get<std::uint64_t>();
+        content.revision = toInteger<std::uint64_t>(fields.at("revision"));
         for (const auto &[id, text] : fields.at("servers").items())
-            content.rows.push_back({{}, id, text.get<std::string>(), 0, false});
+            content.rows.push_back({{}, id, text.is_string() ? text.get<std::string>() : "",
+                                    content.revision, false});
         if (content.revision > m_serversRevision)
             applyServerRows(content, true);
-    } catch (const json::exception &failure) {
-        m_metrics.countMalformedMessage();
-        m_log.write(line_importance::failure, "message from another instance could not be decoded",
-                    {{"error", failure.what()}, {"path", serversPath}}, suspendAwareNow());
+    } catch (const std::exception &failure) {
+        rejectDocument(serversPath, failure.what());
     }
 }
 
+void node::rejectDocument(const std::string &path, const std::string &cause)
+{
+    m_metrics.countMalformedMessage();
+    m_log.write(line_importance::failure, "message from another instance could not be decoded",
+                {{"error", cause}, {"path", path}}, suspendAwareNow());
+}
+
 std::string node::instancesDocument() const
 {
     const auto &table = m_fleet.table();
@@ -629,17 +656,23 @@
 {
     try {
         const auto fields = json::parse(document);
+        const auto revision = toInteger<std::uint64_t>(fields.at("revision"));
+        const auto now = suspendAwareNow();
         std::vector<instance_incarnation> instances;
-        for (const auto &row : fields.at("instances"))
-            if (auto each = coordination_rows::decodeInstance(row.get<std::string>()))
+        for (const auto &row : fields.at("instances")) {
+            auto each = row.is_string() ? coordination_rows::decodeInstance(row.get<std::string>())
+                                        : std::nullopt;
+            if (each)
                 instances.push_back(std::move(*each));
-        m_fleet.table().setInstances(instances,
-                                     reference_time(fields.at("read_at").get<std::int64_t>()),
-                                     fields.at("revision").get<std::uint64_t>(), suspendAwareNow());
-    } catch (const json::exception &failure) {
-        m_metrics.countMalformedMessage();
-        m_log.write(line_importance::failure, "message from another instance could not be decoded",
-                    {{"error", failure.what()}, {"path", instancesPath}}, suspendAwareNow());
+            else
+                m_rejectedEntries.note(instancesPath, "#" + std::to_string(instances.size()),
+                                       revision, "not a valid row", now);
+        }
+        m_fleet.table().setInstances(
+                instances, reference_time(toInteger<std::int64_t>(fields.at("read_at"))), revision,
+                now);
+    } catch (const std::exception &failure) {
+        rejectDocument(instancesPath, failure.what());
     }
 }
 
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -9,6 +9,7 @@
 #include "programs/node/fleet_link.h"
 #include "programs/node/node_metrics.h"
 #include "programs/node/quota_gate.h"
+#include "programs/node/rejected_entries.h"
 #include "programs/node/table_follower.h"
 #include "programs/node/view_keeper.h"
 
@@ -67,6 +68,7 @@
     // Rows of the store.
     void applyConfiguration(const platform::store_rows &content);
     void applyServerRows(const platform::store_rows &content, bool isSnapshot);
+    std::optional<server_entry> decodeServerRow(const platform::store_row &row, time_point now);
     void setStoreAvailable(bool answered);
     void applyRoster();
 
@@ -80,6 +82,7 @@
     void addFetchedDocuments();
     void applyServers(const std::string &document);
     void applyInstances(const std::string &document);
+    void rejectDocument(const std::string &path, const std::string &cause);
     std::string instancesDocument() const;
     std::string serversDocument() const;
     endpoint peerAddress() const;
@@ -107,6 +110,7 @@
     event_log m_log;
     node_metrics m_metrics;
     event_guard m_guard;
+    rejected_entries m_rejectedEntries;
     dispatcher m_dispatcher;
     server_roster m_roster;
     std::vector<server_entry> m_serverEntries; ///< entries of the roster, as applied
--- a/programs/node/node_metrics.h
+++ b/programs/node/node_metrics.h
@@ -42,6 +42,11 @@
     /** \brief Counts a repetition of a statement. */
     void count(const dispatch_action::record_step &step);
     void countMalformedMessage() { m_malformed.Increment(); }
+    /** \param list  name of the list that the entry belongs to */
+    void countRejectedEntry(const std::string &list)
+    {
+        m_rejectedEntries.Add({{"list", list}}).Increment();
+    }
     void countUnexpectedError() { m_unexpectedErrors.Increment(); }
     void set(const node_gauges &gauges);
 
@@ -54,6 +59,7 @@
     prometheus::Family<prometheus::Histogram> &m_latency;
     prometheus::Family<prometheus::Gauge> &m_state;
     prometheus::Counter &m_malformed;
+    prometheus::Family<prometheus::Counter> &m_rejectedEntries;
     prometheus::Counter &m_unexpectedErrors;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_outcomes;
     std::map<std::string, prometheus::Histogram *> m_latencies;
--- /dev/null
+++ b/programs/node/rejected_entries.cpp
@@ -0,0 +1,29 @@
+#include "programs/node/rejected_entries.h"
+
+namespace sycamorespan::node {
+
+namespace {
+
+/** Number of entries that are remembered, which is more than the rows of any list. */
+constexpr std::size_t maxNotedEntries = 10'000;
+
+} // namespace
+
+void rejected_entries::note(const std::string &list, const std::string &entry,
+                            std::uint64_t revision, std::string_view cause, time_point now)
+{
+    if (m_noted.size() >= maxNotedEntries)
+        m_noted.clear();
+    const auto [noted, isNew] = m_noted.try_emplace({list, entry}, revision);
+    if (!isNew && std::exchange(noted->second, revision) == revision)
+        return;
+    m_metrics.countRejectedEntry(list);
+    m_log.write(line_importance::failure, "entry of a list could not be decoded",
+                {{"list", list},
+                 {"entry", entry},
+                 {"revision", std::to_string(revision)},
+                 {"error", std::string(cause)}},
+                now);
+}
+
+} // namespace sycamorespan::node
--- /dev/null
+++ b/programs/node/rejected_entries.h
@@ -0,0 +1,40 @@
+#ifndef SYCAMORESPAN_PROGRAMS_NODE_REJECTED_ENTRIES_H
+#define SYCAMORESPAN_PROGRAMS_NODE_REJECTED_ENTRIES_H
+
+#include "programs/node/event_log.h"
+#include "programs/node/node_metrics.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace sycamorespan::node {
+
+/** \brief Logs and counts the entries of lists that could not be decoded. Such an entry is left out;
+ * the other entries of its list are used.
+ */
+class rejected_entries
+{
+public:
+    rejected_entries(event_log &log, node_metrics &metrics)
+        : m_log(log)
+        , m_metrics(metrics)
+    { }
+
+    /** \brief Notes one entry. An entry that is read again in the same revision has no effect.
+     * \param revision  revision of the row or version of the list
+     */
+    void note(const std::string &list, const std::string &entry, std::uint64_t revision,
+              std::string_view cause, time_point now);
+
+private:
+    event_log &m_log;
+    node_metrics &m_metrics;
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_noted; ///< last revision
+};
+
+} // namespace sycamorespan::node
+
+#endif
--- a/programs/node/store_client.cpp
+++ b/programs/node/store_client.cpp
@@ -3,6 +3,8 @@
 #include "sycamorespan/src/Core/error.h"
 #include "sycamorespan/src/Net/clock.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sycamorespan::node {
@@ -38,6 +40,37 @@
             });
 }
 
+void store_client::readTable(const std::string &table, duration timeout, answer_handler onAnswer)
+{
+    readPage(table, timeout, {}, std::move(onAnswer));
+}
+
+/** Reads the page that follows the rows of \a collected. */
+void store_client::readPage(const std::string &table, duration timeout, store_answer collected,
+                            answer_handler onAnswer)
+{
+    const auto from = collected.content.rows.empty() ? "" : collected.content.rows.back().key;
+    call(platform::readRows(table, from, ""), timeout,
+         [this, table, timeout, from, collected = std::move(collected),
+          handler = std::move(onAnswer)](const store_answer &page) mutable {
+             if (!page.succeeded())
+                 return handler(page);
+             if (from.empty()) {
+                 collected = page;
+             } else {
+                 // The range of a request includes its first key, which the last page ended with.
+                 std::ranges::copy_if(
+                         page.content.rows, std::back_inserter(collected.content.rows),
+                         [&](const platform::store_row &row) { return row.key > from; });
+             }
+             auto &rows = collected.content.rows;
+             const bool hasMore = page.content.more && !rows.empty() && rows.back().key > from;
+             if (hasMore)
+                 return readPage(table, timeout, std::move(collected), std::move(handler));
+             handler(collected);
+         });
+}
+
 std::optional<duration> store_client::unansweredFor(time_point now) const
 {
     auto since = m_unansweredSince;
--- a/programs/node/store_client.h
+++ b/programs/node/store_client.h
@@ -48,6 +48,12 @@
     void call(const http_request &request, duration timeout, answer_handler onAnswer,
               duration heldBack = duration::zero());
 
+    /** \brief Reads all rows of \a table, page by page, and calls \a onAnswer once. The answer has
+     * the revision and the clock of the first page, so that a change during the read is newer.
+     * \param timeout  time limit for each page
+     */
+    void readTable(const std::string &table, duration timeout, answer_handler onAnswer);
+
     const reference_clock &clock() const { return m_clock; }
 
     /** \returns when the last valid answer arrived; nothing before the first one. */
@@ -62,6 +68,8 @@
     std::uint64_t failures() const { return m_failures; }
 
 private:
+    void readPage(const std::string &table, duration timeout, store_answer collected,
+                  answer_handler onAnswer);
     void finish(const http_outcome &outcome, time_point sent, const answer_handler &onAnswer);
 
     event_guard &m_guard;
--- a/programs/node/table_follower.cpp
+++ b/programs/node/table_follower.cpp
@@ -17,10 +17,12 @@
 } // namespace
 
 table_follower::table_follower(ev::loop_ref loop, store_client &store, std::string table,
-                               duration wait, random_source random, handlers callbacks)
+                               duration wait, event_guard &guard, random_source random,
+                               handlers callbacks)
     : m_store(store)
     , m_table(std::move(table))
     , m_longPollWait(wait)
+    , m_guard(guard)
     , m_handlers(std::move(callbacks))
     , m_backoff(retryDelays, std::move(random))
     , m_retry(loop, [this] { readOrFollow(); })
@@ -53,8 +55,8 @@
 void table_follower::read()
 {
     m_isReading = true;
-    m_store.call(platform::readRows(m_table, "", ""), answerTimeout,
-                 [this](const store_answer &answer) { handleRead(answer); });
+    m_store.readTable(m_table, answerTimeout,
+                      [this](const store_answer &answer) { handleRead(answer); });
 }
 
 void table_follower::handleRead(const store_answer &answer)
@@ -67,7 +69,8 @@
     m_hasSnapshot = true;
     if (answer.content.revision >= m_revision) {
         m_revision = answer.content.revision;
-        m_handlers.onSnapshot(answer.content);
+        // Rows that can't be handled must not end the following of the table.
+        m_guard.run("rows of a table", [&] { m_handlers.onSnapshot(answer.content); });
     }
     if (m_isFollowing && !m_isWaitingForChanges)
         follow();
@@ -101,7 +104,7 @@
     if (answer.content.revision >= m_revision) {
         m_revision = answer.content.revision;
         if (!answer.content.rows.empty())
-            m_handlers.onChanges(answer.content);
+            m_guard.run("changed rows of a table", [&] { m_handlers.onChanges(answer.content); });
     }
     if (m_isFollowing && !m_isReading)
         follow();
--- a/programs/node/table_follower.h
+++ b/programs/node/table_follower.h
@@ -30,7 +30,7 @@
      *               unresponsive connection is detected
      */
     table_follower(ev::loop_ref loop, store_client &store, std::string table, duration wait,
-                   random_source random, handlers callbacks);
+                   event_guard &guard, random_source random, handlers callbacks);
 
     /** \brief Starts or stops waiting for changes; the table is read once in any case. */
     void setFollowing(bool following);
@@ -53,6 +53,7 @@
     store_client &m_store;
     std::string m_table;
     duration m_longPollWait;
+    event_guard &m_guard;
     handlers m_handlers;
     backoff m_backoff;
     loop_timer m_retry;
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -230,14 +230,14 @@
         return;
     const bool wasRequested = std::exchange(m_rowsRequested, false);
     m_reads.onStarted(now);
-    m_store.call(platform::readRows(coordination_rows::table, "", ""), readTimeout,
-                 [this, wasRequested](const store_answer &answer) {
-                     m_reads.onAnswered(answer.succeeded());
-                     if (answer.succeeded())
-                         applyRows(answer);
-                     else
-                         m_rowsRequested = m_rowsRequested || wasRequested;
-                 });
+    m_store.readTable(coordination_rows::table, readTimeout,
+                      [this, wasRequested](const store_answer &answer) {
+                          m_reads.onAnswered(answer.succeeded());
+                          if (answer.succeeded())
+                              applyRows(answer);
+                          else
+                              m_rowsRequested = m_rowsRequested || wasRequested;
+                      });
 }
 
 void view_keeper::applyRows(const store_answer &answer)
@@ -248,17 +248,29 @@
     std::vector<primary_view> views;
     std::vector<instance_incarnation> instances;
     supervisor_claim claim;
+    std::optional<std::uint64_t> revisionOfRejectedClaim;
     for (const auto &row : answer.content.rows) {
         if (coordination_rows::isViewKey(row.key)) {
             if (auto view = coordination_rows::decodeView(row.value, row.revision))
                 views.push_back(std::move(*view));
+            else
+                m_handlers.onRejectedRow(row);
         } else if (coordination_rows::isInstanceKey(row.key)) {
             if (auto incarnation = coordination_rows::decodeInstance(row.value))
                 instances.push_back(std::move(*incarnation));
+            else
+                m_handlers.onRejectedRow(row);
         } else if (row.key == coordination_rows::claimKey) {
-            claim = coordination_rows::decodeClaim(row.value, row.revision).value_or(claim);
+            if (const auto decoded = coordination_rows::decodeClaim(row.value, row.revision)) {
+                claim = *decoded;
+            } else {
+                m_handlers.onRejectedRow(row);
+                revisionOfRejectedClaim = row.revision;
+            }
         }
     }
+    if (revisionOfRejectedClaim)
+        claim = replaceableClaim(*revisionOfRejectedClaim, views);
     m_rowsReadRevision = answer.content.revision;
     m_fleet.setInstances(instances, answer.content.clock, answer.content.revision, now);
     const bool registered =
@@ -287,6 +299,20 @@
         m_handlers.onUpdate(); // the other instances need the confirmation
 }
 
+/** \returns a claim of no instance in place of one that could not be decoded, so that the next claim
+ * can replace its row. Its token is the highest one with which a promotion may have been ordered,
+ * because a view is written with the token before each order.
+ */
+supervisor_claim view_keeper::replaceableClaim(std::uint64_t revision,
+                                               const std::vector<primary_view> &views) const
+{
+    auto token = claim().fencingToken;
+    std::ranges::for_each(views, [&](const primary_view &view) {
+        token = std::max(token, view.fencingToken);
+    });
+    return {revision, {}, 0, token};
+}
+
 void view_keeper::applyNews(const fleet_news &news, time_point now)
 {
     if (news.viewsDigest == m_ledger.digest() || !news.views.empty()) {
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -31,6 +31,8 @@
         std::function<void(dispatch_outputs)> onDispatch;
         /** Called when something has changed that other instances need to know at once. */
         std::function<void()> onUpdate;
+        /** Called with a row that could not be decoded. */
+        std::function<void(const platform::store_row &)> onRejectedRow;
     };
 
     view_keeper(ev::loop_ref loop, const instance_incarnation &self, store_client &store,
@@ -111,6 +113,8 @@
     void noteRegistration(std::uint64_t revision, reference_time clock);
     void readRows(time_point now);
     void applyRows(const store_answer &answer);
+    supervisor_claim replaceableClaim(std::uint64_t revision,
+                                      const std::vector<primary_view> &views) const;
     void applyAttestations(time_point now);
     std::uint64_t releasedThrough() const;
     void applyClaimRow(const store_answer &answer);
--- a/programs/proxy/database_task.cpp
+++ b/programs/proxy/database_task.cpp
@@ -103,6 +103,7 @@
     , m_options(options)
     , m_onSuspect(std::move(onSuspect))
     , m_random(random)
+    , m_log("members")
     , m_tracker({}, emptyView(m_database))
     , m_trackerTimer(loop, [this] { handle(time_passed{}); })
 { }
@@ -117,9 +118,7 @@
             continue;
         drainPool(target);
         target.entry = entry;
-        target.pool = std::make_unique<member_pool>(
-                m_loop, member_pool::options{connectionOptions(target), m_options.budget},
-                m_random);
+        openPool(target);
     }
     const auto isConfigured = [&members](const server_id &server) {
         return std::ranges::find(members, server, &configuration::member_entry::server)
@@ -133,6 +132,22 @@
     std::erase_if(m_drainingPools, [](const auto &pool) { return pool->leasedConnections() == 0; });
 }
 
+/** Creates the pool of a member. One whose address can't be used gets none and is left out. */
+void database_task::openPool(member &target)
+{
+    try {
+        target.pool = std::make_unique<member_pool>(
+                m_loop, member_pool::options{connectionOptions(target), m_options.budget},
+                m_random);
+    } catch (const decode_error &failure) {
+        ++m_counters.rejectedMembers;
+        m_log.write(log_level::warning, "entry of a member could not be decoded",
+                    {{"database", m_database.str()},
+                     {"server", target.entry.server.str()},
+                     {"reason", failure.what()}});
+    }
+}
+
 void database_task::drainPool(member &target)
 {
     if (target.pool)
--- a/programs/proxy/database_task.h
+++ b/programs/proxy/database_task.h
@@ -10,6 +10,7 @@
 #include "programs/proxy/member_pool.h"
 #include "sycamorespan/Configuration"
 #include "sycamorespan/Failover"
+#include "sycamorespan/Logging"
 
 namespace sycamorespan::proxy {
 
@@ -50,6 +51,7 @@
     std::uint64_t commitsReleased = 0;
     std::uint64_t commitsUnknown = 0;
     std::uint64_t viewChanges = 0;
+    std::uint64_t rejectedMembers = 0; ///< entries of members whose address can't be used
 };
 
 /** \brief Manages one database: its primary view, the connection pools of its members and the
@@ -102,6 +104,7 @@
         time_point avoidUntil;
     };
 
+    void openPool(member &target);
     void drainPool(member &target);
     void handle(const commit_tracker_event &event);
     void perform(const request_status &action);
@@ -119,6 +122,7 @@
     database_options m_options;
     suspect_handler m_onSuspect;
     random_source m_random;
+    logger m_log;
     std::map<server_id, member> m_members;
     std::vector<std::unique_ptr<member_pool>> m_drainingPools; ///< until all leases end
     commit_tracker m_tracker;
--- a/programs/proxy/proxy.cpp
+++ b/programs/proxy/proxy.cpp
@@ -1,6 +1,7 @@
 #include "programs/proxy/proxy.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -267,8 +268,17 @@
 std::shared_ptr<prometheus::Collectable> proxy::metrics()
 {
     return std::make_shared<proxy_metrics>([this] {
-        return proxy_readings{m_statements,       m_callerCounters,        m_callers.size(),
-                              m_access.version(), m_classifier.counters(), m_quota.counters()};
+        const auto addRejected = [](std::uint64_t sum, const auto &database) {
+            return sum + database.second->counters().rejectedMembers;
+        };
+        return proxy_readings{m_statements,
+                              m_callerCounters,
+                              m_callers.size(),
+                              m_access.version(),
+                              m_classifier.counters(),
+                              m_quota.counters(),
+                              std::accumulate(m_databases.begin(), m_databases.end(),
+                                              std::uint64_t{0}, addRejected)};
     });
 }
 
--- a/programs/proxy/proxy_metrics.h
+++ b/programs/proxy/proxy_metrics.h
@@ -30,6 +30,7 @@
     std::uint64_t configurationVersion = 0;
     statement_cache_counters classifier;
     quota_counters quota;
+    std::uint64_t rejectedMembers = 0;
 };
 
 /** \brief Exports the readings as Prometheus metrics. */
--- a/sycamorespan/src/Membership/fleet_messages.cpp
+++ b/sycamorespan/src/Membership/fleet_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "sycamorespan/src/Core/cbor.h"
 #include "sycamorespan/src/Core/error.h"
+#include "sycamorespan/src/Core/json_integer.h"
 
 #include <algorithm>
 #include <iterator>
@@ -30,7 +31,7 @@
 {
     if (value.is_null())
         return std::nullopt;
-    return reference_time(value.get<std::int64_t>());
+    return reference_time(toInteger<std::int64_t>(value));
 }
 
 template<typename Items, typename Encode>
@@ -58,9 +59,9 @@
 
 instance_incarnation decodeIncarnation(const json &fields)
 {
-    return {instance_id(fields.at(0).get<std::string>()), fields.at(1).get<std::uint64_t>(),
+    return {instance_id(fields.at(0).get<std::string>()), toInteger<std::uint64_t>(fields.at(1)),
             fields.at(2).get<std::string>(), data_centre_id(fields.at(3).get<std::string>()),
-            fields.at(4).get<std::uint32_t>()};
+            toInteger<std::uint32_t>(fields.at(4))};
 }
 
 json encodeView(const primary_view &view)
@@ -74,19 +75,19 @@
 
 primary_view decodeView(const json &fields)
 {
-    const auto phase = fields.at(4).get<int>();
+    const auto phase = toInteger<int>(fields.at(4));
     if (phase < 0 || phase > static_cast<int>(view_phase::ordered))
         throw decode_error("report: unknown primary view phase " + std::to_string(phase));
     return {database_id(fields.at(0).get<std::string>()),
-            fields.at(1).get<std::uint64_t>(),
+            toInteger<std::uint64_t>(fields.at(1)),
             server_id(fields.at(2).get<std::string>()),
-            fields.at(3).get<term_number>(),
+            toInteger<term_number>(fields.at(3)),
             static_cast<view_phase>(phase),
             fields.at(5).get<bool>(),
-            fields.at(6).get<std::uint64_t>(),
+            toInteger<std::uint64_t>(fields.at(6)),
             decodeList<log_holder>(fields.at(7), [](const json &holder) {
                 return log_holder{server_id(holder.at(0).get<std::string>()),
-                                  holder.at(1).get<std::int64_t>()};
+                                  toInteger<std::int64_t>(holder.at(1))};
             })};
 }
 
@@ -98,9 +99,9 @@
 
 primary_observation decodeObservation(const json &fields)
 {
-    return {database_id(fields.at(0).get<std::string>()), fields.at(1).get<std::uint64_t>(),
-            fields.at(2).get<std::uint32_t>(), fields.at(3).get<std::uint32_t>(),
-            fields.at(4).get<std::uint32_t>()};
+    return {database_id(fields.at(0).get<std::string>()), toInteger<std::uint64_t>(fields.at(1)),
+            toInteger<std::uint32_t>(fields.at(2)), toInteger<std::uint32_t>(fields.at(3)),
+            toInteger<std::uint32_t>(fields.at(4))};
 }
 
 json encodeFloor(const floor_report &floor)
@@ -112,8 +113,8 @@
 floor_report decodeFloor(const json &fields)
 {
     return {database_id(fields.at(0).get<std::string>()),
-            {fields.at(1).get<term_number>(), fields.at(2).get<std::uint64_t>()},
-            reference_time(fields.at(3).get<std::int64_t>())};
+            {toInteger<term_number>(fields.at(1)), toInteger<std::uint64_t>(fields.at(2))},
+            reference_time(toInteger<std::int64_t>(fields.at(3)))};
 }
 
 json encodeLoad(const server_load_report &load)
@@ -123,7 +124,7 @@
 
 server_load_report decodeLoad(const json &fields)
 {
-    return {server_id(fields.at(0).get<std::string>()), fields.at(1).get<std::uint32_t>()};
+    return {server_id(fields.at(0).get<std::string>()), toInteger<std::uint32_t>(fields.at(1))};
 }
 
 json encodeNews(const fleet_news &news)
@@ -138,15 +139,15 @@
 fleet_news decodeNews(const json &fields)
 {
     fleet_news news;
-    news.configurationVersion = fields.at(0).get<std::uint64_t>();
-    news.serversRevision = fields.at(1).get<std::uint64_t>();
-    news.instancesDigest = fields.at(2).get<std::uint64_t>();
-    news.instancesReadAt = reference_time(fields.at(3).get<std::int64_t>());
-    news.viewsDigest = fields.at(4).get<std::uint64_t>();
+    news.configurationVersion = toInteger<std::uint64_t>(fields.at(0));
+    news.serversRevision = toInteger<std::uint64_t>(fields.at(1));
+    news.instancesDigest = toInteger<std::uint64_t>(fields.at(2));
+    news.instancesReadAt = reference_time(toInteger<std::int64_t>(fields.at(3)));
+    news.viewsDigest = toInteger<std::uint64_t>(fields.at(4));
     news.viewsConfirmed = decodeOptionalTime(fields.at(5));
     news.views = decodeList<primary_view>(fields.at(6), decodeView);
     news.supervisor = instance_id(fields.at(7).get<std::string>());
-    news.fencingToken = fields.at(8).get<std::uint64_t>();
+    news.fencingToken = toInteger<std::uint64_t>(fields.at(8));
     news.floors = decodeList<floor_report>(fields.at(9), decodeFloor);
     return news;
 }
@@ -166,7 +167,7 @@
 
 instance_flags decodeFlags(const json &value)
 {
-    const auto bits = value.get<unsigned>();
+    const auto bits = toInteger<unsigned>(value);
     return {(bits & attestsBit) != 0, (bits & storeReachableBit) != 0,
             (bits & shuttingDownBit) != 0, (bits & knowsSameInstancesBit) != 0};
 }
@@ -189,7 +190,7 @@
         throw decode_error("report: an instance has no flags");
     std::vector<instance_entry> instances;
     for (std::size_t index = 0; index < fields.size(); index += 2)
-        instances.push_back({fields[index].get<std::uint64_t>(), decodeFlags(fields[index + 1])});
+        instances.push_back({toInteger<std::uint64_t>(fields[index]), decodeFlags(fields[index + 1])});
     return instances;
 }
 
@@ -206,12 +207,12 @@
 {
     data_centre_state state;
     state.dataCentre = data_centre_id(fields.at(0).get<std::string>());
-    state.relay = fields.at(1).get<std::uint64_t>();
-    state.age = duration(fields.at(2).get<std::int64_t>());
-    state.instancesDigest = fields.at(3).get<std::uint64_t>();
-    state.viewsDigest = fields.at(4).get<std::uint64_t>();
+    state.relay = toInteger<std::uint64_t>(fields.at(1));
+    state.age = duration(toInteger<std::int64_t>(fields.at(2)));
+    state.instancesDigest = toInteger<std::uint64_t>(fields.at(3));
+    state.viewsDigest = toInteger<std::uint64_t>(fields.at(4));
     state.attestedAt = decodeOptionalTime(fields.at(5));
-    state.releasedThrough = fields.at(6).get<std::uint64_t>();
+    state.releasedThrough = toInteger<std::uint64_t>(fields.at(6));
     state.instances = decodeInstances(fields.at(7));
     state.observations = decodeList<primary_observation>(fields.at(8), decodeObservation);
     state.loads = decodeList<server_load_report>(fields.at(9), decodeLoad);
@@ -233,7 +234,7 @@
 {
     try {
         const auto fields = parseCbor(bytes, maximumDepth);
-        if (fields.at(0).get<int>() != layoutVersion)
+        if (toInteger<int>(fields.at(0)) != layoutVersion)
             throw decode_error("report: unsupported layout version");
         return read(fields);
     } catch (const json::exception &failure) {
@@ -267,7 +268,7 @@
         report.sentAt = decodeOptionalTime(fields.at(2));
         report.news = decodeNews(fields.at(3));
         report.flags = decodeFlags(fields.at(4));
-        report.releasedThrough = fields.at(5).get<std::uint64_t>();
+        report.releasedThrough = toInteger<std::uint64_t>(fields.at(5));
         report.observations = decodeList<primary_observation>(fields.at(6), decodeObservation);
         report.loads = decodeList<server_load_report>(fields.at(7), decodeLoad);
         return report;
--- a/sycamorespan/src/Net/instance_list_client.cpp
+++ b/sycamorespan/src/Net/instance_list_client.cpp
@@ -19,9 +19,21 @@
     throw decode_error("unknown instance state in the instance list: " + text);
 }
 
+/** Decodes the list entry by entry, because one that can't be decoded must not hide the others. */
 instance_list decodeList(const http_response &response)
 {
-    return {nlohmann::json::parse(response.body).at("instances")};
+    instance_list list;
+    const auto document = nlohmann::json::parse(response.body);
+    std::size_t position = 0;
+    for (const auto &entry : document.at("instances").get_ref<const nlohmann::json::array_t &>()) {
+        try {
+            list.instances.push_back(entry.get<listed_instance>());
+        } catch (const std::exception &failure) {
+            list.rejected.push_back("#" + std::to_string(position) + ": " + failure.what());
+        }
+        ++position;
+    }
+    return list;
 }
 
 } // namespace
@@ -39,6 +51,8 @@
     entry.instance = instance_id(json.at("instance").get<std::string>());
     entry.dataCentre = data_centre_id(json.at("data_centre").get<std::string>());
     entry.address = parseEndpoint(json.at("address").get<std::string>());
+    if (entry.address.port == 0)
+        throw decode_error("the address of instance " + entry.instance.str() + " has no port");
     entry.state = stateFromText(json.at("state"));
 }
 
--- a/sycamorespan/src/Net/instance_list_client.h
+++ b/sycamorespan/src/Net/instance_list_client.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace sycamorespan {
@@ -32,6 +33,8 @@
 struct instance_list
 {
     std::vector<listed_instance> instances;
+    /** Why entries of the list were left out, one text for each. */
+    std::vector<std::string> rejected;
 
     bool operator==(const instance_list &) const = default;
 };
--- a/test/process_node.py
+++ b/test/process_node.py
@@ -1,5 +1,6 @@
 """Tests of the node program with a simulated users' platform: statements, failover, switchover, shutdown."""
 import asyncio
+import json
 import os
 import pathlib
 import re
@@ -311,6 +312,81 @@
             self.assertEqual((await reader.ask("READ x"))[0], "ROW 1")
         self.assertEqual(len(removed.ran), used_before)
 
+    async def test_odd_entries_of_the_server_list_cost_only_themselves(self):
+        """Guards against an entry of another writer that ends processes, or stops a list or a change of primary."""
+        member = self.group().members["db1-2"]
+        whole = self.platform.entry(member, 1)
+        nested = "[" * 20_000 + "]" * 20_000
+        odd = {
+            "port": json.dumps(whole | {"address": f"{HOST}:70000"}),
+            "no-port": json.dumps(whole | {"address": f"{HOST}:0"}),
+            "number": json.dumps(whole | {"capacity": 10 ** 30}),
+            "negative": json.dumps(whole | {"capacity": -5}),
+            "infinite": json.dumps(whole).replace('"capacity": 5', '"capacity": 1e999'),
+            "born": json.dumps(whole | {"born": 1e40}),
+            "nested": json.dumps(whole).replace('"version": "v1"', f'"version": {nested}, "backend": {nested}'),
+            "only-nested": nested,
+            "blank id": json.dumps(whole),
+            "two\r\nlines": json.dumps(whole),
+            "bytes": "\ufffd\x00",
+        }
+        for name, text in odd.items():
+            await self.platform.store.put_text("servers", name, text)
+        await self.platform.store.write([], [{"table": "servers", "part": "", "key": "no-base64",
+                                              "value": "%%%"}], [])
+        caller = await self.session()
+        self.assertTrue((await caller.ask("WRITE x kept"))[0].startswith("COMPLETE"))
+        await self.group().primary().kill()
+        await self.write_until_accepted(caller, "y", CHANGE_BOUND_S)
+        self.assertEqual((await caller.ask("READ x"))[0], "ROW kept")
+        for node in self.nodes:
+            self.assertIsNone(node.process.poll())
+            metrics = await asyncio.to_thread(lambda port=node.ports[2]: urllib.request.urlopen(
+                f"http://{HOST}:{port}/metrics").read().decode())
+            rejected = re.search(r'sycamorespan_rejected_entries_total{list="servers"} (\d+)', metrics)
+            self.assertGreaterEqual(int(rejected.group(1)), len(odd) + 1)
+            text = "\n".join(node.lines())
+            for name in ("port", "number", "nested", "no-base64"):
+                self.assertRegex(text, f"entry of a list could not be decoded.* entry={name} ")
+        # The list is still followed: a member that leaves it gets no more work.
+        replica = next(each for each in self.group().members.values() if each.is_up and each.role == "replica")
+        self.platform.removed.add(replica.id)
+        await self.until(lambda: all(any("server list changed" in line and "count=1 " in line
+                                         for line in node.lines()) for node in self.nodes),
+                         CONFIGURATION_BOUND_S, "the removed member is out of use")
+
+    async def test_lists_of_several_pages_are_read_completely(self):
+        """Guards against members that are taken for removed because they are on a later page."""
+        self.platform.store.page_rows = 2
+        for node in self.nodes:
+            node.process.kill()
+            node.process.wait()
+        for node in self.nodes:
+            node.start()
+        for node in self.nodes:
+            await self.until(node.is_ready, START_BOUND_S, f"{node.name} is ready again")
+            await self.until(lambda node=node: any("server list changed" in line and "count=3" in line
+                                                   for line in node.lines()[-200:]),
+                             START_BOUND_S, f"{node.name} knows all members")
+        await self.group().primary().kill()
+        await self.write_until_accepted(await self.session(), "y", CHANGE_BOUND_S)
+
+    async def test_an_odd_route_of_a_configuration_costs_only_that_route(self):
+        caller = await self.session()
+        await self.configure([KEY])
+        self.platform.configuration["routes"].append({"db_name": "odd", "type": "new", "backend": 7})
+        self.platform.configuration["routes"].append("no route")
+        self.platform.version += 1
+        self.platform.configuration["version"] = self.platform.version
+        await self.platform.store.put("op", "config", self.platform.configuration)
+        await self.until(lambda: all(any("configuration in force" in line and f"version={self.platform.version} " in line
+                                         for line in node.lines()) for node in self.nodes),
+                         CONFIGURATION_BOUND_S, "the version is in force")
+        self.assertTrue((await caller.ask("WRITE x 1"))[0].startswith("COMPLETE"))
+        self.assertIn("NODB", (await Caller().connect(self.nodes[0].ports[0], "odd", KEY))[0])
+        self.assertTrue(any("entry of a list could not be decoded" in line and "entry=odd" in line
+                            for line in self.nodes[0].lines()))
+
     async def test_malformed_input_does_not_affect_other_sessions(self):
         caller = await self.session()
         for junk in (b"\x00\xff\n", b"QUERY a READ x\n", b"HELLO\r\n", b"x" * 2_000_000):
