A second CONNECT ends only its own session

Cause: the dispatcher took the second CONNECT for that of a new session and replaced the route while the statement was in the queue of the first database. At the end of the session the statement was looked for in the other queue; the first one kept a number without a session and threw at each use. The handling of a failed member message called the dispatcher again without event_guard. Ruled out: the decoder (each line is valid by itself). Change: a message that opens an open session is malformed, as is a statement without a session (it had no answer before); the session is closed. Statements before the first configuration wait with their CONNECT. The ends of members' and callers' connections are handled under event_guard, and sendOnBound() copes with a connection that is gone.

--- a/programs/node/caller_channel.h
+++ b/programs/node/caller_channel.h
@@ -28,7 +28,12 @@
                    const handlers &callbacks);
 
     void write(std::string_view lines) { m_stream.write(lines); }
-    void closeAfterWrite() { m_stream.closeAfterWrite(); }
+    /** \brief Sends what was written, then closes the connection. Calls no handler any more. */
+    void closeAfterWrite()
+    {
+        m_closed = true;
+        m_stream.closeAfterWrite();
+    }
     /** \returns whether the connection is open, also while it is closed after the last answer. */
     bool isOpen() const { return m_stream.isOpen(); }
     /** \returns the number of bytes of answers that the socket has not accepted. */
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -64,6 +64,11 @@
  */
 constexpr std::size_t maxSessionsClosedPerTick = 10;
 
+/** Statements that a caller may send before the first configuration is known. The protocol requires
+ * none.
+ */
+constexpr std::size_t maxRequestsBeforeConnected = 64;
+
 /** Interval at which the list of live instances is applied to quotas, the dispatcher and the table
  * followers. It is shorter than the interval of reports.
  */
@@ -213,9 +218,7 @@
 {
     std::visit(overloaded{
                        [&](const platform::connect_message &each) { connectCaller(session, each); },
-                       [&](const caller_request &each) {
-                           apply(m_dispatcher.requestArrived(session, each, suspendAwareNow()));
-                       },
+                       [&](const caller_request &each) { handleRequest(session, each); },
                        [&](const platform::quit_message &) {
                            closeCaller(session, "the caller quit");
                        },
@@ -225,12 +228,40 @@
 
 void node::connectCaller(session_number session, const platform::connect_message &message)
 {
-    if (!m_directory) {
-        m_pendingConnects.emplace(session, message);
-        return;
+    if (m_directory) {
+        apply(m_dispatcher.callerConnected(session, message.databaseName, message.key,
+                                           suspendAwareNow()));
+    } else if (!m_pendingConnects.try_emplace(session, pending_connect{message, {}}).second) {
+        rejectCaller(session, statement_error::malformed, "the session is already connected");
+    }
+}
+
+/** Connects the callers that have waited for the first configuration. */
+void node::connectPendingCallers()
+{
+    for (const auto &[session, pending] : std::exchange(m_pendingConnects, {})) {
+        connectCaller(session, pending.message);
+        for (const auto &request : pending.requests)
+            apply(m_dispatcher.requestArrived(session, request, suspendAwareNow()));
     }
-    apply(m_dispatcher.callerConnected(session, message.databaseName, message.key,
-                                       suspendAwareNow()));
+}
+
+void node::handleRequest(session_number session, const caller_request &request)
+{
+    const auto pending = m_pendingConnects.find(session);
+    if (pending == m_pendingConnects.end()) {
+        apply(m_dispatcher.requestArrived(session, request, suspendAwareNow()));
+    } else if (pending->second.requests.size() < maxRequestsBeforeConnected) {
+        pending->second.requests.push_back(request);
+    } else {
+        rejectCaller(session, statement_error::malformed, "too many statements before the session "
+                                                          "is connected");
+    }
+}
+
+void node::rejectCaller(session_number session, statement_error code, std::string reason)
+{
+    perform(dispatch_action::reject_caller{session, {code, std::move(reason)}});
 }
 
 void node::closeCaller(session_number session, std::string_view)
@@ -240,7 +271,9 @@
     if (found == m_callers.end())
         return;
     retireChannel(found);
-    apply(m_dispatcher.callerDisconnected(session, suspendAwareNow()));
+    m_guard.run("end of a caller's connection", [&] {
+        apply(m_dispatcher.callerDisconnected(session, suspendAwareNow()));
+    });
 }
 
 /** Removes and closes a caller's channel. It is destroyed when its answers are delivered. */
@@ -279,7 +312,8 @@
     if (m_guard.run("message of a member", [&] { apply(handle(now)); }))
         return;
     perform(dispatch_action::close_member{connection});
-    apply(m_dispatcher.closed(connection, std::nullopt, now));
+    m_guard.run("loss of a connection to a member",
+                [&] { apply(m_dispatcher.closed(connection, std::nullopt, now)); });
 }
 
 void node::perform(const dispatch_action::reply_to_caller &action)
@@ -334,7 +368,9 @@
                     suspendAwareNow());
         m_closedMembers.push_back(std::move(found->second));
         m_members.erase(found);
-        apply(m_dispatcher.closed(connection, end.refusal, suspendAwareNow()));
+        m_guard.run("loss of a connection to a member", [&] {
+            apply(m_dispatcher.closed(connection, end.refusal, suspendAwareNow()));
+        });
     };
     try {
         m_members.emplace(
@@ -473,8 +509,7 @@
     }
     if (!m_directory)
         return;
-    for (const auto &[session, message] : std::exchange(m_pendingConnects, {}))
-        connectCaller(session, message);
+    connectPendingCallers();
 }
 
 /** \returns the entry of a row; nothing if the row was deleted or can't be decoded, which names no
@@ -809,9 +844,8 @@
 void node::closeAllCallers(time_point now)
 {
     m_callerListener.close();
-    for (const auto &[session, message] : std::exchange(m_pendingConnects, {}))
-        perform(dispatch_action::reject_caller{
-                session, {statement_error::busy, "the instance is shutting down"}});
+    for (const auto &[session, pending] : std::exchange(m_pendingConnects, {}))
+        rejectCaller(session, statement_error::busy, "the instance is shutting down");
     apply(m_dispatcher.closeAllSessions(now));
     while (!m_callers.empty())
         retireChannel(m_callers.begin());
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -42,10 +42,20 @@
     void logState();
 
 private:
+    /** What a caller sent before the first configuration is known. */
+    struct pending_connect
+    {
+        platform::connect_message message;
+        std::vector<caller_request> requests;
+    };
+
     // Callers and members.
     void accept(file_descriptor socket);
     void handleCaller(session_number session, const platform::caller_message &message);
     void connectCaller(session_number session, const platform::connect_message &message);
+    void connectPendingCallers();
+    void handleRequest(session_number session, const caller_request &request);
+    void rejectCaller(session_number session, statement_error code, std::string reason);
     void closeCaller(session_number session, std::string_view reason);
     void retireChannel(
             std::unordered_map<session_number, std::unique_ptr<caller_channel>>::iterator caller);
@@ -134,7 +144,7 @@
     std::unordered_map<connection_id, std::unique_ptr<member_channel>> m_members;
     std::vector<std::unique_ptr<caller_channel>> m_closedCallers; ///< until answers are delivered
     std::vector<std::unique_ptr<member_channel>> m_closedMembers;
-    std::map<session_number, platform::connect_message> m_pendingConnects;
+    std::map<session_number, pending_connect> m_pendingConnects;
     session_number m_lastSession = 0;
     std::deque<dispatch_output> m_outputs;
     bool m_isPerformingActions = false;
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -168,7 +168,8 @@
 
     // Callers.
 
-    /** \brief Handles the first message of a caller, which opens a session.
+    /** \brief Handles the first message of a caller, which opens a session. A second one, or a
+     * statement without a first one, is rejected as malformed.
      * \param databaseName  name of a route
      * \param key           key that the caller presents
      */
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -37,6 +37,12 @@
 dispatch_outputs dispatcher::callerConnected(session_number session, std::string databaseName,
                                              std::string key, time_point now)
 {
+    if (findCaller(session)) {
+        // A statement in progress is queued for the session's database, which must not change.
+        m_outputs.push_back(reject_caller{
+                session, {statement_error::malformed, "the session is already connected"}});
+        return takeOutputs();
+    }
     const auto route = m_directory->routes.find(databaseName);
     if (route == m_directory->routes.end()) {
         m_outputs.push_back(reject_caller{session,
@@ -69,7 +75,12 @@
                                             time_point now)
 {
     auto *from = findCaller(session);
-    if (!from || from->isDisconnected)
+    if (!from) {
+        m_outputs.push_back(reject_caller{
+                session, {statement_error::malformed, "the session is not connected"}});
+        return takeOutputs();
+    }
+    if (from->isDisconnected)
         return takeOutputs();
     from->lastActive = now;
     if (from->job) {
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -378,6 +378,8 @@
 {
     auto *pool = poolOf(from.boundConnection);
     auto *connection = pool ? pool->find(from.boundConnection) : nullptr;
+    if (!connection)
+        return onConnectionLost(from, from.boundServer, "the connection to the member broke", now);
     auto &job = *from.job;
     job.currentStage = job_stage::running;
     ++job.attempts;
--- a/test/dispatch_reads.cpp
+++ b/test/dispatch_reads.cpp
@@ -386,4 +386,32 @@
     EXPECT_LE(sent, sentBefore + 1) << "one more attempt";
 }
 
+// Guards against a second connect message that moved a session to another database while its
+// statement waited in the queue of the first one.
+TEST(DispatchReads, ASecondConnectMessageIsRejectedAndTheQueueStaysConsistent)
+{
+    dispatch_harness harness;
+    harness.opensAutomatically = false;
+    harness.connect(1);
+    harness.request(1, "READ x");
+    harness.connect(1);
+    const auto rejections = harness.outputsOf<reject_caller>();
+    ASSERT_EQ(rejections.size(), 1U);
+    EXPECT_EQ(rejections[0].error.code, statement_error::malformed);
+    EXPECT_EQ(harness.subject.queuedCount(), 1U);
+    harness.collect(harness.subject.callerDisconnected(1, harness.now));
+    EXPECT_EQ(harness.subject.queuedCount(), 0U);
+    EXPECT_NO_THROW(harness.advance(2s));
+}
+
+TEST(DispatchReads, AStatementOfASessionThatIsNotConnectedIsRejected)
+{
+    dispatch_harness harness;
+    harness.request(1, "READ x");
+    const auto rejections = harness.outputsOf<reject_caller>();
+    ASSERT_EQ(rejections.size(), 1U);
+    EXPECT_EQ(rejections[0].error.code, statement_error::malformed);
+    EXPECT_EQ(harness.subject.sessionCount(), 0U);
+}
+
 } // namespace
--- a/test/process_node.py
+++ b/test/process_node.py
@@ -312,6 +312,25 @@
             self.assertEqual((await reader.ask("READ x"))[0], "ROW 1")
         self.assertEqual(len(removed.ran), used_before)
 
+    async def test_messages_out_of_order_end_only_their_session(self):
+        """Guards against a second CONNECT while a statement waits, which left a queue with a lost session."""
+        caller = await self.session()
+        port = self.nodes[0].ports[0]
+        orders = [["CONNECT browse {key}", "QUERY a READ x", "CONNECT sales {key}", "QUIT"],
+                  ["CONNECT sales {key}", "CONNECT sales {key}", "QUERY a READ x"],
+                  ["QUERY a READ x"], ["QUERY a READ x", "CONNECT sales {key}"], ["QUIT", "QUERY a READ x"],
+                  ["CONNECT sales {key}", "QUERY a BEGIN", "QUERY b WRITE x 1", "CONNECT recall {key}", "QUIT"]]
+        for lines in orders * 5:
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write("".join(f"{line}\r\n" for line in lines).format(key=KEY).encode())
+            received = await asyncio.wait_for(reader.read(), 5)
+            writer.close()
+            if lines[0] != "QUIT":
+                self.assertIn(b"ERROR MALFORMED", received, lines)
+            self.assertTrue((await caller.ask("WRITE y 1"))[0].startswith("COMPLETE"))
+        self.assertIsNone(self.nodes[0].process.poll())
+        self.assertNotIn("unexpected error", "\n".join(self.nodes[0].lines()))
+
     async def test_odd_entries_of_the_server_list_cost_only_themselves(self):
         """Guards against an entry of another writer that ends processes, or stops a list or a change of primary."""
         member = self.group().members["db1-2"]
