The next supervisor knows which members left with commits

Cause: who may hold acknowledged commits was in the memory of the supervisor's process, and in the row of a view only during a change. The next supervisor took "every listed replica is fenced" for a proof. Ruled out: passing it on in reports between instances (all processes may be killed at once); holders in the row of the steady view (each new revision makes all instances release the primary). Change: the supervisor records the draining and removed members of a database that may hold commits in a row holders/DATABASE, on condition of its claim, when their draining is first seen, seconds before they end. A new supervisor reads it with the other rows and counts them as removed at that moment. FailoverSynchronous.AReplicaRemovedBeforeAChangeIsKnownToTheNextSupervisor fails with the merge of the record taken out.

--- a/programs/node/coordination_rows.cpp
+++ b/programs/node/coordination_rows.cpp
@@ -15,6 +15,7 @@
 using nlohmann::json;
 
 constexpr std::string_view viewPrefix = "primary/";
+constexpr std::string_view holdersPrefix = "holders/";
 constexpr std::string_view instancePrefix = "instance/";
 
 /** Decodes the JSON object \a value by calling \a read.
@@ -41,6 +42,24 @@
     return toInteger<Integer>(fields.at(name));
 }
 
+json holdersToJson(const std::vector<log_holder> &holders)
+{
+    auto list = json::array();
+    std::ranges::for_each(holders, [&](const log_holder &holder) {
+        list.push_back({{"server", holder.server.str()}, {"started_at", holder.startedAtMs}});
+    });
+    return list;
+}
+
+std::vector<log_holder> holdersFromJson(const json &list)
+{
+    std::vector<log_holder> holders;
+    for (const auto &holder : list)
+        holders.push_back({server_id(holder.at("server").get<std::string>()),
+                           integerAt<std::int64_t>(holder, "started_at")});
+    return holders;
+}
+
 } // namespace
 
 std::string viewKey(const database_id &database)
@@ -48,6 +67,11 @@
     return std::string(viewPrefix) + database.str();
 }
 
+std::string holdersKey(const database_id &database)
+{
+    return std::string(holdersPrefix) + database.str();
+}
+
 std::string instanceKey(const instance_id &instance)
 {
     return std::string(instancePrefix) + instance.str();
@@ -58,24 +82,32 @@
     return key.starts_with(viewPrefix);
 }
 
+std::optional<database_id> databaseOfHoldersKey(std::string_view key)
+{
+    if (!key.starts_with(holdersPrefix))
+        return std::nullopt;
+    return database_id(std::string(key.substr(holdersPrefix.size())));
+}
+
 bool isInstanceKey(std::string_view key)
 {
     return key.starts_with(instancePrefix);
 }
 
+std::string encode(const std::vector<log_holder> &holders)
+{
+    return json{{"holders", holdersToJson(holders)}}.dump();
+}
+
 std::string encode(const primary_view &view)
 {
-    auto holders = json::array();
-    std::ranges::for_each(view.holders, [&](const log_holder &holder) {
-        holders.push_back({{"server", holder.server.str()}, {"started_at", holder.startedAtMs}});
-    });
     return json{{"database", view.database.str()},
                 {"primary", view.primary.str()},
                 {"term", view.term},
                 {"phase", static_cast<int>(view.phase)},
                 {"planned", view.planned},
                 {"fence", view.fencingToken},
-                {"holders", holders}}
+                {"holders", holdersToJson(view.holders)}}
             .dump();
 }
 
@@ -103,10 +135,6 @@
         const auto phase = integerAt<int>(fields, "phase");
         if (phase < 0 || phase > static_cast<int>(view_phase::ordered))
             return std::nullopt;
-        std::vector<log_holder> holders;
-        for (const auto &holder : fields.at("holders"))
-            holders.push_back({server_id(holder.at("server").get<std::string>()),
-                               integerAt<std::int64_t>(holder, "started_at")});
         return primary_view{database_id(fields.at("database").get<std::string>()),
                             revision,
                             server_id(fields.at("primary").get<std::string>()),
@@ -114,7 +142,14 @@
                             static_cast<view_phase>(phase),
                             fields.at("planned").get<bool>(),
                             integerAt<std::uint64_t>(fields, "fence"),
-                            std::move(holders)};
+                            holdersFromJson(fields.at("holders"))};
+    });
+}
+
+std::optional<std::vector<log_holder>> decodeHolders(std::string_view value)
+{
+    return decode<std::vector<log_holder>>(value, [](const json &fields) {
+        return std::optional(holdersFromJson(fields.at("holders")));
     });
 }
 
--- a/programs/node/coordination_rows.h
+++ b/programs/node/coordination_rows.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sycamorespan::node {
 
@@ -20,16 +21,21 @@
 inline const std::string claimKey = "supervisor";
 
 std::string viewKey(const database_id &database);
+std::string holdersKey(const database_id &database);
 std::string instanceKey(const instance_id &instance);
 bool isViewKey(std::string_view key);
+/** \returns the database of a holdersKey(); nothing for another key. */
+std::optional<database_id> databaseOfHoldersKey(std::string_view key);
 bool isInstanceKey(std::string_view key);
 
 std::string encode(const primary_view &view);
+std::string encode(const std::vector<log_holder> &holders);
 std::string encode(const supervisor_claim &claim);
 std::string encode(const instance_incarnation &incarnation);
 
 /** \returns nothing when \a value has an unknown format, such as one of a later version. */
 std::optional<primary_view> decodeView(std::string_view value, std::uint64_t revision);
+std::optional<std::vector<log_holder>> decodeHolders(std::string_view value);
 std::optional<supervisor_claim> decodeClaim(std::string_view value, std::uint64_t revision);
 std::optional<instance_incarnation> decodeInstance(std::string_view value);
 
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -247,6 +247,7 @@
     m_rowsReadAt = now;
     std::vector<primary_view> views;
     std::vector<instance_incarnation> instances;
+    std::map<database_id, recorded_holders> holders;
     supervisor_claim claim;
     std::optional<std::uint64_t> revisionOfRejectedClaim;
     for (const auto &row : answer.content.rows) {
@@ -260,6 +261,11 @@
                 instances.push_back(std::move(*incarnation));
             else
                 m_handlers.onRejectedRow(row);
+        } else if (const auto database = coordination_rows::databaseOfHoldersKey(row.key)) {
+            auto decoded = coordination_rows::decodeHolders(row.value);
+            if (!decoded)
+                m_handlers.onRejectedRow(row);
+            holders[*database] = {row.revision, std::move(decoded).value_or(std::vector<log_holder>())};
         } else if (row.key == coordination_rows::claimKey) {
             if (const auto decoded = coordination_rows::decodeClaim(row.value, row.revision)) {
                 claim = *decoded;
@@ -271,6 +277,7 @@
     }
     if (revisionOfRejectedClaim)
         claim = replaceableClaim(*revisionOfRejectedClaim, views);
+    m_recordedHolders = std::move(holders);
     m_rowsReadRevision = answer.content.revision;
     m_fleet.setInstances(instances, answer.content.clock, answer.content.revision, now);
     const bool registered =
@@ -418,7 +425,12 @@
             },
             m_store.clock().earliest(now),
             m_store.clock().latest(now),
-            storeReachable(now)};
+            storeReachable(now),
+            [this](const database_id &database) {
+                const auto known = m_recordedHolders.find(database);
+                return known == m_recordedHolders.end() ? std::vector<log_holder>()
+                                                        : known->second.holders;
+            }};
 }
 
 bool view_keeper::suspectsPrimary(const database_id &database, const server_id &primary,
@@ -526,6 +538,27 @@
             });
 }
 
+void view_keeper::perform(const change_action::record_holders &action, time_point)
+{
+    const auto known = m_recordedHolders.find(action.database);
+    const auto revision = known == m_recordedHolders.end() ? 0 : known->second.revision;
+    m_store.call(platform::writeRow({coordination_rows::table,
+                                     coordination_rows::holdersKey(action.database),
+                                     coordination_rows::encode(action.holders), revision},
+                                    {{coordination_rows::table, coordination_rows::claimKey,
+                                      action.claimRevision}}),
+                 writeTimeout, [this, action](const store_answer &answer) {
+                     if (answer.succeeded()) {
+                         m_recordedHolders[action.database] = {answer.content.revision,
+                                                               action.holders};
+                         return;
+                     }
+                     if (answer.status == platform::store_status::conflict)
+                         applyClaimRow(answer);
+                     m_rowsRequested = true;
+                 });
+}
+
 /** Learns from a rejected write whether another instance has claimed the role of supervisor. */
 void view_keeper::applyClaimRow(const store_answer &answer)
 {
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -107,6 +107,13 @@
         bool open = false;
     };
 
+    /** Record of the members of one database that may hold commits, with the row's revision. */
+    struct recorded_holders
+    {
+        std::uint64_t revision = 0;
+        std::vector<log_holder> holders;
+    };
+
     supervision_context supervisionContext(time_point now) const;
     void registerInstance(time_point now);
     void handleExistingRegistration(const store_answer &answer);
@@ -124,6 +131,7 @@
     void refreshFloors(time_point now);
     void performAll(const change_outputs &outputs, time_point now);
     void perform(const change_action::write_view &action, time_point now);
+    void perform(const change_action::record_holders &action, time_point now);
     void perform(const change_action::read_views &action, time_point now);
     void perform(const change_action::send_statement &action, time_point now);
     void perform(const change_action::order_promotion &action, time_point now);
@@ -157,6 +165,7 @@
     std::vector<server_entry> m_servers;
     std::map<server_id, listed_entry> m_knownServers; ///< also of recently removed members
     view_ledger m_ledger;
+    std::map<database_id, recorded_holders> m_recordedHolders; ///< as last read or written
     supervision m_supervision;
     std::map<database_id, release_state> m_releases;
     std::map<server_id, control_connection> m_controls;
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -62,6 +62,7 @@
     changeContext.earliest = context.earliest;
     changeContext.latest = context.latest;
     changeContext.storeReachable = context.storeReachable;
+    changeContext.recordedHolders = context.recordedHolders(database);
     return changeContext;
 }
 
--- a/sycamorespan/src/Failover/group_supervisor.h
+++ b/sycamorespan/src/Failover/group_supervisor.h
@@ -70,6 +70,8 @@
     std::optional<reference_time> earliest; ///< lower bound of the reference time now
     std::optional<reference_time> latest; ///< upper bound of the reference time now
     bool storeReachable = false;
+    /** \returns the members of the database that are recorded as possible holders of commits. */
+    std::function<std::vector<log_holder>(const database_id &)> recordedHolders;
 };
 
 /** \brief Watches the primaries of all databases and begins their changes while this instance is
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -98,6 +98,7 @@
     m_isWriting = false;
     m_writeUnresolved = false;
     m_paused.clear();
+    m_hasMergedRecord = false;
     return takeOutputs();
 }
 
@@ -127,6 +128,36 @@
     });
 }
 
+/** Applies what former supervisors have recorded. Their members count as if they were removed now.
+ */
+void synchronous_change::mergeRecordedHolders(const change_context &context, time_point now)
+{
+    if (std::exchange(m_hasMergedRecord, true))
+        return;
+    std::ranges::for_each(context.recordedHolders, [&](const log_holder &holder) {
+        if (m_holders.try_emplace(holder, log_holder_state{now, true, {}}).second)
+            m_members.try_emplace(holder.server).first->second.lastListedAt = now;
+    });
+}
+
+/** Records the members that drain or were removed and may hold commits. A draining member is
+ * recorded long before it ends.
+ */
+void synchronous_change::recordHolders(const change_context &context, time_point now)
+{
+    std::vector<log_holder> departing;
+    for (const auto &[holder, state] : m_holders)
+        if (state.isDraining || !isListedIncarnation(holder, context))
+            departing.push_back(holder);
+    const bool isUnderWay = departing == m_lastRecord && now < m_recordRetryAt;
+    if (departing == context.recordedHolders || !context.storeReachable || isUnderWay)
+        return;
+    m_lastRecord = departing;
+    m_recordRetryAt = now + m_policy.writeRetryInterval;
+    m_outputs.push_back(
+            record_holders{m_database, std::move(departing), context.claim.revision});
+}
+
 /** \returns whether only one incarnation of \a server is known. A later incarnation starts with an
  * empty log and so has lost the commits that the former one held.
  */
@@ -837,7 +868,9 @@
 
 change_outputs synchronous_change::tick(const change_context &context, time_point now)
 {
+    mergeRecordedHolders(context, now);
     updateMembers(context, now);
+    recordHolders(context, now);
     noteQuorum(context);
     if (!isRunning()) {
         resumeReplicas(now);
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -102,6 +102,8 @@
     std::optional<reference_time> earliest; ///< lower bound of the reference time now
     std::optional<reference_time> latest; ///< upper bound of the reference time now
     bool storeReachable = false;
+    /** Members that were recorded in the store as possible holders of commits. */
+    std::vector<log_holder> recordedHolders;
 
     bool operator==(const change_context &) const = default;
 };
@@ -119,6 +121,18 @@
     auto operator<=>(const write_view &) const = default;
 };
 
+/** \brief Record in the store which draining and removed members may hold acknowledged commits, if
+ * the row of the claim still has the revision \c claimRevision. It replaces the former record.
+ */
+struct record_holders
+{
+    database_id database;
+    std::vector<log_holder> holders;
+    std::uint64_t claimRevision = 0;
+
+    auto operator<=>(const record_holders &) const = default;
+};
+
 /** \brief Read the rows of all primary views from the store. */
 struct read_views
 {
@@ -167,7 +181,8 @@
 
 } // namespace change_action
 
-using change_output = std::variant<change_action::write_view, change_action::read_views,
+using change_output = std::variant<change_action::write_view, change_action::record_holders,
+                                   change_action::read_views,
                                    change_action::send_statement, change_action::order_promotion,
                                    change_action::publish_floor, change_action::log_event>;
 using change_outputs = std::vector<change_output>;
@@ -203,7 +218,8 @@
  *
  * A removed member may have been the only one to confirm a commit, so that a change waits for it.
  * The change need not wait if the member has ended and another replica holds everything that the
- * primary reported afterwards. This is established between changes, before one is needed.
+ * primary reported afterwards. This is established between changes, before one is needed. Until
+ * then the store has a record of the member, because the next supervisor may never have seen it.
  *
  * From step 2 on, no commit is acknowledged until the new primary is used. The positions that are
  * read then are published repeatedly as floors, so that replicas serve reads during the change.
@@ -313,6 +329,8 @@
     void confirm(const change_context &context, time_point now);
     void finish(const change_context &context, time_point now);
     void updateMembers(const change_context &context, time_point now);
+    void mergeRecordedHolders(const change_context &context, time_point now);
+    void recordHolders(const change_context &context, time_point now);
     void resolveWrite(const change_context &context, time_point now);
     term_number nextTerm() const;
     void noteEvent(std::string event, std::vector<std::pair<std::string, std::string>> fields = {});
@@ -347,6 +365,9 @@
     std::optional<freshness_floor> m_publishedFloor; ///< the floor published last
     std::map<server_id, member_state> m_members;
     std::map<log_holder, log_holder_state> m_holders;
+    bool m_hasMergedRecord = false; ///< whether the record of former supervisors was applied
+    std::vector<log_holder> m_lastRecord; ///< record that was written last
+    time_point m_recordRetryAt; ///< when it is written again if the store does not show it
     std::optional<freshness_floor> m_primaryPosition; ///< last reported by the current primary
     term_number m_primaryPositionTerm = 0; ///< term in which it was reported
     server_id m_chosen;
--- a/test/failover_supervision.cpp
+++ b/test/failover_supervision.cpp
@@ -98,7 +98,8 @@
                 [](const database_id &) { return std::size_t{1}; },
                 clock,
                 clock,
-                true};
+                true,
+                [](const database_id &) { return std::vector<log_holder>(); }};
     }
 
     write_view advanceToWrite()
@@ -385,7 +386,8 @@
                 [](const database_id &) { return std::size_t{1}; },
                 clock() - 2ms,
                 clock() + 2ms,
-                true};
+                true,
+                [](const database_id &) { return std::vector<log_holder>(); }};
     }
 
     void performAll(std::size_t number, const change_outputs &outputs)
@@ -529,6 +531,7 @@
     }
 
     void perform(std::size_t, const publish_floor &) { }
+    void perform(std::size_t, const record_holders &) { }
     void perform(std::size_t, const log_event &) { }
 
     std::mt19937 m_random;
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -256,7 +256,8 @@
                 [this](const database_id &) { return synchronousReplicas; },
                 clock(),
                 clock(),
-                storeReachable};
+                storeReachable,
+                [this](const database_id &) { return m_recordedHolders; }};
     }
 
     void performAll(const change_outputs &outputs)
@@ -289,6 +290,12 @@
         performAll(m_supervisor.onViewWritten(m_row, clock(), context(), now));
     }
 
+    void perform(const record_holders &action)
+    {
+        if (storeReachable && action.claimRevision == m_claim.revision)
+            m_recordedHolders = action.holders;
+    }
+
     void perform(const read_views &)
     {
         if (!storeReachable)
@@ -419,6 +426,7 @@
     term_number m_term = 1;
     primary_view m_row{database, 0, {}, 0, view_phase::steady, false, 0, {}};
     std::uint64_t m_revision = 0;
+    std::vector<log_holder> m_recordedHolders; ///< in the store
     std::vector<promotion> m_promotions;
     std::vector<delayed_answer> m_answers;
     std::optional<std::pair<server_id, term_number>> m_usedPrimary;
@@ -661,6 +669,30 @@
     EXPECT_TRUE(simulation.promotedIncomplete.empty());
 }
 
+/** A draining replica alone confirms a commit and ends. Its supervisor is lost before a change of
+ * primary begins, and the next one has never seen the replica.
+ */
+TEST(FailoverSynchronous, AReplicaRemovedBeforeAChangeIsKnownToTheNextSupervisor)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    simulation.drain("s2");
+    simulation.advance(500ms);
+    simulation.notReceiving = {server_id("s3")};
+    EXPECT_TRUE(simulation.commit("s1"));
+    simulation.remove("s2");
+    simulation.advance(200ms);
+    simulation.replaceSupervisor();
+    simulation.advance(200ms);
+    simulation.member("s1").isUp = false;
+    simulation.advance(5s);
+    EXPECT_TRUE(simulation.orders.empty()) << "s1 alone holds the commit";
+    simulation.restartMember(simulation.member("s1"));
+    simulation.advance(2s);
+    EXPECT_EQ(simulation.view()->phase, view_phase::steady);
+    EXPECT_TRUE(simulation.promotedIncomplete.empty());
+}
+
 /** A deployment replaces a member shortly before the primary fails. */
 TEST(FailoverSynchronous, AReplicaThatEndedIsNotNeededOnceAnotherHasEverything)
 {
@@ -884,7 +916,7 @@
 /** Injects random faults. No promotion may lose an acknowledged commit, no floor may be wrong, and
  * there must be a primary again once all members are up.
  */
-TEST(FailoverSynchronous, NoAcknowledgedCommitIsLostUnderRandomFaults)
+void injectRandomFaults(double supervisorLossProbability)
 {
     for (std::uint32_t seed = 1; seed <= 300; ++seed) {
         std::mt19937 random(seed);
@@ -927,6 +959,9 @@
             }
             if (chance(0.02))
                 simulation.storeReachable = !simulation.storeReachable;
+            if (supervisorLossProbability > 0 && simulation.storeReachable
+                && chance(supervisorLossProbability))
+                simulation.replaceSupervisor();
             simulation.losesStoreAnswers = chance(0.05);
             simulation.allReleased = chance(0.7);
             simulation.quorumReleased = simulation.allReleased || chance(0.8);
@@ -954,4 +989,14 @@
     }
 }
 
+TEST(FailoverSynchronous, NoAcknowledgedCommitIsLostUnderRandomFaults)
+{
+    injectRandomFaults(0);
+}
+
+TEST(FailoverSynchronous, NoAcknowledgedCommitIsLostIfSupervisorsAreReplaced)
+{
+    injectRandomFaults(0.03);
+}
+
 } // namespace
