A primary that is back under another id does not block its change

Cause: the change waits for the lost machine's lease; meanwhile the primary is back with its log under another id and leads its term. STEPDOWN went to the former id only, and PAUSE has no effect on a primary, so that it was never fenced and no log counted as complete. Ruled out: the wait itself (the change never ended, also after a restart of all machines). Change: a term has one primary, so that a member that leads the old term is the old primary: the change goes on with its id. The former id stops counting as a holder only if it is known to have led the term: in the view of an unfinished change it may be that of the chosen member. APrimaryThatRestartsUnderAnotherIdDuringAChangeIsKept fails without the change.

--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -218,6 +218,7 @@
     });
     m_oldTerm = context.view->term;
     m_oldPrimary = context.view->primary;
+    m_oldPrimaryLed = context.view->phase == view_phase::steady;
     noteEvent("change of primary begins", {{"reason", std::string(nameOf(reason))},
                                            {"primary", m_oldPrimary.str()},
                                            {"term", std::to_string(m_oldTerm)},
@@ -534,6 +535,35 @@
     return status.role == replication_role::primary && status.term == m_oldTerm;
 }
 
+/** \returns whether \a server is the old primary under another id. Terms have one primary each, so
+ * that a member that leads the old term has the old primary's log.
+ */
+bool synchronous_change::isOldPrimaryRenamed(const server_id &server) const
+{
+    const auto *status = statusOf(server);
+    const auto *old = statusOf(m_oldPrimary);
+    return server != m_oldPrimary && !m_oldPrimary.empty() && !m_steppedDown && status
+           && status->role == replication_role::primary && status->term == m_oldTerm
+           && (!old || old->role != replication_role::primary);
+}
+
+/** Continues the change with the id under which the old primary answers. The former id no longer
+ * counts as a holder of commits if it is known to have led the term; in the view of an unfinished
+ * change it may be that of the chosen member.
+ */
+void synchronous_change::renameOldPrimary(const server_id &server)
+{
+    noteEvent("old primary answers under another id",
+              {{"primary", server.str()}, {"former", m_oldPrimary.str()}});
+    if (std::exchange(m_oldPrimaryLed, true)) {
+        std::erase_if(m_holders,
+                      [&](const auto &each) { return each.first.server == m_oldPrimary; });
+        m_members.erase(m_oldPrimary);
+    }
+    m_paused.erase(server);
+    m_oldPrimary = server;
+}
+
 /** \returns whether the old primary has reported a log that certainly holds every acknowledged
  * commit. If it has restarted, its new incarnation may not be listed yet; this shows in a log that
  * is shorter than that of another member.
@@ -716,6 +746,8 @@
         return takeOutputs();
     }
     member.lastListedAt = std::max(member.lastListedAt, now);
+    if (m_step == step::queryingStatus && isOldPrimaryRenamed(server))
+        renameOldPrimary(server);
     if (m_step == step::queryingStatus && server == m_oldPrimary)
         m_steppedDown = status->role == replication_role::replica;
     publishFloor(context);
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -213,8 +213,9 @@
  * This supervisor or its successor can repeat each step. The change waits as long as step 1 or 3
  * can't be completed, because a slow change is better than a lost commit.
  *
- * A primary that was unreachable and answers again before anything was ordered is kept. An order of
- * a former supervisor that has taken effect is published.
+ * A primary that was unreachable and answers again before anything was ordered is kept. It may have
+ * restarted with its log under another id: only one member leads a term. An order of a former
+ * supervisor that has taken effect is published.
  *
  * A removed member may have been the only one to confirm a commit, so that a change waits for it.
  * The change need not wait if the member has ended and another replica holds everything that the
@@ -310,6 +311,8 @@
     bool mayKeepOldPrimary(time_point now) const;
     bool oldLogIsComplete() const;
     bool oldPrimaryLeads(const change_context &context) const;
+    bool isOldPrimaryRenamed(const server_id &server) const;
+    void renameOldPrimary(const server_id &server);
     void resumeReplicas(time_point now);
     void noteQuorum(const change_context &context);
     bool viewsReleased(const change_context &context) const;
@@ -355,6 +358,7 @@
     std::optional<reference_time> m_quorumReleasedAt; ///< upper bound on when a quorum had released
     server_id m_oldPrimary;
     term_number m_oldTerm = 0;
+    bool m_oldPrimaryLed = false; ///< whether m_oldPrimary is known to have led m_oldTerm
     term_number m_fencingTerm = 0;
     bool m_steppedDown = false;
     std::optional<time_point> m_fencingSince;
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -155,6 +155,21 @@
         std::erase_if(servers, [&](const server_entry &entry) { return entry.id.str() == id; });
     }
 
+    /** Restarts a crashed member with its log under another id. */
+    void renameMember(const std::string &id, const std::string &newId)
+    {
+        auto back = member(id);
+        back.isUp = true;
+        remove(id);
+        members[server_id(newId)] = back;
+        server_entry entry;
+        entry.id = server_id(newId);
+        entry.database = database;
+        entry.slots = 5;
+        entry.role = back.role;
+        servers.push_back(entry);
+    }
+
     /** Starts a new incarnation of the member with an empty log. */
     void restartEmpty(const std::string &id)
     {
@@ -544,6 +559,33 @@
     EXPECT_TRUE(simulation.commit("s1"));
 }
 
+/** A change waits for the lease of a lost instance. Meanwhile the primary restarts with its log under
+ * another id, and leads its term again, so that no other member can be promoted.
+ */
+TEST(FailoverSynchronous, APrimaryThatRestartsUnderAnotherIdDuringAChangeIsKept)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    EXPECT_TRUE(simulation.commit("s1"));
+    simulation.allReleased = false;
+    simulation.stopFirstPrimary();
+    simulation.advance(200ms);
+    simulation.renameMember("s1", "s4");
+    simulation.advance(1s);
+    EXPECT_TRUE(simulation.isSteadyAt("s4"));
+    EXPECT_TRUE(simulation.orders.empty());
+    EXPECT_TRUE(simulation.commit("s4"));
+    simulation.advance(1s);
+    EXPECT_EQ(simulation.member("s2").pausedFor, 0U);
+    // The next change does not wait for the id that is gone.
+    simulation.allReleased = true;
+    simulation.member("s4").isUp = false;
+    simulation.advance(5s);
+    EXPECT_EQ(simulation.view()->phase, view_phase::steady);
+    EXPECT_FALSE(simulation.isSteadyAt("s4"));
+    EXPECT_TRUE(simulation.promotedIncomplete.empty());
+}
+
 TEST(FailoverSynchronous, APrimaryThatFailsSoonAfterItWasKeptIsReplaced)
 {
     change_simulation simulation;
