Fenced members are queried again while a change waits

Cause: a promotion took effect after its timeout, when its member had been fenced again and had answered. Fenced members were not queried any more, so that the change never learned of it, and waited for a member that had left. Change: while a change waits, fenced members and the old primary that has stepped down are queried once a second.

--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -485,6 +485,8 @@
         else
             sendStatement(m_oldPrimary, member_statement::step_down{m_fencingTerm},
                           m_policy.statementInterval, now);
+    } else if (m_steppedDown) {
+        sendStatement(m_oldPrimary, member_statement::status{}, m_policy.fencedQueryInterval, now);
     }
     if (!m_fencingSince)
         m_fencingSince = now;
@@ -496,8 +498,10 @@
             sendStatement(id, member_statement::status{}, m_policy.statementInterval / 4, now);
             continue;
         }
-        if (member.status && member.status->pausedFor > m_oldTerm)
+        if (member.status && member.status->pausedFor > m_oldTerm) {
+            sendStatement(id, member_statement::status{}, m_policy.fencedQueryInterval, now);
             continue;
+        }
         m_paused.insert(id);
         sendStatement(id, member_statement::pause{m_fencingTerm}, m_policy.statementInterval, now);
     }
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -37,6 +37,10 @@
      * 600 ms and more.
      */
     duration firstConfirmDelay = 400ms;
+    /** Interval between status queries to members that are fenced. An order that takes effect after
+     * its timeout ends the fencing of its member.
+     */
+    duration fencedQueryInterval = 1s;
     duration orderRetryInterval = 900ms; ///< time after which an order without effect is repeated
     /** Time since the store is known to have held the claim within which an order must be sent. An
      * order that is due later is discarded.
