--- a/test/dispatch_harness.h
+++ b/test/dispatch_harness.h
@@ -68,6 +68,20 @@
         collect(subject.callerConnected(session, "sales", callerKey, now));
     }
 
+    /** \brief Opens a transaction of session 1 and answers its first statement.
+     * \returns the transaction's connection
+     */
+    connection_id openTransaction(const std::string &first = "READ x")
+    {
+        connect(1);
+        request(1, "BEGIN");
+        request(1, first);
+        const auto connection = lastSent().connection;
+        answer(connection, session_state::inTransaction);
+        answer(connection, session_state::inTransaction);
+        return connection;
+    }
+
     void request(session_number session, const std::string &text)
     {
         const auto message = platform::decodeCallerLine("QUERY r" + std::to_string(++m_lastRequest)
