Process tests: a node's ports are handed out only once

Shown: of 2,475 starts of two nodes, four loops at once, two failed with the same message; the logs say 'cannot bind TCP address ...: Address already in use', and the port stands twice in the lists. Not covered: a port that a stand-in takes while its node is down.

--- a/test/node_programs.py
+++ b/test/node_programs.py
@@ -8,10 +8,18 @@
 from users_platform import node_settings
 
 
+_ports = set()  # ports that free_port() has returned
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a free port, and each port only once: a node binds its ports later."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            port = probe.getsockname()[1]
+        if port not in _ports:
+            _ports.add(port)
+            return port
 
 
 class Caller:
