Process tests: one restart of all nodes; the paging test reads only the lines after it

Found on reading the change again: test_lists_of_several_pages_are_read_completely accepted a line 'count=3' from before the restart. It now counts only the lines of the restarted nodes, which is stricter.

--- a/test/process_node.py
+++ b/test/process_node.py
@@ -59,6 +59,16 @@
             self.assertLess(time.monotonic(), deadline, f"not within {bound_s} s: {what}")
             await asyncio.sleep(0.05)
 
+    async def restart_all(self):
+        """Kills all nodes at once, starts them again and waits until they are ready."""
+        for node in self.nodes:
+            node.process.kill()
+            node.process.wait()
+        for node in self.nodes:
+            node.start()
+        for node in self.nodes:
+            await self.until(node.is_ready, START_BOUND_S, f"{node.name} is ready again")
+
     async def session(self, database="sales", node=0):
         caller = Caller()
         self.assertEqual(await caller.connect(self.nodes[node].ports[0], database, KEY), ["READY I -"])
@@ -236,13 +246,7 @@
         self.assertEqual(await asyncio.to_thread(self.nodes[0].process.wait, STOP_BOUND_S), 0)
 
     async def test_service_recovers_after_all_instances_were_killed(self):
-        for node in self.nodes:
-            node.process.kill()
-            node.process.wait()
-        for node in self.nodes:
-            node.start()
-        for node in self.nodes:
-            await self.until(node.is_ready, START_BOUND_S, f"{node.name} is ready again")
+        await self.restart_all()
         caller = await self.session()
         await self.write_until_accepted(caller, "x", CHANGE_BOUND_S)
 
@@ -377,15 +381,11 @@
     async def test_lists_of_several_pages_are_read_completely(self):
         """Guards against members that are taken for removed because they are on a later page."""
         self.platform.store.page_rows = 2
+        lines_before = {node: len(node.lines()) for node in self.nodes}
+        await self.restart_all()
         for node in self.nodes:
-            node.process.kill()
-            node.process.wait()
-        for node in self.nodes:
-            node.start()
-        for node in self.nodes:
-            await self.until(node.is_ready, START_BOUND_S, f"{node.name} is ready again")
-            await self.until(lambda node=node: any("server list changed" in line and "count=3" in line
-                                                   for line in node.lines()[-200:]),
+            await self.until(lambda node=node: any("server list changed" in line and "count=3 " in line
+                                                   for line in node.lines()[lines_before[node]:]),
                              START_BOUND_S, f"{node.name} knows all members")
         await self.group().primary().kill()
         await self.write_until_accepted(await self.session(), "y", CHANGE_BOUND_S)
