Hand statements over to a broker where connections are scarce

An opening takes 12 ms of a slot, a statement 3 to 15 ms.

Change: where a database has fewer connections than workspaces, an instance hands its statements over to the broker of the database in its own data centre, chosen by rendezvous hash over the live instances, weighted by processor share. The broker runs them in a session of its own dispatcher.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "programs/node/coordination_rows.h"
 
+#include "sycamorespan/src/Brokerage/broker_choice.h"
 #include "sycamorespan/src/Core/error.h"
 #include "sycamorespan/src/Core/json_integer.h"
 #include "sycamorespan/src/Core/overloaded.h"
@@ -25,6 +26,9 @@
 
 constexpr duration tickInterval = 20ms;
 
+/** Time for which an instance is not chosen as a broker after its connection was lost. */
+constexpr duration lostBrokerPause = 1s;
+
 /** \returns how long the store may hold a request for changes back. Two fifths of the time in which
  * a new configuration has to be in force leave enough of it to detect and replace an unresponsive
  * connection. The answers also show that the store is reachable, so the wait stays below
@@ -143,6 +147,26 @@
                [this](const holder_id &to, const quota_message &message) {
                    m_fleet.send(instance_id(to.str()), message);
                }})
+    , m_brokers(loop,
+                endpoint{m_settings.address,
+                         static_cast<std::uint16_t>(m_settings.firstPeerPort + 1)},
+                m_log, m_guard,
+                {[this](const instance_id &broker, const brokered_answer &answer) {
+                     apply(m_dispatcher.brokerAnswered(broker, answer, suspendAwareNow()));
+                 },
+                 [this](const instance_id &broker) {
+                     const auto now = suspendAwareNow();
+                     m_lostBrokers[broker] = now;
+                     apply(m_dispatcher.brokerLost(broker, now));
+                     updateBrokers(now);
+                 },
+                 [this](session_number session, const brokered_statement &statement) {
+                     apply(m_dispatcher.handedOver(session, statement, suspendAwareNow()));
+                 },
+                 [this](session_number session) {
+                     apply(m_dispatcher.callerDisconnected(session, suspendAwareNow()));
+                 },
+                 [this] { return ++m_lastSession; }})
     , m_configuration(loop, m_store, platform::table_name::operatorTable, longPollWait(m_settings),
                       m_guard, m_random,
                       {[this](const platform::store_rows &content) { applyConfiguration(content); },
@@ -429,6 +453,46 @@
     m_quota.cancel(action.workspace, action.session, suspendAwareNow());
 }
 
+void node::perform(const dispatch_action::hand_over &action)
+{
+    m_brokers.handOver(action.broker, m_brokerAddresses[action.broker], action.statement);
+}
+
+void node::perform(const dispatch_action::end_hand_over &action)
+{
+    m_brokers.end(action.broker, action.end);
+}
+
+void node::perform(const dispatch_action::answer_hand_over &action)
+{
+    m_brokers.answer(action.session, action.answer);
+}
+
+void node::updateBrokers(time_point now)
+{
+    if (!m_directory)
+        return;
+    const auto &live = m_fleet.table().candidates(ownFlags(now));
+    std::vector<instance_incarnation> candidates;
+    std::set<data_centre_id> dataCentres;
+    const auto add = [&](const instance_incarnation &each) {
+        dataCentres.insert(each.dataCentre);
+        const auto lost = m_lostBrokers.find(each.instance);
+        const bool isPaused = lost != m_lostBrokers.end() && now - lost->second < lostBrokerPause;
+        if (!isPaused && each.dataCentre == m_self.dataCentre)
+            candidates.push_back(each);
+    };
+    std::ranges::for_each(live, add);
+    std::map<database_id, instance_id> brokers;
+    for (const auto &[database, broker] : chooseBrokers(*m_directory, candidates)) {
+        brokers[database] = broker.instance;
+        auto address = parseEndpoint(broker.address);
+        ++address.port;
+        m_brokerAddresses[broker.instance] = address;
+    }
+    m_dispatcher.setBrokers(std::move(brokers), m_self.instance, dataCentres.size());
+}
+
 void node::perform(const dispatch_action::record_outcome &action)
 {
     m_metrics.count(action);
@@ -758,6 +822,7 @@
     std::ranges::for_each(m_serverEntries, [&](const server_entry &entry) {
         m_dispatcher.setBusyConnectionsOfOthers(entry.id, table.statementsOfOthers(entry.id));
     });
+    updateBrokers(now);
     const bool following = isFollower(now);
     m_configuration.setFollowing(following);
     m_servers.setFollowing(following);
@@ -898,6 +963,7 @@
     };
     std::erase_if(m_closedCallers, [](const auto &each) { return !each->isOpen(); });
     m_closedMembers.clear();
+    m_brokers.removeClosed();
     step("list of servers", [&] { updateServers(now); });
     step("list of instances", [&] { updateInstances(now); });
     step("primary views", [&] { m_views.tick(now); });
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -4,6 +4,7 @@
 #include "platform/documents.h"
 #include "platform/settings.h"
 
+#include "programs/node/broker_link.h"
 #include "programs/node/caller_channel.h"
 #include "programs/node/document_fetcher.h"
 #include "programs/node/fleet_link.h"
@@ -72,6 +73,10 @@
     void perform(const dispatch_action::request_admission &action);
     void perform(const dispatch_action::settle_admission &action);
     void perform(const dispatch_action::cancel_admission &action);
+    void perform(const dispatch_action::hand_over &action);
+    void perform(const dispatch_action::end_hand_over &action);
+    void perform(const dispatch_action::answer_hand_over &action);
+    void updateBrokers(time_point now);
     void perform(const dispatch_action::record_outcome &action);
     void perform(const dispatch_action::record_step &action);
 
@@ -128,6 +133,9 @@
     fleet_link m_fleet;
     view_keeper m_views;
     quota_gate m_quota;
+    broker_link m_brokers;
+    std::map<instance_id, endpoint> m_brokerAddresses;
+    std::map<instance_id, time_point> m_lostBrokers;
 
     std::shared_ptr<const service_directory> m_directory;
     std::string m_encodedConfiguration;
--- /dev/null
+++ b/sycamorespan/src/Brokerage/broker_messages.h
@@ -0,0 +1,46 @@
+#ifndef SYCAMORESPAN_BROKERAGE_BROKER_MESSAGES_H
+#define SYCAMORESPAN_BROKERAGE_BROKER_MESSAGES_H
+
+#include "sycamorespan/src/Brokerage/brokered_statement.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace sycamorespan {
+
+/** \brief Messages on the connection between an instance and a broker. */
+using broker_message = std::variant<brokered_statement, brokered_answer, brokered_end>;
+
+/** \returns the message as a frame: its length in four bytes, most significant first, and a CBOR
+ * array.
+ */
+std::string encodeFrame(const broker_message &message);
+
+/** \brief Cuts received bytes into messages. */
+class broker_frame_reader
+{
+public:
+    /** \param maximumBytes  greatest length of a message */
+    explicit broker_frame_reader(std::size_t maximumBytes)
+        : m_maximumBytes(maximumBytes)
+    { }
+
+    void append(std::string_view bytes) { m_buffer.append(bytes); }
+
+    /** \returns the next complete message, or nothing.
+     * \throws decode_error if the bytes are no message, or one beyond the greatest length
+     */
+    std::optional<broker_message> next();
+
+private:
+    std::size_t m_maximumBytes;
+    std::string m_buffer;
+    std::size_t m_consumed = 0;
+};
+
+} // namespace sycamorespan
+
+#endif
--- /dev/null
+++ b/sycamorespan/src/Brokerage/brokered_statement.h
@@ -0,0 +1,89 @@
+#ifndef SYCAMORESPAN_BROKERAGE_BROKERED_STATEMENT_H
+#define SYCAMORESPAN_BROKERAGE_BROKERED_STATEMENT_H
+
+#include "sycamorespan/src/Core/identifiers.h"
+#include "sycamorespan/src/Core/log_position.h"
+#include "sycamorespan/src/Core/time_types.h"
+#include "sycamorespan/src/Dispatch/statement.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace sycamorespan {
+
+/** \brief Number of an operation that is handed over, unique among those of its instance. An
+ * operation is a single statement or a transaction.
+ */
+using operation_number = std::uint64_t;
+
+/** \brief Transaction of which a handed over statement is a part. */
+struct brokered_transaction
+{
+    bool readOnly = false;
+    bool isBegun = false; ///< an earlier statement of it was handed over
+    duration age{}; ///< time since the caller sent BEGIN
+
+    auto operator<=>(const brokered_transaction &) const = default;
+};
+
+/** \brief Prepared statement that a handed over statement executes. */
+struct brokered_execution
+{
+    statement_access access = statement_access::read;
+    std::string statementShape;
+    std::string arguments;
+
+    auto operator<=>(const brokered_execution &) const = default;
+};
+
+/** \brief What a broker is to run. */
+using brokered_work =
+        std::variant<brokered_execution, caller_statement::direct, caller_statement::commit>;
+
+/** \brief A statement that an instance hands over to a broker, with the session state that it
+ * depends on. Times are relative to its sending.
+ */
+struct brokered_statement
+{
+    operation_number operation = 0;
+    std::uint64_t number = 0; ///< of the statement, unique among those of its instance
+    std::string requestId;
+    std::string text; ///< forwarded unchanged, unless a prepared statement is executed
+    brokered_work work;
+    std::string databaseName; ///< that the caller connected with
+    workspace_id workspace;
+    std::optional<brokered_transaction> transaction;
+    std::map<std::string, std::string> values; ///< session values, by name
+    log_position lastCommitPosition; ///< covers every acknowledged commit of the session
+    duration timeLeft{}; ///< until its deadline
+    duration objectiveLeft{}; ///< until the end of the route's latency objective; may be negative
+
+    bool operator==(const brokered_statement &) const = default;
+};
+
+/** \brief A broker's answer to one statement. */
+struct brokered_answer
+{
+    operation_number operation = 0;
+    std::uint64_t number = 0; ///< of the statement
+    bool isDeclined = false; ///< the broker did not accept the statement; it did not run
+    bool wasSent = false; ///< the statement was sent to a member
+    statement_answer answer;
+
+    bool operator==(const brokered_answer &) const = default;
+};
+
+/** \brief Ends an operation: its caller left, or its transaction is rolled back. */
+struct brokered_end
+{
+    operation_number operation = 0;
+
+    auto operator<=>(const brokered_end &) const = default;
+};
+
+} // namespace sycamorespan
+
+#endif
--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -48,6 +48,19 @@
     time_point notBefore; ///< earliest time of the next attempt
     bool awaitsResend = false; ///< is sent again on the bound connection at notBefore
     connection_id openingConnection = 0; ///< connection being opened for it; 0: none
+    std::uint64_t handOver = 0; ///< number with which it was handed over last; 0: never
+    bool avoidsBroker = false; ///< it runs on connections of this instance
+};
+
+/** \brief What the session of another instance's operation serves. */
+struct brokered_session
+{
+    operation_number operation = 0;
+    std::uint64_t statement = 0; ///< number of the last statement
+    time_point deadline; ///< of the last statement
+    time_point latencyDeadline;
+
+    auto operator<=>(const brokered_session &) const = default;
 };
 
 /** \brief One caller's session. */
@@ -75,6 +88,9 @@
     server_id boundServer; ///< member of the bound connection
     connection_id boundConnection = 0; ///< connection that serves the session; 0: none
     bool rolledBack = false; ///< by the dispatcher; reported with the next statement
+    instance_id broker; ///< broker that runs the operation; empty: none
+    operation_number handedOver = 0; ///< number of the operation at the broker
+    std::optional<brokered_session> served; ///< set if the operation is of another instance
 
     bool isDisconnected = false; ///< the caller's connection is closed
 };
--- a/sycamorespan/src/Dispatch/dispatch_action.h
+++ b/sycamorespan/src/Dispatch/dispatch_action.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMORESPAN_DISPATCH_DISPATCH_ACTION_H
 #define SYCAMORESPAN_DISPATCH_DISPATCH_ACTION_H
 
+#include "sycamorespan/src/Brokerage/brokered_statement.h"
 #include "sycamorespan/src/Core/time_types.h"
 #include "sycamorespan/src/Dispatch/statement.h"
 #include "sycamorespan/src/Pooling/slot_action.h"
@@ -112,6 +113,35 @@
     auto operator<=>(const cancel_admission &) const = default;
 };
 
+/** \brief Hands a statement over to the broker of its database. The owner reports brokerAnswered()
+ * or brokerLost().
+ */
+struct hand_over
+{
+    instance_id broker;
+    brokered_statement statement;
+
+    bool operator==(const hand_over &) const = default;
+};
+
+/** \brief Ends an operation at a broker, which answers no more of it. */
+struct end_hand_over
+{
+    instance_id broker;
+    brokered_end end;
+
+    auto operator<=>(const end_hand_over &) const = default;
+};
+
+/** \brief Answers a statement that another instance has handed over. */
+struct answer_hand_over
+{
+    session_number session = 0; ///< that the owner gave with handedOver()
+    brokered_answer answer;
+
+    bool operator==(const answer_hand_over &) const = default;
+};
+
 /** \brief Reports how a statement ended, for logs and metrics. */
 struct record_outcome
 {
@@ -151,7 +181,9 @@
                      dispatch_action::open_member, dispatch_action::send_to_member,
                      dispatch_action::close_member, dispatch_action::request_admission,
                      dispatch_action::settle_admission, dispatch_action::cancel_admission,
-                     dispatch_action::record_outcome, dispatch_action::record_step>;
+                     dispatch_action::hand_over, dispatch_action::end_hand_over,
+                     dispatch_action::answer_hand_over, dispatch_action::record_outcome,
+                     dispatch_action::record_step>;
 
 using dispatch_outputs = std::vector<dispatch_output>;
 
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -202,6 +202,26 @@
     /** \brief Rolls back open transactions that have no statement in progress. */
     dispatch_outputs rollBackIdleTransactionsOnAllServers(time_point now);
 
+    // Operations that are handed over between instances.
+
+    /** \brief Sets the brokers of the databases that have one, this instance included.
+     * \param sharers  number of instances that are brokers of one database
+     */
+    void setBrokers(std::map<database_id, instance_id> brokers, instance_id self,
+                    std::size_t sharers);
+    /** \brief Handles a broker's answer to a statement. */
+    dispatch_outputs brokerAnswered(const instance_id &broker, const brokered_answer &answer,
+                                    time_point now);
+    /** \brief Handles the loss of the connection to a broker. Statements that it ran are repeated
+     * on connections of this instance if they may be; otherwise their outcome is unknown.
+     */
+    dispatch_outputs brokerLost(const instance_id &broker, time_point now);
+    /** \brief Handles a statement that another instance has handed over.
+     * \param session  session of the operation, the same for each statement of a transaction
+     */
+    dispatch_outputs handedOver(session_number session, const brokered_statement &statement,
+                                time_point now);
+
     // Connections to members.
 
     /** \brief Handles the completed opening of a connection.
@@ -318,6 +338,12 @@
     void startJob(caller &from, const caller_request &request, statement_access access,
                   bool isCommit, time_point now);
     void enqueue(caller &from, time_point now);
+    std::optional<instance_id> brokerOf(const caller &from) const;
+    void handOver(caller &from, const instance_id &broker, time_point now);
+    void endHandOver(caller &from);
+    void answerHandOver(caller &to, statement_answer answer);
+    void decline(session_number session, const brokered_statement &statement, std::string why);
+    void removeServedOperations(time_point now);
     void charge(caller &from);
     void releaseAdmission(caller &from);
     void reply(caller &to, statement_answer answer, time_point now);
@@ -414,6 +440,11 @@
     time_point m_startedAt;
     std::shared_ptr<const service_directory> m_directory;
     std::size_t m_instances = 1;
+    std::map<database_id, instance_id> m_brokers;
+    instance_id m_self;
+    std::size_t m_brokersOfDatabase = 1; ///< brokers that share the connections of a member
+    operation_number m_lastOperation = 0;
+    std::uint64_t m_lastHandOver = 0;
     accepted_work m_acceptedWork = accepted_work::all;
     std::unordered_map<session_number, caller> m_callers;
     std::map<database_id, database_state> m_databases;
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -230,6 +230,8 @@
         return false;
     }
     from.route = route->second;
+    if (from.served)
+        return true; // the caller's own instance has checked the key
     const auto owner = m_directory->keyOwners.find(from.key);
     if (owner != m_directory->keyOwners.end()) {
         from.workspace = owner->second;
@@ -273,7 +275,7 @@
     started.request = request;
     started.access = access;
     started.isCommit = isCommit;
-    started.startsTransaction = inTransaction && from.boundConnection == 0;
+    started.startsTransaction = inTransaction && from.boundConnection == 0 && from.broker.empty();
     started.needsPrimary = access == statement_access::write || (inTransaction && !from.readOnly)
                            || from.route.reads == consistency::latest || !from.route.maxStaleness;
     started.arrivedAt = now;
@@ -282,14 +284,22 @@
     started.latencyDeadline = now + from.route.latencyObjective;
     const auto reference = inTransaction ? from.begunAt : now;
     started.freshnessCutoff = reference - from.route.maxStaleness.value_or(duration::zero());
+    if (from.served) {
+        started.deadline = from.served->deadline;
+        started.latencyDeadline = from.served->latencyDeadline;
+    }
     from.job = std::move(started);
+    if (!from.broker.empty())
+        return handOver(from, instance_id(from.broker), now);
     if (from.boundConnection != 0) {
         sendOnBound(from, now);
         return;
     }
     if (!from.isAdmitted) {
         // What would be rejected anyway must use up nothing of the workspace's rate.
-        if (const auto reason = reasonToReject(from, group(from), 0, now))
+        const auto reason =
+                brokerOf(from) ? std::nullopt : reasonToReject(from, group(from), 0, now);
+        if (reason)
             return reject(from, statement_error::busy, *reason, now);
         from.job->currentStage = job_stage::awaitingAdmission;
         m_outputs.push_back(request_admission{from.number, from.workspace});
@@ -326,6 +336,8 @@
 
 void dispatcher::enqueue(caller &from, time_point now)
 {
+    if (const auto broker = brokerOf(from))
+        return handOver(from, *broker, now);
     auto &state = group(from);
     from.job->currentStage = job_stage::queued;
     from.job->queuedSince = now;
@@ -356,6 +368,8 @@
 void dispatcher::reply(caller &to, statement_answer answer, time_point now)
 {
     to.lastActive = now;
+    if (to.served)
+        return answerHandOver(to, std::move(answer));
     answer.position.reset();
     if (!to.isDisconnected)
         m_outputs.push_back(reply_to_caller{to.number, std::move(answer)});
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -325,6 +325,7 @@
 
 void dispatcher::unbind(caller &from)
 {
+    from.broker = {};
     from.boundConnection = 0;
     from.boundServer = {};
 }
@@ -332,6 +333,7 @@
 /** Rolls back the open transaction on a session's connection, if it has one, and unbinds it. */
 void dispatcher::releaseBound(caller &from, time_point now)
 {
+    endHandOver(from);
     if (from.boundConnection == 0)
         return;
     auto *pool = poolOf(from.boundConnection);
@@ -391,6 +393,7 @@
 
 dispatch_outputs dispatcher::tick(time_point now)
 {
+    removeServedOperations(now);
     checkConnections(now);
     checkDeadlines(now);
     resendRefusedStatements(now);
@@ -465,7 +468,7 @@
             expired.push_back(number);
             continue;
         }
-        if (each.job->currentStage == job_stage::running
+        if (each.job->currentStage == job_stage::running && each.broker.empty()
             && now - each.job->sentAt > readTimeout(each) && each.state == session_state::idle
             && each.job->access == statement_access::read)
             overdueReads.push_back(number);
@@ -521,6 +524,7 @@
         return;
     if (from.job->currentStage != job_stage::running)
         return reject(from, statement_error::busy, whyNotRun, now);
+    endHandOver(from);
     if (auto *pool = poolOf(from.boundConnection))
         closeConnection(*pool, from.boundConnection, now);
     const bool inTransaction = from.state == session_state::inTransaction;
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -59,6 +59,9 @@
     const auto limit = known->second.maxConnections;
     const auto shared =
             limit > m_policy.reservedConnections ? limit - m_policy.reservedConnections : limit;
+    const auto broker = m_brokers.find(pool.entry().database);
+    if (broker != m_brokers.end() && broker->second == m_self)
+        return std::max<std::size_t>(shared * 9 / 10 / m_brokersOfDatabase, 1);
     return std::max<std::size_t>(shared / m_instances, 1);
 }
 
