Large configurations reach instances behind narrow links

Cause, from the log: the configuration grew to 1,961 routes, about 480 kB. 11 instances took it; the others, behind links of 10 Mbit/s, gave up each fetch after 500 ms and each read of the store after 600 ms, and began again from the first byte, so that the downloads filled their links and no later version arrived either. Ruled out: lost news (the relays of the same data centres had it within 0.4 s), the store (available throughout).

Change: the timeout of a request covers the time until its answer begins; an answer that has begun gets 2.5 s more.

--- a/programs/node/document_fetcher.cpp
+++ b/programs/node/document_fetcher.cpp
@@ -1,8 +1,11 @@
 #include "programs/node/document_fetcher.h"
 
+#include "sycamorespan/src/Core/error.h"
 #include "sycamorespan/src/Net/clock.h"
+#include "sycamorespan/src/Net/compression.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace sycamorespan::node {
@@ -13,7 +16,10 @@
 constexpr duration fetchInterval = 300ms;
 /** Largest random delay of a fetch. It spreads the load on the instance that has the document. */
 constexpr duration maxFetchDelay = 60ms;
-constexpr duration fetchTimeout = 500ms;
+/** Timeouts of a fetch. A large configuration takes a second over a link that callers use too. */
+constexpr http_timeouts fetchTimeouts{500ms, 2500ms};
+/** Greatest length of a document, 30 times a configuration of 2,000 routes. */
+constexpr std::size_t maximumDocumentBytes = std::size_t{16} << 20;
 
 } // namespace
 
@@ -45,9 +51,9 @@
 void document_fetcher::fetch()
 {
     m_lastFetchAt = suspendAwareNow();
-    m_client = std::make_unique<http_client>(m_loop, "http://" + m_address, fetchTimeout);
+    m_client = std::make_unique<http_client>(m_loop, "http://" + m_address, fetchTimeouts.answer);
     std::ranges::for_each(std::exchange(m_requested, {}), [this](const std::string &path) {
-        m_client->send({"GET", path, ""}, [this, path](const http_outcome &outcome) {
+        m_client->send({"GET", path, ""}, fetchTimeouts, [this, path](const http_outcome &outcome) {
             m_guard.run("document of another instance", [&] { handle(path, outcome); });
         });
     });
@@ -57,11 +63,20 @@
 {
     const auto &document = m_documents.at(path);
     const auto *response = std::get_if<http_response>(&outcome);
-    if (response && response->status == 200)
-        return document.onDocument(response->body);
+    std::optional<std::string> body;
+    std::string cause = response ? "status " + std::to_string(response->status) : "no answer";
+    if (response && response->status == 200) {
+        try {
+            body = decompress(response->body, maximumDocumentBytes);
+        } catch (const decode_error &failure) {
+            cause = failure.what();
+        }
+    }
+    if (body)
+        return document.onDocument(*body);
     m_log.write(line_importance::failure,
                 "fetch from another instance failed, reading from the store",
-                {{"address", m_address}, {"path", path}}, suspendAwareNow());
+                {{"address", m_address}, {"path", path}, {"error", cause}}, suspendAwareNow());
     document.onFailure();
 }
 
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -178,6 +178,9 @@
                  [this](const platform::store_rows &content) { applyServerRows(content, false); },
                  [this](bool answered) { setStoreAvailable(answered); }})
     , m_fetcher(loop, m_log, m_guard, m_random)
+    , m_configurationDocument([this] { return m_encodedConfiguration; })
+    , m_serversDocument([this] { return serversDocument(); })
+    , m_instancesDocument([this] { return instancesDocument(); })
     , m_isolation(isolation_policy{})
     , m_callerHandlers{[this](session_number session, const platform::caller_message &message) {
                            const bool succeeded = m_guard.run(
@@ -199,9 +202,9 @@
                [this] { return state(); },
                [this] { return m_ready; },
                {},
-               {{configurationPath, [this] { return m_encodedConfiguration; }},
-                {serversPath, [this] { return serversDocument(); }},
-                {instancesPath, [this] { return instancesDocument(); }}}})
+               {{configurationPath, [this] { return m_configurationDocument.compressed(); }},
+                {serversPath, [this] { return m_serversDocument.compressed(); }},
+                {instancesPath, [this] { return m_instancesDocument.compressed(); }}}})
     , m_tickTimer(loop, [this] { tick(); })
 {
     addFetchedDocuments();
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -11,6 +11,7 @@
 #include "programs/node/node_metrics.h"
 #include "programs/node/quota_gate.h"
 #include "programs/node/rejected_entries.h"
+#include "programs/node/shared_document.h"
 #include "programs/node/table_follower.h"
 #include "programs/node/view_keeper.h"
 
@@ -144,6 +145,9 @@
     table_follower m_configuration;
     table_follower m_servers;
     document_fetcher m_fetcher;
+    shared_document m_configurationDocument;
+    shared_document m_serversDocument;
+    shared_document m_instancesDocument;
     isolation_detector m_isolation;
     std::optional<bool> m_storeAvailable;
 
--- a/programs/node/store_client.cpp
+++ b/programs/node/store_client.cpp
@@ -21,14 +21,14 @@
     , m_client(loop, "http://" + address.str(), defaultTimeout)
 { }
 
-void store_client::call(const http_request &request, duration timeout, answer_handler onAnswer,
-                        duration heldBack)
+void store_client::call(const http_request &request, const http_timeouts &timeouts,
+                        answer_handler onAnswer, duration heldBack)
 {
     ++m_calls;
     const auto sent = suspendAwareNow();
     const auto pending = m_pendingSince.insert(sent + heldBack);
     m_client.send(
-            request, timeout,
+            request, timeouts,
             [this, sent, pending, handler = std::move(onAnswer)](const http_outcome &outcome) {
                 const auto waitingSince = *pending;
                 m_pendingSince.erase(pending);
@@ -40,18 +40,19 @@
             });
 }
 
-void store_client::readTable(const std::string &table, duration timeout, answer_handler onAnswer)
+void store_client::readTable(const std::string &table, const http_timeouts &timeouts,
+                             answer_handler onAnswer)
 {
-    readPage(table, timeout, {}, std::move(onAnswer));
+    readPage(table, timeouts, {}, std::move(onAnswer));
 }
 
 /** Reads the page that follows the rows of \a collected. */
-void store_client::readPage(const std::string &table, duration timeout, store_answer collected,
-                            answer_handler onAnswer)
+void store_client::readPage(const std::string &table, const http_timeouts &timeouts,
+                            store_answer collected, answer_handler onAnswer)
 {
     const auto from = collected.content.rows.empty() ? "" : collected.content.rows.back().key;
-    call(platform::readRows(table, from, ""), timeout,
-         [this, table, timeout, from, collected = std::move(collected),
+    call(platform::readRows(table, from, ""), timeouts,
+         [this, table, timeouts, from, collected = std::move(collected),
           handler = std::move(onAnswer)](const store_answer &page) mutable {
              if (!page.succeeded())
                  return handler(page);
@@ -66,7 +67,7 @@
              auto &rows = collected.content.rows;
              const bool hasMore = page.content.more && !rows.empty() && rows.back().key > from;
              if (hasMore)
-                 return readPage(table, timeout, std::move(collected), std::move(handler));
+                 return readPage(table, timeouts, std::move(collected), std::move(handler));
              handler(collected);
          });
 }
--- a/programs/node/store_client.h
+++ b/programs/node/store_client.h
@@ -41,18 +41,19 @@
     store_client(ev::loop_ref loop, const endpoint &address, event_guard &guard);
 
     /** \brief Sends \a request and calls \a onAnswer once, also after a failure.
-     *  \param timeout  time limit for the answer, including the time for which the
-     *                  store may hold the request back
+     *  \param timeouts  timeouts; that of the answer includes the time for which the store may
+     *                   hold the request back
      *  \param heldBack  time for which the store may hold the request back
      */
-    void call(const http_request &request, duration timeout, answer_handler onAnswer,
+    void call(const http_request &request, const http_timeouts &timeouts, answer_handler onAnswer,
               duration heldBack = duration::zero());
 
     /** \brief Reads all rows of \a table, page by page, and calls \a onAnswer once. The answer has
      * the revision and the clock of the first page, so that a change during the read is newer.
-     * \param timeout  time limit for each page
+     * \param timeouts  timeouts of each page
      */
-    void readTable(const std::string &table, duration timeout, answer_handler onAnswer);
+    void readTable(const std::string &table, const http_timeouts &timeouts,
+                   answer_handler onAnswer);
 
     const reference_clock &clock() const { return m_clock; }
 
@@ -68,7 +69,7 @@
     std::uint64_t failures() const { return m_failures; }
 
 private:
-    void readPage(const std::string &table, duration timeout, store_answer collected,
+    void readPage(const std::string &table, const http_timeouts &timeouts, store_answer collected,
                   answer_handler onAnswer);
     void finish(const http_outcome &outcome, time_point sent, const answer_handler &onAnswer);
 
--- a/programs/node/table_follower.cpp
+++ b/programs/node/table_follower.cpp
@@ -11,6 +11,11 @@
  */
 constexpr duration answerTimeout = 600ms;
 
+/** Additional time for the rows of an answer. A large configuration takes a second over a link that
+ * callers use too.
+ */
+constexpr duration transferTimeout = 2500ms;
+
 /** Delays between attempts after the store has failed to answer. */
 constexpr backoff_policy retryDelays{100ms, 800ms};
 
@@ -55,7 +60,7 @@
 void table_follower::read()
 {
     m_isReading = true;
-    m_store.readTable(m_table, answerTimeout,
+    m_store.readTable(m_table, {answerTimeout, transferTimeout},
                       [this](const store_answer &answer) { handleRead(answer); });
 }
 
@@ -82,7 +87,7 @@
     const auto generation = ++m_followGeneration;
     m_store.call(
             platform::followRows(m_table, m_revision, m_longPollWait),
-            m_longPollWait + answerTimeout,
+            {m_longPollWait + answerTimeout, transferTimeout},
             [this, generation](const store_answer &answer) {
                 if (generation == m_followGeneration)
                     handleChanges(answer);
--- a/sycamorespan/src/Net/http_client.cpp
+++ b/sycamorespan/src/Net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "sycamorespan/src/Net/http_client.h"
 
 #include "sycamorespan/src/Core/error.h"
+#include "sycamorespan/src/Net/loop_timer.h"
 
 #include <curl/curl.h>
 
@@ -85,6 +86,7 @@
     bool isAnswered = false; ///< whether the first line of the answer has arrived
     char errorText[CURL_ERROR_SIZE] = "";
     outcome_handler onOutcome;
+    std::unique_ptr<loop_timer> answerTimer; ///< none if the answer has no time of its own
 
     pending_request(CURLM *multiHandle, std::string body, outcome_handler handler)
         : multi(multiHandle)
@@ -101,12 +103,13 @@
         curl_slist_free_all(headers);
     }
 
-    void prepare(const std::string &url, const http_request &request, duration timeout);
+    void prepare(const std::string &url, const http_request &request,
+                 const http_timeouts &timeouts);
     http_outcome outcome(CURLcode code) const;
 };
 
 void http_client::pending_request::prepare(const std::string &url, const http_request &request,
-                                           duration timeout)
+                                           const http_timeouts &timeouts)
 {
     const auto &method = request.method;
     headers = curl_slist_append(headers, "Content-Type: application/json");
@@ -120,7 +123,7 @@
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMilliseconds(timeout));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, toMilliseconds(timeouts.answer + timeouts.transfer));
     curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, errorText);
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &appendBody);
@@ -234,15 +237,24 @@
 
 void http_client::send(const http_request &request, outcome_handler onOutcome)
 {
-    send(request, m_timeout, std::move(onOutcome));
+    send(request, http_timeouts{m_timeout}, std::move(onOutcome));
 }
 
-void http_client::send(const http_request &request, duration timeout, outcome_handler onOutcome)
+void http_client::send(const http_request &request, const http_timeouts &timeouts,
+                       outcome_handler onOutcome)
 {
     auto pending =
             std::make_unique<pending_request>(m_multi->handle, request.body, std::move(onOutcome));
-    pending->prepare(m_baseUrl + request.path, request, timeout);
+    pending->prepare(m_baseUrl + request.path, request, timeouts);
     CURL *easy = pending->easy;
+    if (timeouts.transfer > duration::zero()) {
+        pending->answerTimer = std::make_unique<loop_timer>(m_loop, [this, easy] {
+            const auto known = m_requests.find(easy);
+            if (known != m_requests.end() && !known->second->isAnswered)
+                report(easy, CURLE_OPERATION_TIMEDOUT);
+        });
+        pending->answerTimer->startOnce(timeouts.answer);
+    }
     m_requests.emplace(easy, std::move(pending));
     curl_multi_add_handle(m_multi->handle, easy);
 }
@@ -269,13 +281,18 @@
             return;
         if (message->msg != CURLMSG_DONE)
             continue;
-        const auto code = message->data.result;
-        auto finished = m_requests.extract(message->easy_handle);
-        const auto outcome = finished.mapped()->outcome(code);
-        const auto onOutcome = std::move(finished.mapped()->onOutcome);
-        finished = {};
-        onOutcome(outcome);
+        report(message->easy_handle, message->data.result);
     }
 }
 
+/** Removes a request and reports its outcome. */
+void http_client::report(void *request, int code)
+{
+    auto finished = m_requests.extract(request);
+    const auto outcome = finished.mapped()->outcome(static_cast<CURLcode>(code));
+    const auto onOutcome = std::move(finished.mapped()->onOutcome);
+    finished = {};
+    onOutcome(outcome);
+}
+
 } // namespace sycamorespan
--- a/sycamorespan/src/Net/http_client.h
+++ b/sycamorespan/src/Net/http_client.h
@@ -35,6 +35,24 @@
 /** \brief Outcome of an HTTP request. */
 using http_outcome = std::variant<http_response, http_not_sent, http_unanswered>;
 
+/** \brief Timeouts of an HTTP request. */
+struct http_timeouts
+{
+    /** Not explicit, as most requests have only one timeout. */
+    constexpr http_timeouts(duration answerTimeout, duration transferTimeout = {})
+        : answer(answerTimeout)
+        , transfer(transferTimeout)
+    { }
+
+    duration answer; ///< until the answer begins, including the connection attempt
+    /** Additional time in which an answer that has begun must be complete. Large answers over
+     * narrow links need it.
+     */
+    duration transfer;
+
+    auto operator<=>(const http_timeouts &) const = default;
+};
+
 /** \brief HTTP client that runs libcurl on a libev loop.
  *
  * Each request uses a new connection. On a reused connection, libcurl may repeat a request without
@@ -59,8 +77,9 @@
      */
     void send(const http_request &request, outcome_handler onOutcome);
 
-    /** \brief Sends \a request with \a timeout in place of the client's timeout. */
-    void send(const http_request &request, duration timeout, outcome_handler onOutcome);
+    /** \brief Sends \a request with \a timeouts in place of the client's timeout. */
+    void send(const http_request &request, const http_timeouts &timeouts,
+              outcome_handler onOutcome);
 
     /** \returns the number of requests that have no outcome yet. */
     std::size_t pendingCount() const { return m_requests.size(); }
@@ -74,6 +93,7 @@
     void handleTimer(ev::timer &, int);
     void processTransfers(int socket, int events);
     void reportFinishedRequests();
+    void report(void *request, int code);
 
     ev::loop_ref m_loop;
     ev::timer m_timer;
--- a/test/net_platform_clients.cpp
+++ b/test/net_platform_clients.cpp
@@ -76,6 +76,7 @@
     }
 
     ev::dynamic_loop loop;
+    std::unique_ptr<byte_stream> slowConnection;
     server_reaction nextReaction = server_reaction::answer;
     http_response response;
     http_request received;
@@ -136,6 +137,41 @@
     EXPECT_EQ(errno, ECONNRESET);
 }
 
+/** A large answer over a narrow link takes longer than the store or an instance needs to begin it.
+ */
+TEST_F(net_platform_clients, waitsForTheRestOfAnAnswerThatHasBegun)
+{
+    tcp_listener listener(loop, {"127.0.0.1", 0}, [this](file_descriptor socket) {
+        slowConnection = std::make_unique<byte_stream>(
+                loop, std::move(socket),
+                byte_stream::handlers{[this](std::string_view) {
+                                          slowConnection->write("HTTP/1.1 200 OK\r\n"
+                                                                "Content-Length: 2\r\n\r\na");
+                                      },
+                                      [] {}});
+    });
+    loop_timer rest(loop, [this] { slowConnection->write("b"); });
+    rest.startOnce(2 * requestTimeout);
+    http_client client(loop, "http://127.0.0.1:" + std::to_string(listener.port()), requestTimeout);
+    std::optional<http_outcome> result;
+    client.send({"GET", "/", ""}, {requestTimeout, testTimeout},
+                [&](const http_outcome &outcome) { result = outcome; });
+    const auto outcome = waitForOutcome(result);
+    ASSERT_TRUE(std::holds_alternative<http_response>(outcome));
+    EXPECT_EQ(std::get<http_response>(outcome).body, "ab");
+}
+
+TEST_F(net_platform_clients, doesNotWaitLongerForAnAnswerThatHasNotBegun)
+{
+    http_client client(loop, url(), requestTimeout);
+    nextReaction = server_reaction::leaveUnanswered;
+    std::optional<http_outcome> result;
+    client.send({"GET", "/", ""}, {requestTimeout, 2 * testTimeout},
+                [&](const http_outcome &outcome) { result = outcome; });
+    EXPECT_TRUE(std::holds_alternative<http_unanswered>(waitForOutcome(result)));
+    EXPECT_EQ(client.pendingCount(), 0);
+}
+
 TEST_F(net_platform_clients, doesNotCallTheHandlerAfterDestruction)
 {
     nextReaction = server_reaction::leaveUnanswered;
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -5,7 +5,7 @@
     cmake ninja-build g++ ccache clang clang-format clang-tidy libclang-rt-14-dev
     libev-dev libwebsocketpp-dev nlohmann-json3-dev prometheus-cpp-dev libyaml-cpp-dev
     libboost-log-dev libboost-dev librapidcheck-dev libgtest-dev libgmock-dev libbenchmark-dev
-    libpq-dev libpg-query-dev libcurl4-openssl-dev libssl-dev libsqlite3-dev libxxhash-dev
+    libpq-dev libpg-query-dev libcurl4-openssl-dev libssl-dev libsqlite3-dev libxxhash-dev zlib1g-dev
     python3 python3-jinja2 python3-psycopg2 python3-yaml python3-jsonschema openssl
 )
 missing=()
