Tests: clients that don't behave, towards the node, fault shown

Cause: nothing bounds what a node holds for its clients: unfinished messages, statements and answers that wait, values kept by sessions, and descriptors.

The simulated member takes lines of 1 MiB.

--- a/standins/users_platform/member.py
+++ b/standins/users_platform/member.py
@@ -7,6 +7,7 @@
 
 REPLICATION_DELAY_S = 0.02
 STATEMENT_DURATION_S = 0.005
+LINE_BYTES = 2 << 20  # more than the longest line of the protocol
 
 
 class Group:
@@ -97,7 +98,7 @@
     # Start and crash.
 
     async def start(self, host):
-        self.server = await asyncio.start_server(self.serve, host, self.port)
+        self.server = await asyncio.start_server(self.serve, host, self.port, limit=LINE_BYTES)
         self.port = self.server.sockets[0].getsockname()[1]
         self.is_up = True
 
--- a/test/node_programs.py
+++ b/test/node_programs.py
@@ -46,12 +46,13 @@
 
 # One node process with its settings file and log.
 class Node:
-    def __init__(self, program, platform, name, data_centre, folder, store_port=None):
+    def __init__(self, program, platform, name, data_centre, folder, store_port=None, limits=None):
         self.program, self.name, self.folder = program, name, folder
         self.ports = [free_port() for _ in range(3)]
         self.settings = folder / f"{name}.conf"
-        self.settings.write_text(node_settings(platform, name, data_centre, self.ports, store_port),
-                                 encoding="utf-8")
+        text = node_settings(platform, name, data_centre, self.ports, store_port)
+        text += "".join(f"limits.{key}={value}\n" for key, value in (limits or {}).items())
+        self.settings.write_text(text, encoding="utf-8")
         self.log_path = folder / f"{name}.log"
         self.start()
 
