Limits on what a node holds for callers, and a class of their own for callers' sessions

Cause: a node kept any number of sessions, unfinished messages, statements and answers in memory, and values that sessions set.

Change: intake_budget (sans-I/O) divides a quarter of limits.memory_mb among sessions; a session that holds more than is free is not read from until its answers are taken; beyond the budget the largest holder is closed. Time limits on identification, unfinished messages and unread answers; limits on sessions from limits.max_fds. Only two messages of a caller are taken before they are answered, the others stay in the connection (it was closed at 64 before). Buffers are released when they are empty, large blocks go back to the system at once.

--- a/programs/node/main.cpp
+++ b/programs/node/main.cpp
@@ -1,10 +1,15 @@
 #include "programs/common/daemon_main.h"
 #include "programs/node/node.h"
 
+#include <malloc.h>
+
 namespace {
 
 using namespace sycamorespan;
 
+/** Size of the smallest block that is returned to the system at once when it is freed. */
+constexpr int largeBlockBytes = 128 << 10;
+
 /** \returns the log settings: text lines on standard output, which the platform collects. */
 settings::log_settings nodeLogSettings()
 {
@@ -15,6 +20,8 @@
 {
     setUpLogging(nodeLogSettings(), std::cout);
     std::signal(SIGPIPE, SIG_IGN);
+    // A fixed threshold returns large buffers to the system as soon as they are freed.
+    ::mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
     ev::default_loop loop;
     node::node program(loop, platform::readSettings(path), path, programs::systemRandom());
     const auto stop = [&program] { program.stop(); };
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -68,11 +68,6 @@
  */
 constexpr std::size_t maxSessionsClosedPerTick = 10;
 
-/** Statements that a caller may send before the first configuration is known. The protocol requires
- * none.
- */
-constexpr std::size_t maxRequestsBeforeConnected = 64;
-
 /** Interval at which the list of live instances is applied to quotas, the dispatcher and the table
  * followers. It is shorter than the interval of reports.
  */
@@ -179,20 +174,19 @@
                  [this](bool answered) { setStoreAvailable(answered); }})
     , m_fetcher(loop, m_log, m_guard, m_random)
     , m_isolation(isolation_policy{})
-    , m_callerHandlers{[this](session_number session, const platform::caller_message &message) {
-                           const bool succeeded = m_guard.run(
-                                   "message of a caller", [&] { handleCaller(session, message); });
-                           if (!succeeded)
-                               closeCaller(session, "unexpected error");
-                       },
-                       [this](session_number session, std::string_view reason) {
-                           closeCaller(session, reason);
-                       }}
-    , m_callerListener(loop, m_settings.callers,
-                       [this](file_descriptor socket) {
-                           m_guard.run("connection of a caller",
-                                       [&] { accept(std::move(socket)); });
-                       })
+    , m_sessions(loop, m_settings.callers, intakePolicy(m_settings), m_log, m_metrics, m_guard,
+                 {[this] { return ++m_lastSession; },
+                  [this](session_number session, const platform::connect_message &message) {
+                      apply(m_dispatcher.callerConnected(session, message.databaseName, message.key,
+                                                         suspendAwareNow()));
+                  },
+                  [this](session_number session, const caller_request &request) {
+                      apply(m_dispatcher.requestArrived(session, request, suspendAwareNow()));
+                  },
+                  [this](session_number session) {
+                      apply(m_dispatcher.callerDisconnected(session, suspendAwareNow()));
+                  },
+                  [this](session_number session) { return m_dispatcher.keptBytes(session); }})
     , m_readiness(loop, m_settings.readiness, readinessLimits(), readinessHandlers())
     , m_admin(loop, peerAddress(),
               {m_metrics.registry(),
@@ -229,87 +223,6 @@
             }};
 }
 
-// Callers.
-
-void node::accept(file_descriptor socket)
-{
-    const auto session = ++m_lastSession;
-    m_callers.emplace(session, std::make_unique<caller_channel>(m_loop, std::move(socket), session,
-                                                                m_callerHandlers));
-}
-
-void node::handleCaller(session_number session, const platform::caller_message &message)
-{
-    std::visit(overloaded{
-                       [&](const platform::connect_message &each) { connectCaller(session, each); },
-                       [&](const caller_request &each) { handleRequest(session, each); },
-                       [&](const platform::quit_message &) {
-                           closeCaller(session, "the caller quit");
-                       },
-               },
-               message);
-}
-
-void node::connectCaller(session_number session, const platform::connect_message &message)
-{
-    if (m_directory) {
-        apply(m_dispatcher.callerConnected(session, message.databaseName, message.key,
-                                           suspendAwareNow()));
-    } else if (!m_pendingConnects.try_emplace(session, pending_connect{message, {}}).second) {
-        rejectCaller(session, statement_error::malformed, "the session is already connected");
-    }
-}
-
-/** Connects the callers that have waited for the first configuration. */
-void node::connectPendingCallers()
-{
-    for (const auto &[session, pending] : std::exchange(m_pendingConnects, {})) {
-        connectCaller(session, pending.message);
-        for (const auto &request : pending.requests)
-            apply(m_dispatcher.requestArrived(session, request, suspendAwareNow()));
-    }
-}
-
-void node::handleRequest(session_number session, const caller_request &request)
-{
-    const auto pending = m_pendingConnects.find(session);
-    if (pending == m_pendingConnects.end()) {
-        apply(m_dispatcher.requestArrived(session, request, suspendAwareNow()));
-    } else if (pending->second.requests.size() < maxRequestsBeforeConnected) {
-        pending->second.requests.push_back(request);
-    } else {
-        rejectCaller(session, statement_error::malformed,
-                     "too many statements before the session "
-                     "is connected");
-    }
-}
-
-void node::rejectCaller(session_number session, statement_error code, std::string reason)
-{
-    perform(dispatch_action::reject_caller{session, {code, std::move(reason)}});
-}
-
-void node::closeCaller(session_number session, std::string_view)
-{
-    m_pendingConnects.erase(session);
-    const auto found = m_callers.find(session);
-    if (found == m_callers.end())
-        return;
-    retireChannel(found);
-    m_guard.run("end of a caller's connection",
-                [&] { apply(m_dispatcher.callerDisconnected(session, suspendAwareNow())); });
-}
-
-/** Removes and closes a caller's channel. It is destroyed when its answers are delivered. */
-void node::retireChannel(
-        std::unordered_map<session_number, std::unique_ptr<caller_channel>>::iterator caller)
-{
-    // Closing the channel calls closeCaller(), which must not find the channel again.
-    m_closedCallers.push_back(std::move(caller->second));
-    m_callers.erase(caller);
-    m_closedCallers.back()->closeAfterWrite();
-}
-
 // Actions of the dispatcher.
 
 void node::apply(dispatch_outputs outputs)
@@ -342,24 +255,19 @@
 
 void node::perform(const dispatch_action::reply_to_caller &action)
 {
-    const auto found = m_callers.find(action.session);
-    if (found != m_callers.end())
-        found->second->write(platform::encodeAnswer(action.answer));
+    m_sessions.answer(action.session, action.answer);
 }
 
 void node::perform(const dispatch_action::accept_caller &action)
 {
-    const auto found = m_callers.find(action.session);
-    if (found != m_callers.end())
-        found->second->write(platform::encodeAccepted());
+    m_sessions.accept(action.session);
 }
 
 void node::perform(const dispatch_action::reject_caller &action)
 {
-    const auto found = m_callers.find(action.session);
-    if (found == m_callers.end())
+    if (!m_sessions.contains(action.session))
         return;
-    found->second->write(platform::encodeRejected(action.error));
+    m_sessions.reject(action.session, action.error);
     m_log.write(line_importance::failure, "session refused",
                 {{"session", std::to_string(action.session)},
                  {"error", std::string(nameOf(action.error.code))},
@@ -371,11 +279,8 @@
 
 void node::perform(const dispatch_action::close_caller &action)
 {
-    const auto found = m_callers.find(action.session);
-    if (found == m_callers.end())
-        return;
-    retireChannel(found);
-    apply(m_dispatcher.callerDisconnected(action.session, suspendAwareNow()));
+    if (m_sessions.close(action.session))
+        apply(m_dispatcher.callerDisconnected(action.session, suspendAwareNow()));
 }
 
 void node::perform(const dispatch_action::open_member &action)
@@ -572,7 +477,7 @@
     }
     if (!m_directory)
         return;
-    connectPendingCallers();
+    m_sessions.startServing();
 }
 
 /** \returns the entry of a row; nothing if the row was deleted or can't be decoded, which names no
@@ -900,7 +805,7 @@
                 course.sessionsToClose(m_dispatcher.sessionCount(), elapsed), now));
     if (course.endsStatements(elapsed))
         closeAllCallers(now);
-    const bool empty = m_callers.empty() && m_closedCallers.empty();
+    const bool empty = m_sessions.isEmpty();
     if ((empty && course.closesIdleSessions(elapsed)) || course.endsStatements(elapsed))
         deregister();
     if ((empty && m_isDeregistered) || course.mustExit(elapsed))
@@ -910,19 +815,17 @@
 /** Answers what callers have sent, and closes their connections. */
 void node::closeAllCallers(time_point now)
 {
-    m_callerListener.close();
-    for (const auto &[session, pending] : std::exchange(m_pendingConnects, {}))
-        rejectCaller(session, statement_error::busy, "the instance is shutting down");
+    m_sessions.stopAccepting();
+    m_sessions.rejectWaiting({statement_error::busy, "the instance is shutting down"});
     apply(m_dispatcher.closeAllSessions(now));
-    while (!m_callers.empty())
-        retireChannel(m_callers.begin());
+    m_sessions.closeAll();
 }
 
 void node::deregister()
 {
     if (std::exchange(m_isDeregistering, true))
         return;
-    m_callerListener.close();
+    m_sessions.stopAccepting();
     m_views.deregister([this] { m_isDeregistered = true; });
 }
 
@@ -930,12 +833,9 @@
 {
     if (std::exchange(m_isExiting, true))
         return;
-    const auto unsent = std::accumulate(
-            m_closedCallers.begin(), m_closedCallers.end(), std::size_t{0},
-            [](std::size_t sum, const auto &each) { return sum + each->pendingBytes(); });
     m_log.write(line_importance::state, "stopped",
-                {{"sessions_left", std::to_string(m_callers.size())},
-                 {"unsent_bytes", std::to_string(unsent)}},
+                {{"sessions_left", std::to_string(m_sessions.openCount())},
+                 {"unsent_bytes", std::to_string(m_sessions.undeliveredBytes())}},
                 suspendAwareNow());
     m_loop.break_loop(ev::ALL);
 }
@@ -961,20 +861,20 @@
     const auto step = [this](std::string_view subject, const std::function<void()> &handle) {
         m_guard.run(subject, handle);
     };
-    std::erase_if(m_closedCallers, [](const auto &each) { return !each->isOpen(); });
     m_closedMembers.clear();
     m_brokers.removeClosed();
     step("list of servers", [&] { updateServers(now); });
     step("list of instances", [&] { updateInstances(now); });
     step("primary views", [&] { m_views.tick(now); });
     step("rates", [&] { m_quota.tick(now); });
+    step("sessions", [&] { m_sessions.tick(now); });
     step("statements", [&] { apply(m_dispatcher.tick(now)); });
     step("readiness", [&] { updateReadiness(now); });
     step("shutdown", [&] { advanceShutdown(now); });
     m_metrics.set({m_dispatcher.sessionCount(), m_dispatcher.queuedCount(),
                    m_dispatcher.connectionCount(), m_fleet.table().liveCount() + 1,
                    m_directory ? m_directory->version : 0, m_store.calls(), m_store.failures(),
-                   m_log.dropped(), m_ready, m_views.isSupervisor()});
+                   m_log.dropped(), m_sessions.heldBytes(), m_ready, m_views.isSupervisor()});
 }
 
 void node::updateServers(time_point now)
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -5,7 +5,7 @@
 #include "platform/settings.h"
 
 #include "programs/node/broker_link.h"
-#include "programs/node/caller_channel.h"
+#include "programs/node/caller_sessions.h"
 #include "programs/node/document_fetcher.h"
 #include "programs/node/fleet_link.h"
 #include "programs/node/node_metrics.h"
@@ -18,7 +18,6 @@
 #include "sycamorespan/src/Membership/server_roster.h"
 #include "sycamorespan/src/Net/admin_server.h"
 #include "sycamorespan/src/Net/loop_timer.h"
-#include "sycamorespan/src/Net/tcp_listener.h"
 
 #include <deque>
 #include <memory>
@@ -43,23 +42,7 @@
     void logState();
 
 private:
-    /** What a caller sent before the first configuration is known. */
-    struct pending_connect
-    {
-        platform::connect_message message;
-        std::vector<caller_request> requests;
-    };
-
     // Callers and members.
-    void accept(file_descriptor socket);
-    void handleCaller(session_number session, const platform::caller_message &message);
-    void connectCaller(session_number session, const platform::connect_message &message);
-    void connectPendingCallers();
-    void handleRequest(session_number session, const caller_request &request);
-    void rejectCaller(session_number session, statement_error code, std::string reason);
-    void closeCaller(session_number session, std::string_view reason);
-    void retireChannel(
-            std::unordered_map<session_number, std::unique_ptr<caller_channel>>::iterator caller);
     void apply(dispatch_outputs outputs);
     void handleMember(connection_id connection,
                       const std::function<dispatch_outputs(time_point)> &handle);
@@ -147,17 +130,13 @@
     isolation_detector m_isolation;
     std::optional<bool> m_storeAvailable;
 
-    caller_channel::handlers m_callerHandlers;
-    std::unordered_map<session_number, std::unique_ptr<caller_channel>> m_callers;
     std::unordered_map<connection_id, std::unique_ptr<member_channel>> m_members;
-    std::vector<std::unique_ptr<caller_channel>> m_closedCallers; ///< until answers are delivered
     std::vector<std::unique_ptr<member_channel>> m_closedMembers;
-    std::map<session_number, pending_connect> m_pendingConnects;
     session_number m_lastSession = 0;
     std::deque<dispatch_output> m_outputs;
     bool m_isPerformingActions = false;
 
-    tcp_listener m_callerListener;
+    caller_sessions m_sessions;
     web_endpoint m_readiness;
     admin_server m_admin;
     loop_timer m_tickTimer;
--- a/programs/node/node_metrics.cpp
+++ b/programs/node/node_metrics.cpp
@@ -39,6 +39,10 @@
                                 .Name("sycamorespan_rejected_entries_total")
                                 .Help("Entries of lists that could not be decoded, by list")
                                 .Register(*m_registry))
+    , m_closedSessions(prometheus::BuildCounter()
+                               .Name("sycamorespan_sessions_closed_total")
+                               .Help("Sessions of callers that a limit closed or refused, by cause")
+                               .Register(*m_registry))
     , m_unexpectedErrors(prometheus::BuildCounter()
                                  .Name("sycamorespan_unexpected_errors_total")
                                  .Help("Events whose handling ended with an unexpected error")
@@ -79,6 +83,7 @@
     write("store_calls", static_cast<double>(gauges.storeCalls));
     write("store_failures", static_cast<double>(gauges.storeFailures));
     write("log_lines_dropped", static_cast<double>(gauges.logLinesDropped));
+    write("held_bytes", static_cast<double>(gauges.heldBytes));
     write("ready", gauges.isReady ? 1 : 0);
     write("supervisor", gauges.isSupervisor ? 1 : 0);
 }
--- a/programs/node/node_metrics.h
+++ b/programs/node/node_metrics.h
@@ -25,6 +25,7 @@
     std::uint64_t storeCalls = 0;
     std::uint64_t storeFailures = 0;
     std::uint64_t logLinesDropped = 0;
+    std::size_t heldBytes = 0; ///< for callers
     bool isReady = false;
     bool isSupervisor = false;
 
@@ -47,6 +48,11 @@
     {
         m_rejectedEntries.Add({{"list", list}}).Increment();
     }
+    /** \param cause  name of the limit that closed the session */
+    void countClosedSession(const std::string &cause)
+    {
+        m_closedSessions.Add({{"cause", cause}}).Increment();
+    }
     void countUnexpectedError() { m_unexpectedErrors.Increment(); }
     void set(const node_gauges &gauges);
 
@@ -60,6 +66,7 @@
     prometheus::Family<prometheus::Gauge> &m_state;
     prometheus::Counter &m_malformed;
     prometheus::Family<prometheus::Counter> &m_rejectedEntries;
+    prometheus::Family<prometheus::Counter> &m_closedSessions;
     prometheus::Counter &m_unexpectedErrors;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_outcomes;
     std::map<std::string, prometheus::Histogram *> m_latencies;
--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -74,6 +74,7 @@
     session_values values;
     std::map<std::string, prepared_statement> prepared;
     std::optional<statement_job> job;
+    std::size_t keptBytes = 0; ///< size of the values and prepared statements
     std::deque<caller_request> pendingRequests; ///< received, not yet processed
     log_position lastCommitPosition; ///< covers every acknowledged commit of the session
     time_point lastActive;
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -264,6 +264,8 @@
     /** \returns when the primary last refused a statement as read-only, as a replica does */
     std::optional<time_point> primaryLastRefusedAt(const database_id &database) const;
     std::size_t sessionCount() const { return m_callers.size(); }
+    /** \returns the bytes of the values and prepared statements that the session keeps. */
+    std::size_t keptBytes(session_number session) const;
     /** \returns the number of queued statements, over all databases. */
     std::size_t queuedCount() const;
     /** \returns the number of connections to members. */
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -17,6 +17,14 @@
  */
 constexpr std::size_t maximumPipelinedRequests = 64;
 
+/** Memory that an entry of a session takes beside its name and its text. */
+constexpr std::size_t entryBytes = 128;
+
+std::size_t keptSize(const std::string &name, const std::string &text)
+{
+    return entryBytes + name.size() + text.size();
+}
+
 /** Receipt of statements that no member ran. */
 const std::string noReceipt = "-";
 
@@ -71,6 +79,12 @@
     return takeOutputs();
 }
 
+std::size_t dispatcher::keptBytes(session_number session) const
+{
+    const auto found = m_callers.find(session);
+    return found == m_callers.end() ? 0 : found->second.keptBytes;
+}
+
 dispatch_outputs dispatcher::requestArrived(session_number session, caller_request request,
                                             time_point now)
 {
@@ -160,23 +174,32 @@
 void dispatcher::handle(caller &from, const caller_request &,
                         const caller_statement::set_value &set, time_point now)
 {
+    if (const auto known = from.values.find(set.name); known != from.values.end())
+        from.keptBytes -= keptSize(set.name, known->second);
     from.values[set.name] = set.value;
+    from.keptBytes += keptSize(set.name, set.value);
     complete(from, now);
 }
 
 void dispatcher::handle(caller &from, const caller_request &,
                         const caller_statement::prepare &statement, time_point now)
 {
+    if (const auto known = from.prepared.find(statement.name); known != from.prepared.end())
+        from.keptBytes -= keptSize(statement.name, known->second.statementShape);
     from.prepared[statement.name] = {statement.access, statement.statementShape};
+    from.keptBytes += keptSize(statement.name, statement.statementShape);
     complete(from, now);
 }
 
 void dispatcher::handle(caller &from, const caller_request &,
                         const caller_statement::deallocate &statement, time_point now)
 {
-    if (from.prepared.erase(statement.name) == 0)
+    const auto known = from.prepared.find(statement.name);
+    if (known == from.prepared.end())
         return reject(from, statement_error::unknownPrepared,
                       "prepared statement \"" + statement.name + "\" does not exist", now);
+    from.keptBytes -= keptSize(known->first, known->second.statementShape);
+    from.prepared.erase(known);
     complete(from, now);
 }
 
--- a/sycamorespan/src/Net/byte_stream.cpp
+++ b/sycamorespan/src/Net/byte_stream.cpp
@@ -1,9 +1,11 @@
 #include "sycamorespan/src/Net/byte_stream.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace sycamorespan {
@@ -41,10 +43,27 @@
 {
     if (!m_socket || m_closing)
         return;
-    m_writeBuffer.append(bytes);
+    queue(bytes);
     flush();
 }
 
+/** Appends \a bytes. The buffer grows by a quarter, so that it is little larger than its content.
+ */
+void byte_stream::queue(std::string_view bytes)
+{
+    const auto needed = pendingBytes() + bytes.size();
+    if (m_writeBuffer.size() + bytes.size() <= std::max(m_writeBuffer.capacity(), readChunkBytes)) {
+        m_writeBuffer.append(bytes);
+        return;
+    }
+    std::string grown;
+    grown.reserve(needed + needed / 4);
+    grown.append(m_writeBuffer, m_writtenBytes);
+    grown.append(bytes);
+    m_writeBuffer = std::move(grown);
+    m_writtenBytes = 0;
+}
+
 void byte_stream::closeAfterWrite()
 {
     if (std::exchange(m_closing, true) || !m_socket)
@@ -60,13 +79,21 @@
     m_watcher.stop();
     m_closeTimer.stop();
     m_socket = file_descriptor();
-    m_writeBuffer.clear();
+    m_writeBuffer = std::string();
     m_writtenBytes = 0;
 }
 
+std::size_t byte_stream::unreadBytes() const
+{
+    int count = 0;
+    return m_socket && ::ioctl(m_socket.get(), FIONREAD, &count) == 0
+                   ? static_cast<std::size_t>(count)
+                   : 0;
+}
+
 void byte_stream::pauseReading(bool paused)
 {
-    if (m_closing)
+    if (m_closing || m_paused == paused)
         return;
     m_paused = paused;
     if (m_socket)
@@ -117,10 +144,13 @@
             return updateWatcher();
         }
         m_writtenBytes += static_cast<std::size_t>(count);
+        m_sentBytes += static_cast<std::size_t>(count);
         if (m_closing)
             m_closeTimer.startOnce(closeTimeout);
     }
     m_writeBuffer.clear();
+    if (m_writeBuffer.capacity() > readChunkBytes)
+        m_writeBuffer = std::string();
     m_writtenBytes = 0;
     if (m_closing)
         return finishWriting();
--- a/sycamorespan/src/Net/byte_stream.h
+++ b/sycamorespan/src/Net/byte_stream.h
@@ -56,12 +56,22 @@
     /** \returns the number of queued bytes that the socket has not yet accepted. */
     std::size_t pendingBytes() const noexcept { return m_writeBuffer.size() - m_writtenBytes; }
 
+    /** \returns the number of bytes allocated for queued bytes. */
+    std::size_t allocatedBytes() const noexcept { return m_writeBuffer.capacity(); }
+
+    /** \returns the number of bytes that the socket has accepted since the start. */
+    std::size_t sentBytes() const noexcept { return m_sentBytes; }
+
+    /** \returns the number of bytes that have arrived at the socket and were not read. */
+    std::size_t unreadBytes() const;
+
     bool isOpen() const noexcept { return static_cast<bool>(m_socket); }
 
     /** \returns the errno of the failure that closed the stream; 0 if there was no failure. */
     int failure() const noexcept { return m_failure; }
 
 private:
+    void queue(std::string_view bytes);
     void onReady(ev::io &watcher, int events);
     void readAvailable();
     void handleEndOfInput();
@@ -75,7 +85,8 @@
     ev::io m_watcher;
     loop_timer m_closeTimer;
     std::string m_writeBuffer;
-    std::size_t m_writtenBytes = 0;
+    std::size_t m_writtenBytes = 0; ///< of the write buffer
+    std::size_t m_sentBytes = 0;
     bool m_closing = false;
     bool m_paused = false;
     bool m_inputEnded = false; ///< the peer sends no more bytes
