--- a/programs/node/member_channel.cpp
+++ b/programs/node/member_channel.cpp
@@ -18,8 +18,10 @@
 
 member_channel::member_channel(ev::loop_ref loop, const endpoint &address,
                                const database_id &database, const workspace_id &workspace,
-                               const server_id &server, handlers callbacks)
-    : m_handlers(std::move(callbacks))
+                               const server_id &server, handlers callbacks, answer_intake *intake)
+    : m_intake(intake)
+    , m_number(intake ? intake->add() : 0)
+    , m_handlers(std::move(callbacks))
 {
     auto socket = connectTo(address);
     detectSilence(socket, unresponsiveTimeout);
@@ -45,14 +47,22 @@
         return;
     // Statements that have not been sent must not reach the member later.
     m_stream->abandon();
+    leaveIntake();
 }
 
 void member_channel::handleBytes(std::string_view bytes)
 {
     if (m_closed)
         return;
+    m_answers.append(bytes);
+    handleAnswers();
+    if (!m_closed && m_intake)
+        m_intake->changed(m_number, *m_stream, m_answers.heldBytes());
+}
+
+void member_channel::handleAnswers()
+{
     try {
-        m_answers.append(bytes);
         while (const auto answer = m_answers.next()) {
             if (!std::exchange(m_opened, true)) {
                 if (answer->succeeded())
@@ -70,12 +80,19 @@
     }
 }
 
+void member_channel::leaveIntake()
+{
+    if (m_intake)
+        m_intake->remove(m_number);
+}
+
 void member_channel::handleClosed()
 {
     if (std::exchange(m_closed, true))
         return;
     const bool isConnectionRefused = !m_opened && m_stream->failure() == ECONNREFUSED;
     m_stream->abandon();
+    leaveIntake();
     m_handlers.onClosed({m_opened ? std::nullopt : m_answers.refusal(), isConnectionRefused});
 }
 
--- a/programs/node/member_channel.h
+++ b/programs/node/member_channel.h
@@ -3,6 +3,8 @@
 
 #include "platform/member_codec.h"
 
+#include "programs/node/answer_intake.h"
+
 #include "sycamorespan/src/Net/byte_stream.h"
 #include "sycamorespan/src/Net/endpoint.h"
 
@@ -30,9 +32,15 @@
         std::function<void(const channel_end &)> onClosed;
     };
 
-    /** \throws error when the connection cannot be started */
+    /** \param intake  limits the incomplete answers of all connections; null: not limited
+     * \throws error when the connection cannot be started
+     */
     member_channel(ev::loop_ref loop, const endpoint &address, const database_id &database,
-                   const workspace_id &workspace, const server_id &server, handlers callbacks);
+                   const workspace_id &workspace, const server_id &server, handlers callbacks,
+                   answer_intake *intake = nullptr);
+    ~member_channel() { leaveIntake(); }
+    member_channel(const member_channel &) = delete;
+    member_channel &operator=(const member_channel &) = delete;
 
     void send(const std::vector<outgoing_statement> &statements);
 
@@ -41,8 +49,12 @@
 
 private:
     void handleBytes(std::string_view bytes);
+    void handleAnswers();
     void handleClosed();
+    void leaveIntake();
 
+    answer_intake *m_intake;
+    std::uint64_t m_number; ///< of the connection, at the intake
     handlers m_handlers;
     platform::answer_reader m_answers;
     bool m_opened = false;
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -142,6 +142,7 @@
                [this](const holder_id &to, const quota_message &message) {
                    m_fleet.send(instance_id(to.str()), message);
                }})
+    , m_answerIntake(m_settings.memoryBytes)
     , m_brokers(loop,
                 endpoint{m_settings.address,
                          static_cast<std::uint16_t>(m_settings.firstPeerPort + 1)},
@@ -317,7 +318,8 @@
                                         return m_dispatcher.answered(connection, answer, now);
                                     });
                                 },
-                                closed}));
+                                closed},
+                        &m_answerIntake));
     } catch (const error &failure) {
         m_log.write(line_importance::failure, "opening a connection to a member failed",
                     {{"server", action.server.str()}, {"error", failure.what()}},
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -116,6 +116,7 @@
     fleet_link m_fleet;
     view_keeper m_views;
     quota_gate m_quota;
+    answer_intake m_answerIntake;
     broker_link m_brokers;
     std::map<instance_id, endpoint> m_brokerAddresses;
     std::map<instance_id, time_point> m_lostBrokers;
--- a/test/overload_intake.cpp
+++ b/test/overload_intake.cpp
@@ -152,6 +152,25 @@
     EXPECT_FALSE(budget.mustPause(1));
 }
 
+TEST(receive_test, largeAnswersAtOnceAreCompletedOneAfterAnother)
+{
+    receive_budget budget(mebibyte, mebibyte / 16);
+    budget.changed(1, mebibyte / 2);
+    budget.changed(2, mebibyte / 2);
+    EXPECT_TRUE(budget.mayReceive(1));
+    budget.changed(3, mebibyte / 4);
+    budget.changed(1, mebibyte * 3 / 4);
+    EXPECT_TRUE(budget.mayReceive(1));
+    EXPECT_FALSE(budget.mayReceive(2));
+    EXPECT_FALSE(budget.mayReceive(3));
+    EXPECT_TRUE(budget.mayReceive(4)) << "it holds nothing";
+    budget.changed(5, mebibyte / 16);
+    EXPECT_TRUE(budget.mayReceive(5)) << "its answer is small";
+    budget.changed(1, 0);
+    EXPECT_TRUE(budget.mayReceive(2));
+    EXPECT_TRUE(budget.mayReceive(3)) << "the budget is free again";
+}
+
 RC_GTEST_PROP(intake_property, theSumStaysInTheBudgetAndOnlyLargestHoldersAreClosed, ())
 {
     constexpr std::uint64_t sessions = 12;
