Answers of members: large ones in arrival take turns; buffers are really released

Cause: 20 answers of a megabyte arrive at once, and assigning an empty std::string keeps the allocated memory of a buffer.

Change: receive_turns instead of a budget of bytes (doubling buffers went far over it); buffers are released by a swap.

--- a/programs/node/answer_intake.cpp
+++ b/programs/node/answer_intake.cpp
@@ -1,5 +1,7 @@
 #include "programs/node/answer_intake.h"
 
+#include <algorithm>
+
 namespace sycamorespan::node {
 
 namespace {
@@ -7,8 +9,11 @@
 /** Part of the memory of the process for incomplete answers. */
 constexpr std::size_t memoryPart = 16;
 
-/** Budget if the memory of the process is not known. */
-constexpr std::size_t defaultBudgetBytes = std::size_t{16} << 20;
+/** Memory for an answer in arrival: a row of the greatest length in a buffer that doubles. */
+constexpr std::size_t largeAnswerBytes = std::size_t{2} << 20;
+
+/** Number of large answers in arrival if the memory of the process is not known. */
+constexpr std::size_t defaultTurns = 8;
 
 /** Size up to which answers are received in any case. */
 constexpr std::size_t smallAnswerBytes = std::size_t{64} << 10;
@@ -16,13 +21,16 @@
 } // namespace
 
 answer_intake::answer_intake(std::size_t memoryBytes)
-    : m_budget(memoryBytes > 0 ? memoryBytes / memoryPart : defaultBudgetBytes, smallAnswerBytes)
+    : m_turns(memoryBytes > 0
+                      ? std::max<std::size_t>(memoryBytes / memoryPart / largeAnswerBytes, 1)
+                      : defaultTurns,
+              smallAnswerBytes)
 { }
 
 void answer_intake::changed(std::uint64_t connection, byte_stream &stream, std::size_t bytes)
 {
-    m_budget.changed(connection, bytes);
-    if (!m_budget.mayReceive(connection)) {
+    m_turns.changed(connection, bytes);
+    if (!m_turns.mayReceive(connection)) {
         stream.pauseReading(true);
         m_paused.emplace(connection, &stream);
     }
@@ -31,7 +39,7 @@
 
 void answer_intake::remove(std::uint64_t connection)
 {
-    m_budget.closed(connection);
+    m_turns.closed(connection);
     m_paused.erase(connection);
     resume();
 }
@@ -39,7 +47,7 @@
 void answer_intake::resume()
 {
     std::erase_if(m_paused, [this](const auto &each) {
-        const bool mayReceive = m_budget.mayReceive(each.first);
+        const bool mayReceive = m_turns.mayReceive(each.first);
         if (mayReceive)
             each.second->pauseReading(false);
         return mayReceive;
--- a/programs/node/answer_intake.h
+++ b/programs/node/answer_intake.h
@@ -2,13 +2,13 @@
 #define SYCAMORESPAN_PROGRAMS_NODE_ANSWER_INTAKE_H
 
 #include "sycamorespan/src/Net/byte_stream.h"
-#include "sycamorespan/src/Overload/receive_budget.h"
+#include "sycamorespan/src/Overload/receive_turns.h"
 
 #include <map>
 
 namespace sycamorespan::node {
 
-/** \brief Pauses connections to members while too many bytes of incomplete answers are held. */
+/** \brief Pauses connections to members while too many large answers are in arrival. */
 class answer_intake
 {
 public:
@@ -28,7 +28,7 @@
 private:
     void resume();
 
-    receive_budget m_budget;
+    receive_turns m_turns;
     std::map<std::uint64_t, byte_stream *> m_paused;
     std::uint64_t m_lastConnection = 0;
 };
--- a/programs/node/caller_channel.cpp
+++ b/programs/node/caller_channel.cpp
@@ -129,7 +129,7 @@
 {
     m_closed = true;
     m_isPaused = false;
-    m_lines = {};
+    m_lines.clear();
     m_unanswered.clear();
     m_unansweredBytes = 0;
     m_messageBegunAt.reset();
--- a/sycamorespan/src/Net/byte_stream.cpp
+++ b/sycamorespan/src/Net/byte_stream.cpp
@@ -79,7 +79,7 @@
     m_watcher.stop();
     m_closeTimer.stop();
     m_socket = file_descriptor();
-    m_writeBuffer = std::string();
+    std::string().swap(m_writeBuffer); // an assignment would keep the allocated memory
     m_writtenBytes = 0;
 }
 
@@ -150,7 +150,7 @@
     }
     m_writeBuffer.clear();
     if (m_writeBuffer.capacity() > readChunkBytes)
-        m_writeBuffer = std::string();
+        std::string().swap(m_writeBuffer); // an assignment would keep the allocated memory
     m_writtenBytes = 0;
     if (m_closing)
         return finishWriting();
--- a/test/overload_intake.cpp
+++ b/test/overload_intake.cpp
@@ -152,23 +152,23 @@
     EXPECT_FALSE(budget.mustPause(1));
 }
 
-TEST(receive_test, largeAnswersAtOnceAreCompletedOneAfterAnother)
+TEST(receive_test, largeAnswersAtOnceAreReceivedInTurns)
 {
-    receive_budget budget(mebibyte, mebibyte / 16);
-    budget.changed(1, mebibyte / 2);
-    budget.changed(2, mebibyte / 2);
-    EXPECT_TRUE(budget.mayReceive(1));
-    budget.changed(3, mebibyte / 4);
-    budget.changed(1, mebibyte * 3 / 4);
-    EXPECT_TRUE(budget.mayReceive(1));
-    EXPECT_FALSE(budget.mayReceive(2));
-    EXPECT_FALSE(budget.mayReceive(3));
-    EXPECT_TRUE(budget.mayReceive(4)) << "it holds nothing";
-    budget.changed(5, mebibyte / 16);
-    EXPECT_TRUE(budget.mayReceive(5)) << "its answer is small";
-    budget.changed(1, 0);
-    EXPECT_TRUE(budget.mayReceive(2));
-    EXPECT_TRUE(budget.mayReceive(3)) << "the budget is free again";
+    constexpr std::size_t small = 100;
+    receive_turns turns(2, small);
+    for (std::uint64_t connection = 1; connection <= 4; ++connection)
+        turns.changed(connection, small + 1);
+    turns.changed(5, small);
+    EXPECT_TRUE(turns.mayReceive(1));
+    EXPECT_TRUE(turns.mayReceive(2));
+    EXPECT_FALSE(turns.mayReceive(3));
+    EXPECT_TRUE(turns.mayReceive(5)) << "its answer is small";
+    EXPECT_TRUE(turns.mayReceive(6)) << "it holds nothing";
+    turns.changed(2, 0);
+    EXPECT_TRUE(turns.mayReceive(3));
+    EXPECT_FALSE(turns.mayReceive(4));
+    turns.closed(1);
+    EXPECT_TRUE(turns.mayReceive(4));
 }
 
 RC_GTEST_PROP(intake_property, theSumStaysInTheBudgetAndOnlyLargestHoldersAreClosed, ())
