--- a/programs/node/node_metrics.h
+++ b/programs/node/node_metrics.h
@@ -25,6 +25,7 @@
     std::uint64_t storeCalls = 0;
     std::uint64_t storeFailures = 0;
     std::uint64_t logLinesDropped = 0;
+    std::size_t heldBytes = 0; ///< for callers
     bool isReady = false;
     bool isSupervisor = false;
 
@@ -53,6 +54,11 @@
         m_reports.Add({{"cause", std::string(cause)}}).Increment();
         m_reportBytes.Increment(static_cast<double>(bytes));
     }
+    /** \param cause  name of the limit that closed the session */
+    void countClosedSession(const std::string &cause)
+    {
+        m_closedSessions.Add({{"cause", cause}}).Increment();
+    }
     void countUnexpectedError() { m_unexpectedErrors.Increment(); }
     void set(const node_gauges &gauges);
 
@@ -68,6 +74,7 @@
     prometheus::Family<prometheus::Counter> &m_rejectedEntries;
     prometheus::Family<prometheus::Counter> &m_reports;
     prometheus::Counter &m_reportBytes;
+    prometheus::Family<prometheus::Counter> &m_closedSessions;
     prometheus::Counter &m_unexpectedErrors;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_outcomes;
     std::map<std::string, prometheus::Histogram *> m_latencies;
