--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -79,7 +79,6 @@
 constexpr duration instancesUpdateInterval = 100ms;
 
 /** Paths of the documents that instances fetch from each other. */
-const std::string configurationPath = "/configuration";
 const std::string serversPath = "/servers";
 const std::string instancesPath = "/instances";
 
@@ -167,11 +166,23 @@
                      apply(m_dispatcher.callerDisconnected(session, suspendAwareNow()));
                  },
                  [this] { return ++m_lastSession; }})
-    , m_configuration(loop, m_store, platform::table_name::operatorTable, longPollWait(m_settings),
-                      m_guard, m_random,
-                      {[this](const platform::store_rows &content) { applyConfiguration(content); },
-                       [this](const platform::store_rows &content) { applyConfiguration(content); },
-                       [this](bool answered) { setStoreAvailable(answered); }})
+    , m_operatorRows(m_log, m_rejectedEntries, m_settings.evacuationTimeout.has_value(),
+                     {[this](const auto &directory) { useConfiguration(directory); },
+                      [this] {
+                          useServers(suspendAwareNow());
+                          m_fleet.requestReports();
+                      },
+                      [this](const data_centre_id &dataCentre) {
+                          return m_dispatcher.connectionsTo(dataCentre);
+                      }})
+    , m_configuration(
+              loop, m_store, platform::table_name::operatorTable, longPollWait(m_settings), m_guard,
+              m_random,
+              {[this](const platform::store_rows &content) { m_operatorRows.apply(content, true); },
+               [this](const platform::store_rows &content) {
+                   m_operatorRows.apply(content, false);
+               },
+               [this](bool answered) { setStoreAvailable(answered); }})
     , m_servers(loop, m_store, platform::table_name::servers, longPollWait(m_settings), m_guard,
                 m_random,
                 {[this](const platform::store_rows &content) { applyServerRows(content, true); },
@@ -199,11 +210,16 @@
                [this] { return state(); },
                [this] { return m_ready; },
                {},
-               {{configurationPath, [this] { return m_encodedConfiguration; }},
+               {{operator_rows::configurationPath,
+                 [this] { return m_operatorRows.configurationDocument(); }},
+                {operator_rows::evacuationsPath,
+                 [this] { return m_operatorRows.evacuationsDocument(); }},
                 {serversPath, [this] { return serversDocument(); }},
                 {instancesPath, [this] { return instancesDocument(); }}}})
     , m_tickTimer(loop, [this] { tick(); })
 {
+    m_dispatcher.setAccess(access_policy::forTimeout(m_settings.evacuationTimeout.value_or(0s)),
+                           m_settings.areas);
     addFetchedDocuments();
     m_tickTimer.startRepeating(tickInterval);
     m_log.write(line_importance::state, "started",
@@ -539,39 +555,13 @@
     }
 }
 
-void node::applyConfiguration(const platform::store_rows &content)
+void node::useConfiguration(const std::shared_ptr<const service_directory> &directory)
 {
     const auto now = suspendAwareNow();
-    for (const auto &row : content.rows) {
-        if (row.key != platform::configurationKey || row.deleted)
-            continue;
-        try {
-            auto decoded = platform::decodeConfiguration(row.value);
-            const auto version = decoded.directory.version;
-            if (m_directory && version <= m_directory->version)
-                continue;
-            m_directory = std::make_shared<service_directory>(std::move(decoded.directory));
-            m_encodedConfiguration = row.value;
-            std::ranges::for_each(decoded.rejected, [&](const platform::rejected_entry &each) {
-                m_rejectedEntries.note(each.list, each.name, version, each.cause, now);
-            });
-        } catch (const decode_error &failure) {
-            m_log.write(line_importance::state, "configuration could not be decoded",
-                        {{"error", failure.what()}, {"revision", std::to_string(row.revision)}},
-                        now);
-            continue;
-        }
-        m_log.write(line_importance::state, "configuration in force",
-                    {{"version", std::to_string(m_directory->version)},
-                     {"routes", std::to_string(m_directory->routes.size())},
-                     {"keys", std::to_string(m_directory->keyOwners.size())}},
-                    now);
-        m_quota.setWorkspaces(m_directory->workspaces, now);
-        apply(m_dispatcher.setDirectory(m_directory, now));
-        m_fleet.requestReports();
-    }
-    if (!m_directory)
-        return;
+    m_directory = directory;
+    m_quota.setWorkspaces(m_directory->workspaces, now);
+    apply(m_dispatcher.setDirectory(m_directory, now));
+    m_fleet.requestReports();
     connectPendingCallers();
 }
 
@@ -623,12 +613,20 @@
     applyRoster();
 }
 
+/** Applies the list of servers with what operators have said of their data centres. */
+void node::useServers(time_point now)
+{
+    m_serverEntries = m_operatorRows.evacuations().marked(m_roster.entries());
+    m_views.setServers(m_serverEntries, now);
+    apply(m_dispatcher.setServers(m_serverEntries, now));
+}
+
 void node::applyRoster()
 {
     if (!m_roster.takeEntriesChanged())
         return;
     const auto now = suspendAwareNow();
-    m_serverEntries = m_roster.entries();
+    useServers(now);
     const auto &entries = m_serverEntries;
     // Entries that expired during a store outage are served to other instances for as long as this
     // instance keeps them.
@@ -636,8 +634,6 @@
         return std::ranges::none_of(
                 entries, [&](const server_entry &entry) { return entry.id.str() == text.first; });
     });
-    m_views.setServers(entries, now);
-    apply(m_dispatcher.setServers(entries, now));
     std::string draining;
     std::ranges::for_each(entries, [&](const server_entry &entry) {
         if (entry.state == server_state::draining)
@@ -662,7 +658,7 @@
     report.sender = m_self;
     m_views.addToReport(report, now);
     report.flags = ownFlags(now);
-    report.news.configurationVersion = m_directory ? m_directory->version : 0;
+    m_operatorRows.addTo(report.news);
     report.news.serversRevision = m_serversRevision;
     std::ranges::transform(m_dispatcher.memberLoads(), std::back_inserter(report.loads),
                            [](const member_load &load) {
@@ -682,8 +678,7 @@
         m_fetcher.request(instancesPath, sender.address);
     if (isFollowingStore() && m_views.storeReachable(now))
         return; // the pending requests to the store return the newer state
-    if (news.configurationVersion > (m_directory ? m_directory->version : 0))
-        m_fetcher.request(configurationPath, sender.address);
+    m_operatorRows.requestNewer(news, m_fetcher, sender.address);
     if (news.serversRevision > m_serversRevision)
         m_fetcher.request(serversPath, sender.address);
 }
@@ -695,14 +690,7 @@
 
 void node::addFetchedDocuments()
 {
-    m_fetcher.add(configurationPath,
-                  {[this](const std::string &body) {
-                       platform::store_rows content;
-                       if (!body.empty())
-                           content.rows.push_back({{}, platform::configurationKey, body, 0, false});
-                       applyConfiguration(content);
-                   },
-                   [this] { m_configuration.refresh(); }});
+    m_operatorRows.fetchWith(m_fetcher, [this] { m_configuration.refresh(); });
     m_fetcher.add(serversPath, {[this](const std::string &body) { applyServers(body); },
                                 [this] { m_servers.refresh(); }});
     m_fetcher.add(instancesPath, {[this](const std::string &body) { applyInstances(body); },
@@ -819,6 +807,11 @@
             [](const instance_incarnation &each) { return holder_id(each.instance.str()); });
     m_quota.setInstances(holders, live, now);
     m_dispatcher.setInstanceCount(table.instanceCount());
+    std::vector<instance_id> registered;
+    if (m_views.hasReadRows())
+        std::ranges::transform(holders, std::back_inserter(registered),
+                               [](const auto &each) { return instance_id(each.holder.str()); });
+    m_dispatcher.setRegisteredInstances(m_self.instance, registered, now);
     std::ranges::for_each(m_serverEntries, [&](const server_entry &entry) {
         m_dispatcher.setBusyConnectionsOfOthers(entry.id, table.statementsOfOthers(entry.id));
     });
@@ -967,6 +960,7 @@
     step("list of servers", [&] { updateServers(now); });
     step("list of instances", [&] { updateInstances(now); });
     step("primary views", [&] { m_views.tick(now); });
+    step("evacuations", [&] { m_operatorRows.tick(now); });
     step("rates", [&] { m_quota.tick(now); });
     step("statements", [&] { apply(m_dispatcher.tick(now)); });
     step("readiness", [&] { updateReadiness(now); });
@@ -974,7 +968,8 @@
     m_metrics.set({m_dispatcher.sessionCount(), m_dispatcher.queuedCount(),
                    m_dispatcher.connectionCount(), m_fleet.table().liveCount() + 1,
                    m_directory ? m_directory->version : 0, m_store.calls(), m_store.failures(),
-                   m_log.dropped(), m_ready, m_views.isSupervisor()});
+                   m_log.dropped(), m_operatorRows.evacuations().dataCentres().size(),
+                   m_operatorRows.connections(), m_ready, m_views.isSupervisor()});
 }
 
 void node::updateServers(time_point now)
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -9,6 +9,7 @@
 #include "programs/node/document_fetcher.h"
 #include "programs/node/fleet_link.h"
 #include "programs/node/node_metrics.h"
+#include "programs/node/operator_rows.h"
 #include "programs/node/quota_gate.h"
 #include "programs/node/rejected_entries.h"
 #include "programs/node/table_follower.h"
@@ -81,11 +82,12 @@
     void perform(const dispatch_action::record_step &action);
 
     // Rows of the store.
-    void applyConfiguration(const platform::store_rows &content);
+    void useConfiguration(const std::shared_ptr<const service_directory> &directory);
     void applyServerRows(const platform::store_rows &content, bool isSnapshot);
     std::optional<server_entry> decodeServerRow(const platform::store_row &row, time_point now);
     void setStoreAvailable(bool answered);
     void applyRoster();
+    void useServers(time_point now);
 
     // Other instances.
     instance_flags ownFlags(time_point now) const;
@@ -138,7 +140,7 @@
     std::map<instance_id, time_point> m_lostBrokers;
 
     std::shared_ptr<const service_directory> m_directory;
-    std::string m_encodedConfiguration;
+    operator_rows m_operatorRows;
     std::map<std::string, std::string> m_encodedServers;
     std::uint64_t m_serversRevision = 0;
     table_follower m_configuration;
--- a/programs/node/node_metrics.cpp
+++ b/programs/node/node_metrics.cpp
@@ -79,6 +79,8 @@
     write("store_calls", static_cast<double>(gauges.storeCalls));
     write("store_failures", static_cast<double>(gauges.storeFailures));
     write("log_lines_dropped", static_cast<double>(gauges.logLinesDropped));
+    write("evacuated_data_centres", static_cast<double>(gauges.evacuatedDataCentres));
+    write("evacuated_connections", static_cast<double>(gauges.evacuatedConnections));
     write("ready", gauges.isReady ? 1 : 0);
     write("supervisor", gauges.isSupervisor ? 1 : 0);
 }
--- a/programs/node/node_metrics.h
+++ b/programs/node/node_metrics.h
@@ -25,6 +25,8 @@
     std::uint64_t storeCalls = 0;
     std::uint64_t storeFailures = 0;
     std::uint64_t logLinesDropped = 0;
+    std::size_t evacuatedDataCentres = 0;
+    std::size_t evacuatedConnections = 0; ///< open connections to members there
     bool isReady = false;
     bool isSupervisor = false;
 
--- a/standins/users_platform/users_platform.py
+++ b/standins/users_platform/users_platform.py
@@ -113,5 +113,5 @@
         f"internal_ports={ports[2]},{ports[2] + 1}",
         f"platform.address={HOST}:{store_port or platform.store_port}", "platform.reads_per_s=2000",
         "platform.writes_per_s=400", f"cloud_api.address={HOST}:{platform.promotion_port}",
-        "bounds.drain_ms=7000", "bounds.grace_s=6", "bounds.config_apply_ms=3000",
+        "bounds.drain_ms=7000", "bounds.grace_s=6", "bounds.config_apply_ms=3000", "bounds.evacuate_ms=5000",
         "heartbeat_ms=1200", ""])
--- a/sycamorespan/src/Configuration/service_directory.h
+++ b/sycamorespan/src/Configuration/service_directory.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace sycamorespan {
@@ -28,6 +29,7 @@
     int priority = 0; ///< 0 is served first
     std::optional<duration> maxStaleness; ///< staleness bound; none: as consistency::latest
     bool allowsAnonymous = false; ///< whether callers without a key are served
+    std::set<area_id> homes; ///< areas in which it may run; empty: anywhere
 
     auto operator<=>(const service_route &) const = default;
 };
@@ -46,6 +48,11 @@
 {
     std::size_t maxConnections = 0; ///< connections of all instances to one member
     std::size_t synchronousReplicas = 0; ///< replicas that hold a commit before it is acknowledged
+    duration warmUp{}; ///< for which a member is slow after its start
+    /** Statements per second that all instances together may send to a member that is slow after
+     * its start; 0 for no limit.
+     */
+    double warmUpRatePerSecond = 0;
 
     auto operator<=>(const database_limits &) const = default;
 };
@@ -57,6 +64,7 @@
     std::map<std::string, service_route> routes; ///< by the name that callers connect to
     std::map<std::string, workspace_id> keyOwners; ///< workspace of each key
     std::map<workspace_id, workspace_limit> workspaces;
+    std::map<workspace_id, std::set<area_id>> workspaceHomes; ///< of those that have homes
     std::map<database_id, database_limits> databases;
     duration transactionIdleTimeout{}; ///< 0 for no timeout
 
--- a/sycamorespan/src/Core/identifiers.h
+++ b/sycamorespan/src/Core/identifiers.h
@@ -41,6 +41,8 @@
 using instance_id = identifier<struct instance_tag>;
 /** \brief Identifies a data centre, a zone with instances and backend servers of its own. */
 using data_centre_id = identifier<struct data_centre_tag>;
+/** \brief Identifies an area, a region that holds data centres. */
+using area_id = identifier<struct area_tag>;
 /** \brief Identifies a workspace, a tenant that owns keys and has a plan. */
 using workspace_id = identifier<struct workspace_tag>;
 /** \brief Identifies a database, which one group of backend servers serves. */
--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -19,6 +19,7 @@
                                           time_point now)
 {
     m_directory = std::move(directory);
+    m_access.setLimits(m_directory->databases);
     for (auto &[key, state] : m_databases)
         dispatchQueue(state, now);
     return takeOutputs();
@@ -27,6 +28,7 @@
 dispatch_outputs dispatcher::setServers(const std::vector<server_entry> &entries, time_point now)
 {
     std::set<server_id> present;
+    m_access.setServers(entries, now);
     std::ranges::for_each(entries, [&](const server_entry &entry) {
         present.insert(entry.id);
         const auto known = m_pools.find(entry.id);
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "sycamorespan/src/Dispatch/dispatch_action.h"
 #include "sycamorespan/src/Dispatch/freshness_floors.h"
 #include "sycamorespan/src/Dispatch/graceful_shutdown.h"
+#include "sycamorespan/src/Dispatch/member_access.h"
 
 #include <functional>
 #include <memory>
@@ -138,6 +139,15 @@
     /** \brief Replaces routes, keys and database settings. */
     dispatch_outputs setDirectory(std::shared_ptr<const service_directory> directory,
                                   time_point now);
+    /** \brief Sets how evacuations are applied, and the area of each data centre. It must precede
+     * the first entries of members.
+     */
+    void setAccess(const access_policy &policy, std::map<data_centre_id, area_id> areas);
+    /** \brief Sets the instances among which the warm-up rates of members are divided.
+     * \param registered  all registered instances, \a self included; empty if they are not known
+     */
+    void setRegisteredInstances(const instance_id &self, const std::vector<instance_id> &registered,
+                                time_point now);
     /** \brief Replaces the entries of all members. */
     dispatch_outputs setServers(const std::vector<server_entry> &entries, time_point now);
     /** \param count  instances that share the members' connections, this one included */
@@ -245,6 +255,8 @@
 
     /** \returns the members with at least one busy connection. */
     std::vector<member_load> memberLoads() const;
+    /** \returns the open connections to the members of a data centre. */
+    std::size_t connectionsTo(const data_centre_id &dataCentre) const;
     /** \returns the newest floor of \a database; nothing if there is none. */
     std::optional<freshness_floor> newestFloor(const database_id &database) const;
     /** \returns how many replicas hold a commit before it is acknowledged; 0 if not known */
@@ -384,6 +396,12 @@
     primary_outlook primaryOutlook(const database_state &group, time_point now) const;
     bool isMemberUsable(const member_pool &pool, time_point now) const;
     bool isPastDrainPeriod(const member_pool &pool, time_point now) const;
+    bool isHome(const caller &from, const data_centre_id &dataCentre) const;
+    bool mayRunOn(const caller &from, const member_pool &pool, time_point now) const;
+    std::optional<std::string> reasonNotAllowed(const caller &from, const database_state &state,
+                                                std::size_t ahead, time_point now) const;
+    bool isHeldBack(caller &from, member_pool &pool, member_connection &connection, time_point now);
+    void endEvacuatedWork(time_point now);
     bool isPrimaryViewValid(const database_state &group, time_point now) const;
     bool isPrimaryUsable(const database_state &group, time_point now) const;
     bool isPrimary(const database_state &group, const server_id &server) const;
@@ -437,6 +455,7 @@
 
     dispatch_policy m_policy;
     data_centre_id m_own;
+    member_access m_access{access_policy{}};
     time_point m_startedAt;
     std::shared_ptr<const service_directory> m_directory;
     std::size_t m_instances = 1;
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -32,7 +32,8 @@
 /** \returns the other instance that is to run the statement; nothing if this one does. */
 std::optional<instance_id> dispatcher::brokerOf(const caller &from) const
 {
-    if (from.served || !from.job || from.job->avoidsBroker)
+    // A broker is in the area of this instance, which need not be the caller's own.
+    if (from.served || !from.job || from.job->avoidsBroker || !isHome(from, m_own))
         return std::nullopt;
     const auto broker = m_brokers.find(from.route.database);
     if (broker == m_brokers.end() || broker->second == m_self)
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -349,7 +349,7 @@
     connection.since = now;
     if (connection.state != member_connection::phase::bound)
         return;
-    if (!connection.pending.empty()) {
+    if (!connection.pending.empty() || m_access.isEvacuated(pool.entry().id, now)) {
         // The pending statement may delay the rollback for an unknown time.
         closeConnection(pool, connection.id, now);
         return;
@@ -394,6 +394,7 @@
 dispatch_outputs dispatcher::tick(time_point now)
 {
     removeServedOperations(now);
+    endEvacuatedWork(now);
     checkConnections(now);
     checkDeadlines(now);
     resendRefusedStatements(now);
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -144,6 +144,8 @@
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - now);
         return std::to_string(std::max<std::int64_t>(left.count(), 0)) + " ms";
     };
+    if (auto reason = reasonNotAllowed(from, group, ahead, now))
+        return reason;
     const auto work = fromSeconds(meanStatementTime(from));
     const auto name = from.route.database.str();
     if (!canBeServed(from, group, now)) {
@@ -239,14 +241,20 @@
                                                           time_point now)
 {
     std::vector<candidate> found;
+    std::vector<candidate> returning;
     const bool usable = isPrimaryUsable(group, now);
     const auto add = [&](member_pool &pool, std::optional<log_position> floor, bool primary) {
+        if (!mayRunOn(from, pool, now))
+            return;
         double score = scoreOf(pool, from, primary);
         if (!pool.findIdleConnection(from.workspace, from.values, preparedNameFor(from)))
             score += m_policy.openingPenalty * meanStatementTime(from);
         if (from.job->excluded.contains(pool.entry().id))
             score += toSeconds(1s);
-        found.push_back({&pool, score, floor});
+        const bool isReturning =
+                pool.entry().isEvacuated
+                || m_access.isReturning(pool.entry().id, from.job->request.id, now);
+        (isReturning ? returning : found).push_back({&pool, score, floor});
     };
     std::optional<log_position> floor;
     if (!from.job->needsPrimary) {
@@ -274,6 +282,8 @@
             add(pool, floor, false);
         }
     }
+    if (found.empty())
+        found = std::move(returning);
     std::ranges::sort(found, {}, &candidate::score);
     return found;
 }
@@ -364,6 +374,7 @@
     from.boundConnection = connection.id;
     from.boundServer = pool.entry().id;
     charge(from);
+    m_access.onSent(pool.entry().id, job.startsTransaction ? 2 : 1, now); // BEGIN counts
     if (!job.startsTransaction)
         return sendStatement(from, connection, setupStatements(from, connection, now), now);
     auto statements = setupStatements(from, connection, now);
@@ -383,6 +394,8 @@
     auto *connection = pool ? pool->find(from.boundConnection) : nullptr;
     if (!connection)
         return onConnectionLost(from, from.boundServer, "the connection to the member broke", now);
+    if (isHeldBack(from, *pool, *connection, now))
+        return;
     auto &job = *from.job;
     job.currentStage = job_stage::running;
     ++job.attempts;
@@ -392,6 +405,7 @@
         return;
     }
     connection->since = now;
+    m_access.onSent(pool->entry().id, 1, now);
     sendStatement(from, *connection, setupStatements(from, *connection, now), now);
 }
 
--- /dev/null
+++ b/sycamorespan/src/Dispatch/member_access.cpp
@@ -0,0 +1,144 @@
+#include "sycamorespan/src/Dispatch/member_access.h"
+
+#include "sycamorespan/src/Core/rendezvous_hash.h"
+
+#include <algorithm>
+
+namespace sycamorespan {
+
+void member_access::setServers(const std::vector<server_entry> &entries, time_point now)
+{
+    std::map<server_id, known_member> members;
+    std::ranges::for_each(entries, [&](const server_entry &entry) {
+        const auto known = m_members.find(entry.id);
+        const bool isSame = known != m_members.end()
+                            && known->second.entry.startedAtMs == entry.startedAtMs
+                            && known->second.entry.address == entry.address;
+        auto &member = members[entry.id];
+        if (isSame)
+            member = std::move(known->second);
+        else if (m_hasServers)
+            member.startedAt = now;
+        if (entry.warmUpLeft && (!isSame || member.entry.warmUpLeft != entry.warmUpLeft))
+            member.coldUntil = now + *entry.warmUpLeft;
+        if (entry.isEvacuated && !member.evacuatedSince) {
+            member.evacuatedSince = now;
+            member.returnedAt.reset();
+        } else if (!entry.isEvacuated && member.evacuatedSince) {
+            member.evacuatedSince.reset();
+            member.returnedAt = now;
+        }
+        member.entry = entry;
+    });
+    m_members = std::move(members);
+    m_hasServers = true;
+}
+
+void member_access::setLimits(const std::map<database_id, database_limits> &limits)
+{
+    m_limits = limits;
+}
+
+const member_access::known_member *member_access::find(const server_id &server) const
+{
+    const auto known = m_members.find(server);
+    return known == m_members.end() ? nullptr : &known->second;
+}
+
+double member_access::warmUpRateOf(const known_member &member) const
+{
+    const auto limits = m_limits.find(member.entry.database);
+    return limits == m_limits.end() ? 0 : limits->second.warmUpRatePerSecond;
+}
+
+/** \returns the end of the warm-up that the member reports, or else that of its database. */
+time_point member_access::coldUntil(const known_member &member) const
+{
+    const auto limits = m_limits.find(member.entry.database);
+    if (member.entry.warmUpLeft || !member.startedAt || limits == m_limits.end())
+        return member.coldUntil;
+    return *member.startedAt + limits->second.warmUp;
+}
+
+bool member_access::isCold(const known_member &member, time_point now) const
+{
+    return now < coldUntil(member) && warmUpRateOf(member) > 0;
+}
+
+bool member_access::isUnrestricted(time_point now) const
+{
+    return std::ranges::none_of(m_members, [&](const auto &each) {
+        return each.second.evacuatedSince || isCold(each.second, now);
+    });
+}
+
+bool member_access::isHome(const std::set<area_id> &homes, const data_centre_id &dataCentre) const
+{
+    if (homes.empty())
+        return true;
+    const auto area = m_areas.find(dataCentre);
+    return area != m_areas.end() && homes.contains(area->second);
+}
+
+bool member_access::isEvacuated(const server_id &server, time_point now) const
+{
+    const auto *member = find(server);
+    return member && member->evacuatedSince
+           && now - *member->evacuatedSince >= m_policy.evacuatedUsePeriod;
+}
+
+std::vector<server_id> member_access::evacuatedServers(time_point now) const
+{
+    std::vector<server_id> servers;
+    for (const auto &[id, member] : m_members)
+        if (isEvacuated(id, now))
+            servers.push_back(id);
+    return servers;
+}
+
+bool member_access::isCold(const server_id &server, time_point now) const
+{
+    const auto *member = find(server);
+    return member && isCold(*member, now);
+}
+
+bool member_access::maySend(const server_id &server, time_point now) const
+{
+    const auto *member = find(server);
+    return !member || !isCold(*member, now) || member->rate.maySend(now);
+}
+
+bool member_access::hasShare(const server_id &server) const
+{
+    const auto *member = find(server);
+    return member && member->rate.hasShare();
+}
+
+time_point member_access::dueAfter(const server_id &server, std::size_t ahead, time_point now) const
+{
+    const auto *member = find(server);
+    if (!member || !isCold(*member, now))
+        return now;
+    const auto end = coldUntil(*member);
+    return member->rate.hasShare() ? std::min(member->rate.dueAfter(ahead, now), end) : end;
+}
+
+void member_access::onSent(const server_id &server, std::size_t count, time_point now)
+{
+    const auto known = m_members.find(server);
+    if (known != m_members.end() && isCold(known->second, now))
+        known->second.rate.onSent(count, now);
+}
+
+bool member_access::isReturning(const server_id &server, std::string_view request,
+                                time_point now) const
+{
+    const auto *member = find(server);
+    if (!member || !member->returnedAt)
+        return false;
+    constexpr double range = 18446744073709551616.0; // 2^64
+    const double draw = static_cast<double>(rendezvousWeight(server.str(), request)) / range;
+    return draw * toSeconds(m_policy.returnPeriod) > toSeconds(now - *member->returnedAt);
+}
+
+} // namespace sycamorespan
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -79,13 +79,15 @@
                                            &server_entry::id);
     const bool hasOther =
             std::ranges::any_of(changeContext.members, [&](const server_entry &entry) {
-                return entry.id != changeContext.view->primary
-                       && entry.state == server_state::ready;
+                return entry.id != changeContext.view->primary && entry.state == server_state::ready
+                       && !entry.isEvacuated;
             });
     if (!hasOther)
         return change_reason::none;
     if (primary != changeContext.members.end() && primary->state == server_state::draining)
         return change_reason::draining;
+    if (primary != changeContext.members.end() && primary->isEvacuated)
+        return change_reason::evacuated;
     const auto reports = context.reports(database);
     const auto fractionOf = [this](std::size_t instances) {
         return static_cast<std::size_t>(
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -22,6 +22,8 @@
         return "no primary view exists";
     case change_reason::draining:
         return "primary is draining";
+    case change_reason::evacuated:
+        return "data centre of the primary is evacuated";
     case change_reason::removed:
         return "primary was removed from the server list";
     case change_reason::unreachable:
@@ -187,7 +189,7 @@
         return takeOutputs();
     m_reason = reason;
     m_beganAt = now;
-    m_isPlanned = reason == change_reason::draining;
+    m_isPlanned = reason == change_reason::draining || reason == change_reason::evacuated;
     m_steppedDown = false;
     m_fencingSince.reset();
     m_firstOrderedAt.reset();
@@ -509,7 +511,7 @@
     if (!viewsReleased(context) || !context.storeReachable)
         return;
     const auto chosen = chooseMember(context, now);
-    if (!chosen || (isRemovedOrDraining(*chosen, context) && awaitsReadyMember(context, now)))
+    if (!chosen || (isLeaving(*chosen, context) && awaitsReadyMember(context, now)))
         return;
     m_chosen = *chosen;
     noteEvent("member chosen for promotion",
@@ -532,7 +534,7 @@
 
 bool synchronous_change::oldPrimaryLeads(const change_context &context) const
 {
-    if (!oldLogIsComplete() || isRemovedOrDraining(m_oldPrimary, context))
+    if (!oldLogIsComplete() || isLeaving(m_oldPrimary, context))
         return false;
     const auto &status = *statusOf(m_oldPrimary);
     return status.role == replication_role::primary && status.term == m_oldTerm;
@@ -583,20 +585,19 @@
               });
 }
 
-bool synchronous_change::isRemovedOrDraining(const server_id &server,
-                                             const change_context &context) const
+bool synchronous_change::isLeaving(const server_id &server, const change_context &context) const
 {
     const auto *entry = entryOf(context, server);
-    return !entry || entry->state == server_state::draining;
+    return !entry || entry->state == server_state::draining || entry->isEvacuated;
 }
 
-/** \returns whether a member that isn't draining may still prove to hold every commit. */
+/** \returns whether a member that isn't leaving may still prove to hold every commit. */
 bool synchronous_change::awaitsReadyMember(const change_context &context, time_point now) const
 {
     if (!m_fencingSince || now - *m_fencingSince >= m_policy.catchUpTimeout)
         return false;
     return std::ranges::any_of(context.members, [&](const server_entry &entry) {
-        return entry.id != m_oldPrimary && entry.state == server_state::ready;
+        return entry.id != m_oldPrimary && !isLeaving(entry.id, context);
     });
 }
 
@@ -619,8 +620,8 @@
         if (id == m_oldPrimary || !member.status)
             continue;
         const auto *entry = entryOf(context, id);
-        known.push_back({member.status->received, entry && entry->state == server_state::ready,
-                         entry != nullptr, id});
+        known.push_back(
+                {member.status->received, entry && !isLeaving(id, context), entry != nullptr, id});
     }
     if (known.empty() && !m_steppedDown)
         return std::nullopt;
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -196,6 +196,7 @@
     none,
     noView, ///< no view exists yet; the current primary is looked for
     draining, ///< the primary drains
+    evacuated, ///< the primary is in a data centre that is evacuated
     removed, ///< the primary was removed from the list
     unreachable, ///< neither the instances nor the supervisor get an answer from the primary
     partlyUnreachable, ///< the primary answers the supervisor, but many instances get no answer
@@ -320,7 +321,7 @@
     void resumeReplicas(time_point now);
     void noteQuorum(const change_context &context);
     bool viewsReleased(const change_context &context) const;
-    bool isRemovedOrDraining(const server_id &server, const change_context &context) const;
+    bool isLeaving(const server_id &server, const change_context &context) const;
     bool hasOneIncarnation(const server_id &server) const;
     bool isListedIncarnation(const log_holder &holder, const change_context &context) const;
     std::vector<log_holder> holders() const;
--- /dev/null
+++ b/sycamorespan/src/Membership/evacuation_list.cpp
@@ -0,0 +1,71 @@
+#include "sycamorespan/src/Membership/evacuation_list.h"
+
+#include <algorithm>
+
+namespace sycamorespan {
+
+bool evacuation_list::replace(const std::set<data_centre_id> &evacuated, std::uint64_t knownThrough)
+{
+    // The other instances fetch the list when its revision rises. A read that confirms what was
+    // known must not make them do so; the first one may hold a withdrawal that others missed.
+    const bool isFirst = m_knownThrough == 0;
+    const bool changed = replace(evacuated, knownThrough, 0);
+    if (changed || isFirst)
+        m_revision = std::max(m_revision, knownThrough);
+    return changed;
+}
+
+bool evacuation_list::replace(const std::set<data_centre_id> &evacuated, std::uint64_t knownThrough,
+                              std::uint64_t revision)
+{
+    if (knownThrough <= m_knownThrough)
+        return false;
+    m_knownThrough = knownThrough;
+    m_revision = std::max(m_revision, revision);
+    const auto before = dataCentres();
+    for (auto &[dataCentre, last] : m_changes)
+        if (last.revision <= knownThrough && !evacuated.contains(dataCentre))
+            last.requested = false;
+    std::ranges::for_each(evacuated, [&](const data_centre_id &dataCentre) {
+        auto &last = m_changes[dataCentre];
+        if (last.revision <= knownThrough)
+            last.requested = true;
+    });
+    return dataCentres() != before;
+}
+
+bool evacuation_list::put(const data_centre_id &dataCentre, bool requested, std::uint64_t revision)
+{
+    auto &last = m_changes[dataCentre];
+    if (revision <= std::max(last.revision, m_knownThrough))
+        return false;
+    const bool changed = last.requested != requested;
+    last = {requested, revision};
+    m_revision = std::max(m_revision, revision);
+    return changed;
+}
+
+bool evacuation_list::contains(const data_centre_id &dataCentre) const
+{
+    const auto last = m_changes.find(dataCentre);
+    return last != m_changes.end() && last->second.requested;
+}
+
+std::set<data_centre_id> evacuation_list::dataCentres() const
+{
+    std::set<data_centre_id> result;
+    for (const auto &[dataCentre, last] : m_changes)
+        if (last.requested)
+            result.insert(dataCentre);
+    return result;
+}
+
+std::vector<server_entry> evacuation_list::marked(std::vector<server_entry> entries) const
+{
+    std::ranges::for_each(entries, [this](server_entry &entry) {
+        entry.isEvacuated = contains(entry.dataCentre);
+    });
+    return entries;
+}
+
+} // namespace sycamorespan
--- a/sycamorespan/src/Membership/fleet_messages.cpp
+++ b/sycamorespan/src/Membership/fleet_messages.cpp
@@ -133,7 +133,7 @@
                         news.instancesReadAt.count(), news.viewsDigest,
                         encodeOptionalTime(news.viewsConfirmed), encodeList(news.views, encodeView),
                         news.supervisor.str(), news.fencingToken,
-                        encodeList(news.floors, encodeFloor)});
+                        encodeList(news.floors, encodeFloor), news.evacuationsRevision});
 }
 
 fleet_news decodeNews(const json &fields)
@@ -149,6 +149,8 @@
     news.supervisor = instance_id(fields.at(7).get<std::string>());
     news.fencingToken = toInteger<std::uint64_t>(fields.at(8));
     news.floors = decodeList<floor_report>(fields.at(9), decodeFloor);
+    if (fields.size() > 10) // instances of earlier versions do not send it
+        news.evacuationsRevision = toInteger<std::uint64_t>(fields.at(10));
     return news;
 }
 
--- a/sycamorespan/src/Membership/fleet_messages.h
+++ b/sycamorespan/src/Membership/fleet_messages.h
@@ -57,6 +57,8 @@
     instance_id supervisor; ///< supervisor, as far as the sender knows
     std::uint64_t fencingToken = 0; ///< fencing token of that supervisor
     std::vector<floor_report> floors;
+    /** Revision of its list of evacuations; 0 from instances that know none. */
+    std::uint64_t evacuationsRevision = 0;
 
     bool operator==(const fleet_news &) const = default;
 };
--- a/sycamorespan/src/Membership/server_entry.h
+++ b/sycamorespan/src/Membership/server_entry.h
@@ -2,9 +2,11 @@
 #define SYCAMORESPAN_MEMBERSHIP_SERVER_ENTRY_H
 
 #include "sycamorespan/src/Core/identifiers.h"
+#include "sycamorespan/src/Core/time_types.h"
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace sycamorespan {
@@ -26,6 +28,9 @@
     server_state state = server_state::ready;
     replication_role role = replication_role::replica; ///< role that the server itself reports
     std::int64_t startedAtMs = 0; ///< Unix time of its start; distinguishes its incarnations
+    /** For how much longer it said it is slow after its start; nothing if it did not say. */
+    std::optional<duration> warmUpLeft;
+    bool isEvacuated = false; ///< whether operators have its data centre evacuated
 
     auto operator<=>(const server_entry &) const = default;
 };
--- a/test/decoders_mutations.cpp
+++ b/test/decoders_mutations.cpp
@@ -141,13 +141,16 @@
                                  "limits.cpu_share=0.25\nplatform.address=127.0.0.1:3\n"
                                  "platform.writes_per_s=400\nplatform.reads_per_s=2000\n"
                                  "cloud_api.address=127.0.0.1:4\nbounds.drain_ms=7000\n"
-                                 "bounds.grace_s=6\nbounds.config_apply_ms=3000\n";
+                                 "bounds.grace_s=6\nbounds.config_apply_ms=3000\n"
+                                 "bounds.evacuate_ms=5000\nzones.a=north\n";
 
 const std::string configurationText =
         R"({"version":4,"routes":[{"db_name":"sales","backend":"db1","type":"bounded_stale",)"
-        R"("max_staleness_ms":1500,"timeout_ms":1200,"target_latency_ms":200,"priority":0}],)"
-        R"("services":[{"name":"db1","max_conns":50,"slots":5,"sync_replicas":1}],)"
-        R"("tenants":[{"name":"shop","api_keys":["k1"],"rate_per_s":20,"burst":20}],)"
+        R"("max_staleness_ms":1500,"timeout_ms":1200,"target_latency_ms":200,"priority":0,)"
+        R"("allowed_regions":["north"]}],)"
+        R"("services":[{"name":"db1","max_conns":50,"slots":5,"sync_replicas":1,"warmup_s":8,)"
+        R"("cold_per_s":20}],"tenants":[{"name":"shop","api_keys":["k1"],"rate_per_s":20,)"
+        R"("burst":20,"allowed_regions":["north","south"]}],)"
         R"("limits":{"txn_idle_ms":5000}})";
 
 const std::string serverText =
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -134,6 +134,13 @@
                 entry.state = server_state::draining;
     }
 
+    /** Requests or withdraws the evacuation of the members' data centres. */
+    void evacuate(const std::set<std::string> &ids)
+    {
+        for (auto &entry : servers)
+            entry.isEvacuated = ids.contains(entry.id.str());
+    }
+
     /** Adds a new replica that holds the log of the current primary. */
     void join(const std::string &id)
     {
@@ -929,6 +936,84 @@
     EXPECT_TRUE(simulation.isSteadyAt("s3"));
 }
 
+TEST(FailoverSynchronous, ThePrimaryOfAnEvacuatedDataCentreIsReplacedByAMemberElsewhere)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    EXPECT_TRUE(simulation.commit("s1"));
+    simulation.evacuate({"s1", "s2"}); // two data centres at once
+    simulation.advance(2s);
+    EXPECT_TRUE(simulation.isSteadyAt("s3"));
+    EXPECT_TRUE(simulation.promotedIncomplete.empty());
+    simulation.evacuate({"s3"});
+    simulation.advance(2s);
+    EXPECT_FALSE(simulation.isSteadyAt("s3")) << "the next one follows";
+    EXPECT_EQ(simulation.view()->phase, view_phase::steady);
+}
+
+TEST(FailoverSynchronous, APrimaryWithoutAMemberElsewhereKeepsItsViewWhileItIsEvacuated)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    const auto intents = simulation.intentTimes.size();
+    simulation.evacuate({"s1", "s2", "s3"});
+    simulation.advance(3s);
+    EXPECT_EQ(simulation.intentTimes.size(), intents);
+    EXPECT_TRUE(simulation.isSteadyAt("s1"));
+    simulation.evacuate({"s2", "s3"});
+    simulation.member("s1").isUp = false;
+    simulation.advance(3s);
+    EXPECT_EQ(simulation.intentTimes.size(), intents) << "nobody elsewhere can take over";
+}
+
+TEST(FailoverSynchronous, ARequestAndItsWithdrawalInQuickSuccessionLeaveOnePrimary)
+{
+    for (const auto pause : {20ms, 60ms, 100ms, 200ms, 400ms, 700ms}) {
+        change_simulation simulation;
+        simulation.advance(1s);
+        EXPECT_TRUE(simulation.commit("s1"));
+        for (int round = 0; round < 4; ++round) {
+            simulation.evacuate({"s1"});
+            simulation.advance(pause);
+            simulation.evacuate({});
+            simulation.advance(pause);
+        }
+        simulation.advance(3s);
+        EXPECT_EQ(simulation.view()->phase, view_phase::steady);
+        EXPECT_TRUE(simulation.promotedIncomplete.empty());
+        EXPECT_TRUE(simulation.commit(simulation.view()->primary.str()));
+    }
+}
+
+TEST(FailoverSynchronous, ASupervisorLostDuringAnEvacuationLeavesItToTheNext)
+{
+    for (const auto lostAfter : {40ms, 100ms, 160ms, 300ms, 500ms, 700ms}) {
+        change_simulation simulation;
+        simulation.advance(1s);
+        EXPECT_TRUE(simulation.commit("s1"));
+        simulation.evacuate({"s1", "s2"});
+        simulation.advance(lostAfter);
+        simulation.replaceSupervisor();
+        simulation.advance(6s);
+        EXPECT_TRUE(simulation.isSteadyAt("s3"));
+        EXPECT_TRUE(simulation.promotedIncomplete.empty());
+    }
+}
+
+TEST(FailoverSynchronous, AnEvacuationDuringAStoreOutageIsCarriedOutAfterIt)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    simulation.storeReachable = false;
+    simulation.evacuate({"s1"});
+    simulation.advance(3s);
+    EXPECT_TRUE(simulation.orders.empty());
+    simulation.storeReachable = true;
+    simulation.advance(3s);
+    EXPECT_FALSE(simulation.isSteadyAt("s1"));
+    EXPECT_EQ(simulation.view()->phase, view_phase::steady);
+}
+
 TEST(FailoverSynchronous, ALostAnswerOfTheStoreIsResolvedByReading)
 {
     change_simulation simulation;
--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -206,6 +206,22 @@
 }
 
 // Guards against one odd entry that keeps a whole version of the lists from taking effect.
+TEST(PlatformDocuments, HomesAndWarmUpAreDecoded)
+{
+    const auto decoded = decodeConfiguration(
+            R"({"version":1,"routes":[{"db_name":"s","backend":"d","type":"primary",)"
+            R"("timeout_ms":1,"target_latency_ms":1,"allowed_regions":["north"]}],)"
+            R"("services":[{"name":"d","warmup_s":8.5,"cold_per_s":20}],"tenants":)"
+            R"([{"name":"t","rate_per_s":1,"burst":1,"allowed_regions":["north","south"]},)"
+            R"({"name":"u","rate_per_s":1,"burst":1,"allowed_regions":[7]}]})");
+    EXPECT_EQ(decoded.directory.routes.at("s").homes, std::set{area_id("north")});
+    EXPECT_EQ(decoded.directory.workspaceHomes.at(workspace_id("t")).size(), 2U);
+    EXPECT_EQ(decoded.directory.databases.at(database_id("d")).warmUp, 8500ms);
+    EXPECT_EQ(decoded.directory.databases.at(database_id("d")).warmUpRatePerSecond, 20);
+    EXPECT_EQ(decoded.rejected.size(), 1U) << "an odd list of homes must not allow everything";
+    EXPECT_FALSE(decoded.directory.workspaces.contains(workspace_id("u")));
+}
+
 TEST(PlatformDocuments, AnOddEntryOfTheConfigurationCostsOnlyThatEntry)
 {
     const std::string whole = configuration;
