--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -172,6 +172,9 @@
                           useServers(suspendAwareNow());
                           m_fleet.requestReports();
                       },
+                      [this](const data_centre_id &dataCentre, time_point now) {
+                          return m_dispatcher.hasLeft(dataCentre, now);
+                      },
                       [this](const data_centre_id &dataCentre) {
                           return m_dispatcher.connectionsTo(dataCentre);
                       }})
--- a/programs/node/operator_rows.cpp
+++ b/programs/node/operator_rows.cpp
@@ -181,7 +181,7 @@
 void operator_rows::tick(time_point now)
 {
     for (const auto &dataCentre : m_announced) {
-        if (m_completed.contains(dataCentre) || m_handlers.connectionsTo(dataCentre) > 0)
+        if (m_completed.contains(dataCentre) || !m_handlers.hasLeft(dataCentre, now))
             continue;
         m_completed.insert(dataCentre);
         m_log.write(line_importance::state, "evacuation complete",
--- a/programs/node/operator_rows.h
+++ b/programs/node/operator_rows.h
@@ -29,6 +29,8 @@
         std::function<void(const std::shared_ptr<const service_directory> &)> onConfiguration;
         /** Called when the list of evacuated data centres has changed. */
         std::function<void()> onEvacuations;
+        /** \returns whether nothing is sent any more to the members of a data centre. */
+        std::function<bool(const data_centre_id &, time_point)> hasLeft;
         /** \returns the open connections to the members of a data centre. */
         std::function<std::size_t(const data_centre_id &)> connectionsTo;
     };
@@ -53,7 +55,7 @@
     void requestNewer(const fleet_news &news, document_fetcher &fetcher,
                       const std::string &address) const;
     void addTo(fleet_news &news) const;
-    /** \brief Logs once for each evacuation when no connection to its members is left. */
+    /** \brief Logs once for each evacuation when nothing is sent to its members any more. */
     void tick(time_point now);
 
     /** \returns the document for other instances; empty if no configuration is known. */
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -257,6 +257,8 @@
     std::vector<member_load> memberLoads() const;
     /** \returns the open connections to the members of a data centre. */
     std::size_t connectionsTo(const data_centre_id &dataCentre) const;
+    /** \returns whether nothing is sent any more to the members of an evacuated data centre. */
+    bool hasLeft(const data_centre_id &dataCentre, time_point now) const;
     /** \returns the newest floor of \a database; nothing if there is none. */
     std::optional<freshness_floor> newestFloor(const database_id &database) const;
     /** \returns how many replicas hold a commit before it is acknowledged; 0 if not known */
--- a/sycamorespan/src/Dispatch/dispatcher_access.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_access.cpp
@@ -108,6 +108,15 @@
     return count;
 }
 
+bool dispatcher::hasLeft(const data_centre_id &dataCentre, time_point now) const
+{
+    return std::ranges::all_of(m_pools, [&](const auto &each) {
+        const auto &pool = each.second;
+        return pool.entry().dataCentre != dataCentre
+               || (pool.connections().empty() && m_access.isEvacuated(each.first, now));
+    });
+}
+
 /** Ends what is open on members that get nothing more because their data centre is evacuated. A
  * statement that runs is answered first. Closing the connection rolls a transaction back without
  * sending anything.
--- a/sycamorespan/src/Dispatch/member_access.cpp
+++ b/sycamorespan/src/Dispatch/member_access.cpp
@@ -32,11 +32,27 @@
     });
     m_members = std::move(members);
     m_hasServers = true;
+    updateRestrictions();
 }
 
 void member_access::setLimits(const std::map<database_id, database_limits> &limits)
 {
     m_limits = limits;
+    updateRestrictions();
+}
+
+void member_access::updateRestrictions()
+{
+    m_restrictedUntil = {};
+    m_returnedUntil = {};
+    for (const auto &[id, member] : m_members) {
+        if (member.evacuatedSince)
+            m_restrictedUntil = time_point::max();
+        else if (warmUpRateOf(member) > 0)
+            m_restrictedUntil = std::max(m_restrictedUntil, coldUntil(member));
+        if (member.returnedAt)
+            m_returnedUntil = std::max(m_returnedUntil, *member.returnedAt + m_policy.returnPeriod);
+    }
 }
 
 const member_access::known_member *member_access::find(const server_id &server) const
@@ -65,13 +81,6 @@
     return now < coldUntil(member) && warmUpRateOf(member) > 0;
 }
 
-bool member_access::isUnrestricted(time_point now) const
-{
-    return std::ranges::none_of(m_members, [&](const auto &each) {
-        return each.second.evacuatedSince || isCold(each.second, now);
-    });
-}
-
 bool member_access::isHome(const std::set<area_id> &homes, const data_centre_id &dataCentre) const
 {
     if (homes.empty())
@@ -82,7 +91,7 @@
 
 bool member_access::isEvacuated(const server_id &server, time_point now) const
 {
-    const auto *member = find(server);
+    const auto *member = isUnrestricted(now) ? nullptr : find(server);
     return member && member->evacuatedSince
            && now - *member->evacuatedSince >= m_policy.evacuatedUsePeriod;
 }
@@ -90,6 +99,8 @@
 std::vector<server_id> member_access::evacuatedServers(time_point now) const
 {
     std::vector<server_id> servers;
+    if (isUnrestricted(now))
+        return servers;
     for (const auto &[id, member] : m_members)
         if (isEvacuated(id, now))
             servers.push_back(id);
@@ -104,7 +115,7 @@
 
 bool member_access::maySend(const server_id &server, time_point now) const
 {
-    const auto *member = find(server);
+    const auto *member = isUnrestricted(now) ? nullptr : find(server);
     return !member || !isCold(*member, now) || member->rate.maySend(now);
 }
 
@@ -125,6 +136,8 @@
 
 void member_access::onSent(const server_id &server, std::size_t count, time_point now)
 {
+    if (isUnrestricted(now))
+        return;
     const auto known = m_members.find(server);
     if (known != m_members.end() && isCold(known->second, now))
         known->second.rate.onSent(count, now);
@@ -133,7 +146,7 @@
 bool member_access::isReturning(const server_id &server, std::string_view request,
                                 time_point now) const
 {
-    const auto *member = find(server);
+    const auto *member = now < m_returnedUntil ? find(server) : nullptr;
     if (!member || !member->returnedAt)
         return false;
     constexpr double range = 18446744073709551616.0; // 2^64
--- a/sycamorespan/src/Dispatch/member_access.h
+++ b/sycamorespan/src/Dispatch/member_access.h
@@ -60,7 +60,7 @@
     }
 
     /** \returns whether no member is restricted other than by homes. */
-    bool isUnrestricted(time_point now) const;
+    bool isUnrestricted(time_point now) const { return now >= m_restrictedUntil; }
     /** \returns whether the homes, of which an empty list is no restriction, have the data centre.
      */
     bool isHome(const std::set<area_id> &homes, const data_centre_id &dataCentre) const;
@@ -99,12 +99,15 @@
     double warmUpRateOf(const known_member &member) const;
     bool isCold(const known_member &member, time_point now) const;
     time_point coldUntil(const known_member &member) const;
+    void updateRestrictions();
 
     access_policy m_policy;
     std::map<data_centre_id, area_id> m_areas;
     std::map<database_id, database_limits> m_limits;
     std::map<server_id, known_member> m_members;
     bool m_hasServers = false;
+    time_point m_restrictedUntil; ///< until which a member may be evacuated or cold
+    time_point m_returnedUntil; ///< until which a member may get only a part of its reads
 };
 
 } // namespace sycamorespan
