--- a/programs/node/operator_rows.cpp
+++ b/programs/node/operator_rows.cpp
@@ -152,19 +152,17 @@
 {
     const auto now = suspendAwareNow();
     const auto current = m_evacuations.dataCentres();
-    const auto write = [&](std::string_view event, const data_centre_id &dataCentre) {
-        m_log.write(line_importance::state, event,
-                    {{"data_centre", dataCentre.str()},
-                     {"revision", std::to_string(m_evacuations.revision())}},
-                    now);
+    const auto fieldsOf = [this](const data_centre_id &dataCentre) {
+        return event_fields{{"data_centre", dataCentre.str()},
+                            {"revision", std::to_string(m_evacuations.revision())}};
     };
     for (const auto &dataCentre : current)
         if (m_announced.insert(dataCentre).second)
-            write("evacuation requested", dataCentre);
+            m_log.write(line_importance::state, "evacuation requested", fieldsOf(dataCentre), now);
     for (const auto &dataCentre : std::exchange(m_announced, current)) {
         if (!current.contains(dataCentre)) {
             m_completed.erase(dataCentre);
-            write("evacuation withdrawn", dataCentre);
+            m_log.write(line_importance::state, "evacuation withdrawn", fieldsOf(dataCentre), now);
         }
     }
     m_handlers.onEvacuations();
