--- a/programs/node/node_metrics.cpp
+++ b/programs/node/node_metrics.cpp
@@ -26,6 +26,14 @@
                         .Name("sycamorespan_statement_seconds")
                         .Help("Time from a statement's arrival to its success, by database")
                         .Register(*m_registry))
+    , m_queueTime(prometheus::BuildHistogram()
+                          .Name("sycamorespan_queue_seconds")
+                          .Help("Time that statements waited for a slot, by priority")
+                          .Register(*m_registry))
+    , m_refusals(prometheus::BuildCounter()
+                         .Name("sycamorespan_refusals_total")
+                         .Help("Statements that were refused without a member, by cause")
+                         .Register(*m_registry))
     , m_state(prometheus::BuildGauge()
                       .Name("sycamorespan_node")
                       .Help("State of the instance, by item")
@@ -53,6 +61,13 @@
         counter = &m_statements.Add(
                 {{"database", outcome.database.str()}, {"outcome", outcome.outcome}});
     counter->Increment();
+    auto *&queueTime = m_queueTimes[outcome.priority];
+    if (!queueTime)
+        queueTime =
+                &m_queueTime.Add({{"priority", std::to_string(outcome.priority)}}, latencyBuckets);
+    queueTime->Observe(toSeconds(outcome.queued));
+    if (outcome.refusal != refusal_cause::none)
+        m_refusals.Add({{"cause", std::string(nameOf(outcome.refusal))}}).Increment();
     if (!outcome.cause.empty())
         return;
     auto *&histogram = m_latencies[outcome.database.str()];
--- a/programs/node/node_metrics.h
+++ b/programs/node/node_metrics.h
@@ -57,12 +57,15 @@
     prometheus::Family<prometheus::Counter> &m_statements;
     prometheus::Family<prometheus::Counter> &m_steps;
     prometheus::Family<prometheus::Histogram> &m_latency;
+    prometheus::Family<prometheus::Histogram> &m_queueTime;
+    prometheus::Family<prometheus::Counter> &m_refusals;
     prometheus::Family<prometheus::Gauge> &m_state;
     prometheus::Counter &m_malformed;
     prometheus::Family<prometheus::Counter> &m_rejectedEntries;
     prometheus::Counter &m_unexpectedErrors;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_outcomes;
     std::map<std::string, prometheus::Histogram *> m_latencies;
+    std::map<int, prometheus::Histogram *> m_queueTimes; ///< by priority
 };
 
 } // namespace sycamorespan::node
--- a/sycamorespan/src/Dispatch/dispatch_action.h
+++ b/sycamorespan/src/Dispatch/dispatch_action.h
@@ -4,6 +4,7 @@
 #include "sycamorespan/src/Brokerage/brokered_statement.h"
 #include "sycamorespan/src/Core/time_types.h"
 #include "sycamorespan/src/Dispatch/statement.h"
+#include "sycamorespan/src/Dispatch/waiting_statement.h"
 #include "sycamorespan/src/Pooling/slot_action.h"
 
 #include <string>
@@ -157,6 +158,8 @@
     duration queued{};
     int attempts = 0;
     bool late = false; ///< it ended after the route's latency objective
+    int priority = 0; ///< of the route
+    refusal_cause refusal = refusal_cause::none;
     std::vector<std::pair<std::string, std::string>>
             inputs; ///< values used for the decision, with their ages
 
--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include "sycamorespan/src/Core/map_projections.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace sycamorespan {
@@ -19,6 +20,11 @@
                                           time_point now)
 {
     m_directory = std::move(directory);
+    const auto &workspaces = m_directory->workspaces;
+    const auto sum = std::accumulate(
+            workspaces.begin(), workspaces.end(), 0.0,
+            [](double rates, const auto &each) { return rates + each.second.ratePerSecond; });
+    m_meanRate = sum > 0 ? sum / static_cast<double>(workspaces.size()) : 1;
     for (auto &[key, state] : m_databases)
         dispatchQueue(state, now);
     return takeOutputs();
@@ -40,7 +46,7 @@
         if (entry.state == server_state::draining && !pool.drainingSince())
             pool.setDrainingSince(now);
         pool.setEntry(entry);
-        m_databases[entry.database].members.insert(entry.id);
+        stateOf(entry.database).members.insert(entry.id);
     });
     std::vector<server_id> removed;
     for (const auto &[id, pool] : m_pools)
@@ -52,12 +58,22 @@
     return takeOutputs();
 }
 
+dispatcher::database_state &dispatcher::stateOf(const database_id &database)
+{
+    const auto [state, isNew] = m_databases.try_emplace(database);
+    if (isNew) {
+        state->second.repeats = retry_budget(m_policy.repeats);
+        state->second.returns = return_schedule(m_policy.returnSpread);
+    }
+    return state->second;
+}
+
 /** Removes a member. Its statements are retried on another member or fail. */
 void dispatcher::removePool(const server_id &server, time_point now)
 {
     auto &pool = m_pools.at(server);
     pool.setAvoidedUntil(time_point::max());
-    m_databases[pool.entry().database].members.erase(server);
+    stateOf(pool.entry().database).members.erase(server);
     std::vector<std::pair<connection_id, session_number>> open;
     for (const auto &[key, each] : pool.connections())
         open.emplace_back(each.id, each.session);
@@ -79,7 +95,7 @@
 dispatch_outputs dispatcher::setPrimary(const database_id &database,
                                         std::optional<usable_primary> primary, time_point now)
 {
-    auto &state = m_databases[database];
+    auto &state = stateOf(database);
     const bool samePrimaryAndTerm = primary && state.primary
                                     && primary->server == state.primary->server
                                     && primary->term == state.primary->term;
@@ -99,19 +115,19 @@
 
 void dispatcher::stopNewPrimaryWork(const database_id &database, time_point now)
 {
-    auto &state = m_databases[database];
+    auto &state = stateOf(database);
     if (!std::exchange(state.primaryClosing, true))
         state.primaryMissingSince = now;
 }
 
 void dispatcher::setExpectedPrimaryTime(const database_id &database, std::optional<time_point> at)
 {
-    m_databases[database].primaryExpected = at;
+    stateOf(database).primaryExpected = at;
 }
 
 void dispatcher::addFloor(const database_id &database, const freshness_floor &floor, time_point now)
 {
-    auto &state = m_databases[database];
+    auto &state = stateOf(database);
     if (state.primary && floor.position.term != state.primary->term)
         return;
     state.floors.add(floor, now);
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -6,6 +6,10 @@
 #include "sycamorespan/src/Dispatch/dispatch_action.h"
 #include "sycamorespan/src/Dispatch/freshness_floors.h"
 #include "sycamorespan/src/Dispatch/graceful_shutdown.h"
+#include "sycamorespan/src/Dispatch/statement_queue.h"
+#include "sycamorespan/src/Overload/retry_budget.h"
+#include "sycamorespan/src/Overload/return_schedule.h"
+#include "sycamorespan/src/Overload/service_rate.h"
 
 #include <functional>
 #include <memory>
@@ -92,6 +96,12 @@
      * count.
      */
     int maximumAttempts = 8;
+    /** Repeated attempts of the statements of one database. A change of its primary repeats all
+     * statements in progress.
+     */
+    retry_budget_policy repeats{0.5, 200};
+    /** Time over which callers that are refused at the same time are told to return. */
+    duration returnSpread = 500ms;
 
     auto operator<=>(const dispatch_policy &) const = default;
 };
@@ -279,7 +289,11 @@
     /** \brief Members, primary and waiting statements of a database. */
     struct database_state
     {
-        std::vector<session_number> queue;
+        statement_queue queue;
+        service_rate primaryRate; ///< of statements that only the primary may run
+        service_rate otherRate;
+        retry_budget repeats{{}};
+        return_schedule returns{{}};
         std::optional<usable_primary> primary;
         time_point primaryMissingSince; ///< valid while no primary is usable
         bool primaryClosing = false; ///< it gets no new work
@@ -290,9 +304,6 @@
         freshness_floors floors;
         std::set<server_id> members;
         std::optional<time_point> oldestUnansweredWrite; ///< when it was sent
-        double completionsPerSecond = 0; ///< measured while statements wait; 0 if none do
-        std::size_t completions = 0; ///< since completionsCountedSince
-        time_point completionsCountedSince;
     };
 
     /** \brief When a missing primary is expected, and until when statements wait for it. */
@@ -348,7 +359,9 @@
     void releaseAdmission(caller &from);
     void reply(caller &to, statement_answer answer, time_point now);
     void complete(caller &to, time_point now);
-    void reject(caller &to, statement_error code, std::string text, time_point now);
+    void reject(caller &to, statement_error code, std::string text, time_point now,
+                refusal_cause cause = refusal_cause::none);
+    void reject(caller &to, const queue_refusal &refusal, time_point now);
     void removeCaller(session_number session, time_point now);
 
     // Placement on members and connections.
@@ -387,10 +400,13 @@
     bool isPrimaryViewValid(const database_state &group, time_point now) const;
     bool isPrimaryUsable(const database_state &group, time_point now) const;
     bool isPrimary(const database_state &group, const server_id &server) const;
-    void sortQueue(database_state &group, time_point now);
+    void queueStatement(caller &from, time_point now);
+    duration leastIdleToEvict(const caller &from, const member_pool &pool, time_point now) const;
+    double shareOf(const workspace_id &workspace) const;
     void rejectUnservableStatements(database_state &group, time_point now);
-    std::optional<std::string> reasonToReject(const caller &from, const database_state &group,
-                                              std::size_t ahead, time_point now) const;
+    bool isOpeningFor(const caller &from) const;
+    std::optional<queue_refusal> reasonToReject(const caller &from, database_state &group,
+                                                std::size_t ahead, time_point now);
 
     // Answers and timeouts.
     void finishStatement(member_pool &pool, member_connection &connection,
@@ -416,7 +432,8 @@
     void unbind(caller &from);
     void endTransaction(caller &from, time_point now);
     void record(const caller &from, const statement_job &ended, std::string outcome,
-                std::string cause, const server_id &server, time_point now);
+                std::string cause, const server_id &server, time_point now,
+                refusal_cause refusal = refusal_cause::none);
     void recordStep(const caller &from, std::string step, const server_id &server,
                     std::string_view why);
     void checkDeadlines(time_point now);
@@ -432,13 +449,15 @@
 
     void removePool(const server_id &server, time_point now);
     member_pool *poolOf(connection_id connection);
-    database_state &group(const caller &from) { return m_databases[from.route.database]; }
+    database_state &group(const caller &from) { return stateOf(from.route.database); }
+    database_state &stateOf(const database_id &database);
     double meanStatementTime(const caller &from) const;
 
     dispatch_policy m_policy;
     data_centre_id m_own;
     time_point m_startedAt;
     std::shared_ptr<const service_directory> m_directory;
+    double m_meanRate = 1; ///< operations per second of the mean workspace
     std::size_t m_instances = 1;
     std::map<database_id, instance_id> m_brokers;
     instance_id m_self;
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -3,6 +3,7 @@
 #include "sycamorespan/src/Dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 namespace sycamorespan {
@@ -211,7 +212,7 @@
     refused.queuedSince = now;
     refused.latencyDeadline = now + from.route.latencyObjective;
     from.job = std::move(refused);
-    reject(from, statement_error::busy, shutdownReason, now);
+    reject(from, statement_error::busy, shutdownReason, now, refusal_cause::shutdown);
     // A statement that the caller sent in advance may have begun to run.
     if (!from.job && from.state == session_state::idle)
         m_outputs.push_back(close_caller{from.number});
@@ -297,10 +298,10 @@
     }
     if (!from.isAdmitted) {
         // What would be rejected anyway must use up nothing of the workspace's rate.
-        const auto reason =
+        const auto refusal =
                 brokerOf(from) ? std::nullopt : reasonToReject(from, group(from), 0, now);
-        if (reason)
-            return reject(from, statement_error::busy, *reason, now);
+        if (refusal)
+            return reject(from, *refusal, now);
         from.job->currentStage = job_stage::awaitingAdmission;
         m_outputs.push_back(request_admission{from.number, from.workspace});
         return;
@@ -326,10 +327,9 @@
     auto *from = findCaller(session);
     if (!from || !from->job || from->job->currentStage != job_stage::awaitingAdmission)
         return takeOutputs();
-    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
-    reject(*from, statement_error::busy,
-           "workspace \"" + from->workspace.str() + "\" is over its rate; retry after "
-                   + std::to_string(wait) + " ms",
+    reject(*from,
+           queue_refusal{session, refusal_cause::rate, retryAfter,
+                         "workspace \"" + from->workspace.str() + "\" is over its rate"},
            now);
     return takeOutputs();
 }
@@ -339,13 +339,48 @@
     if (const auto broker = brokerOf(from))
         return handOver(from, *broker, now);
     auto &state = group(from);
-    from.job->currentStage = job_stage::queued;
-    from.job->queuedSince = now;
-    if (state.queue.size() >= m_policy.maximumQueueLength)
-        return reject(from, statement_error::busy,
-                      "too many statements wait for database " + from.route.database.str(), now);
-    state.queue.push_back(from.number);
+    state.repeats.onRequest();
+    queueStatement(from, now);
     dispatchQueue(state, now);
+    if (state.queue.size() <= m_policy.maximumQueueLength)
+        return;
+    auto *last = findCaller(*state.queue.last());
+    const auto work = fromSeconds(meanStatementTime(*last));
+    const auto &rate = last->job->needsPrimary ? state.primaryRate : state.otherRate;
+    const auto interval = fromSeconds(1 / std::max(rate.perSecond(now).value_or(1), 1.0));
+    reject(*last,
+           queue_refusal{last->number, refusal_cause::queueFull,
+                         state.returns.next(work, interval, now),
+                         "too many statements wait for database " + last->route.database.str()},
+           now);
+}
+
+void dispatcher::queueStatement(caller &from, time_point now)
+{
+    auto &job = *from.job;
+    job.currentStage = job_stage::queued;
+    job.queuedSince = now;
+    waiting_statement waiting;
+    waiting.session = from.number;
+    waiting.workspace = from.workspace;
+    waiting.priority = from.route.priority;
+    waiting.arrivedAt = job.arrivedAt;
+    waiting.latencyDeadline = job.latencyDeadline;
+    waiting.deadline = job.deadline;
+    waiting.expectedTime = fromSeconds(meanStatementTime(from));
+    waiting.share = shareOf(from.workspace);
+    waiting.isRepeat = job.attempts > 0;
+    group(from).queue.insert(waiting, now);
+}
+
+/** \returns the part of the slot time that the workspace may use, relative to the mean one. Those
+ * without a rate count as the mean one.
+ */
+double dispatcher::shareOf(const workspace_id &workspace) const
+{
+    const auto known = m_directory->workspaces.find(workspace);
+    const bool hasRate = known != m_directory->workspaces.end() && known->second.ratePerSecond > 0;
+    return hasRate ? known->second.ratePerSecond / m_meanRate : 1;
 }
 
 /** Charges the operation to the workspace's rate, because it is being sent to a member. */
@@ -382,16 +417,17 @@
 }
 
 /** Rejects the statement in progress, or the one just received if there is none. */
-void dispatcher::reject(caller &to, statement_error code, std::string text, time_point now)
+void dispatcher::reject(caller &to, statement_error code, std::string text, time_point now,
+                        refusal_cause cause)
 {
     if (to.job) {
         auto ended = std::move(*to.job);
         to.job.reset();
         if (ended.currentStage == job_stage::queued)
-            std::erase(group(to).queue, to.number);
+            group(to).queue.erase(to.number);
         if (ended.currentStage == job_stage::awaitingAdmission)
             m_outputs.push_back(cancel_admission{to.number, to.workspace});
-        record(to, ended, std::string(nameOf(code)), text, to.boundServer, now);
+        record(to, ended, std::string(nameOf(code)), text, to.boundServer, now, cause);
         if (to.state == session_state::inTransaction) {
             if (ended.isCommit)
                 endTransaction(to, now);
@@ -407,6 +443,16 @@
     processNextRequest(to, now);
 }
 
+/** Rejects a statement that did not run, with the time after which it would be served. */
+void dispatcher::reject(caller &to, const queue_refusal &refusal, time_point now)
+{
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter).count();
+    reject(to, statement_error::busy,
+           refusal.reason + "; retry after " + std::to_string(std::max<std::int64_t>(wait, 0))
+                   + " ms",
+           now, refusal.cause);
+}
+
 /** Ends the caller's transaction, and rolls it back on the member if it is open there. */
 void dispatcher::endTransaction(caller &from, time_point now)
 {
@@ -428,7 +474,7 @@
     if (from->job && from->job->currentStage == job_stage::running)
         return takeOutputs(); // the session is removed when the member has answered
     if (from->job && from->job->currentStage == job_stage::queued)
-        std::erase(group(*from).queue, session);
+        group(*from).queue.erase(session);
     if (from->job && from->job->currentStage == job_stage::awaitingAdmission)
         m_outputs.push_back(cancel_admission{session, from->workspace});
     from->job.reset();
@@ -512,7 +558,8 @@
 }
 
 void dispatcher::record(const caller &from, const statement_job &ended, std::string outcome,
-                        std::string cause, const server_id &server, time_point now)
+                        std::string cause, const server_id &server, time_point now,
+                        refusal_cause refusal)
 {
     record_outcome entry;
     entry.session = from.number;
@@ -529,6 +576,8 @@
                                                               : duration::zero());
     entry.attempts = ended.attempts;
     entry.late = now > ended.latencyDeadline;
+    entry.priority = from.route.priority;
+    entry.refusal = refusal;
     const auto known = m_databases.find(from.route.database);
     if (known != m_databases.end()) {
         const auto &state = known->second;
@@ -539,6 +588,10 @@
         entry.inputs.emplace_back("configuration_version",
                                   std::to_string(m_directory ? m_directory->version : 0));
         entry.inputs.emplace_back("queue_length", std::to_string(state.queue.size()));
+        const auto &rate = ended.needsPrimary ? state.primaryRate : state.otherRate;
+        if (const auto perSecond = rate.perSecond(now))
+            entry.inputs.emplace_back("served_per_second",
+                                      std::to_string(std::llround(*perSecond)));
         if (state.primary) {
             entry.inputs.emplace_back("primary", state.primary->server.str());
             entry.inputs.emplace_back("term", std::to_string(state.primary->term));
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -52,7 +52,7 @@
         pool->observePosition(*position, now);
     ready->state = member_connection::phase::idle;
     ready->since = now;
-    dispatchQueue(m_databases[pool->entry().database], now);
+    dispatchQueue(stateOf(pool->entry().database), now);
     return takeOutputs();
 }
 
@@ -82,7 +82,7 @@
         if (auto *from = findCaller(session); from && from->boundConnection == connection)
             onConnectionLost(*from, server, "the connection to the member broke", now);
     }
-    dispatchQueue(m_databases[database], now);
+    dispatchQueue(stateOf(database), now);
     return takeOutputs();
 }
 
@@ -128,7 +128,15 @@
     if (job.attempts - job.lagRefusals >= m_policy.maximumAttempts
         || now + refusalDelay + least >= job.deadline || from.isDisconnected) {
         const auto code = ran ? statement_error::aborted : why.code;
-        return reject(from, code, why.text.empty() ? std::string(nameOf(why.code)) : why.text, now);
+        return reject(from, code, why.text.empty() ? std::string(nameOf(why.code)) : why.text, now,
+                      refusal_cause::repeats);
+    }
+    if (!group(from).repeats.trySpend()) {
+        const auto cause = why.text.empty() ? std::string(nameOf(why.code)) : why.text;
+        return reject(from, ran ? statement_error::aborted : why.code,
+                      cause + "; too many statements of database " + from.route.database.str()
+                              + " are repeated",
+                      now, refusal_cause::repeats);
     }
     recordStep(from, "retry", server, why.text.empty() ? nameOf(why.code) : why.text);
     job.notBefore = now + refusalDelay;
@@ -136,12 +144,9 @@
         job.lagging.insert(server);
     else if (!isBusy)
         job.excluded.insert(server);
-    job.currentStage = job_stage::queued;
-    job.queuedSince = now;
     job.floor.reset();
-    auto &state = group(from);
-    state.queue.push_back(from.number);
-    dispatchQueue(state, now);
+    queueStatement(from, now);
+    dispatchQueue(group(from), now);
 }
 
 dispatch_outputs dispatcher::answered(connection_id connection, const statement_answer &answer,
@@ -245,7 +250,6 @@
         state.floors.add({*answer.position, job.sentAt}, now);
     if (!answer.succeeded() || job.isCommit)
         return;
-    ++state.completions;
     const double seconds = toSeconds(now - job.sentAt);
     auto &times = m_times[from.databaseName];
     pool.observeSlowness(seconds / times.meanSeconds);
@@ -366,7 +370,7 @@
         return closeConnection(pool, connection.id, now);
     connection.state = member_connection::phase::idle;
     connection.since = now;
-    dispatchQueue(m_databases[pool.entry().database], now);
+    dispatchQueue(stateOf(pool.entry().database), now);
 }
 
 void dispatcher::closeConnection(member_pool &pool, connection_id connection, time_point)
@@ -398,17 +402,8 @@
     checkDeadlines(now);
     resendRefusedStatements(now);
     checkTransactions(now);
-    for (auto &[key, state] : m_databases) {
-        const auto counted = now - state.completionsCountedSince;
-        if (counted >= 500ms) {
-            // Without a backlog the rate does not show the capacity.
-            const double rate = static_cast<double>(state.completions) / toSeconds(counted);
-            state.completionsPerSecond = state.queue.size() > 4 ? std::max(rate, 1.0) : 0;
-            state.completions = 0;
-            state.completionsCountedSince = now;
-        }
+    for (auto &[key, state] : m_databases)
         dispatchQueue(state, now);
-    }
     return takeOutputs();
 }
 
@@ -523,7 +518,7 @@
     if (!from.job)
         return;
     if (from.job->currentStage != job_stage::running)
-        return reject(from, statement_error::busy, whyNotRun, now);
+        return reject(from, statement_error::busy, whyNotRun, now, refusal_cause::deadline);
     endHandOver(from);
     if (auto *pool = poolOf(from.boundConnection))
         closeConnection(*pool, from.boundConnection, now);
@@ -540,11 +535,15 @@
 {
     if (!from.job || from.job->currentStage != job_stage::running)
         return;
+    ++from.job->overdueAttempts;
+    if (!group(from).repeats.hasRetry()) {
+        recordStep(from, "wait", from.boundServer, "too many statements are repeated");
+        return;
+    }
     const auto server = from.boundServer;
     if (auto *pool = poolOf(from.boundConnection))
         closeConnection(*pool, from.boundConnection, now);
     unbind(from);
-    ++from.job->overdueAttempts;
     retryOrReject(from, server, {statement_error::aborted, "no answer in the usual time"}, true,
                   now);
 }
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -1,3 +1,4 @@
+#include "sycamorespan/src/Core/map_projections.h"
 #include "sycamorespan/src/Core/rendezvous_hash.h"
 #include "sycamorespan/src/Dispatch/dispatcher.h"
 
@@ -16,6 +17,11 @@
  */
 constexpr duration positionValidity = 100ms;
 
+/** Part of its latency objective for which a statement waits before it takes a connection that
+ * another workspace has just used.
+ */
+constexpr int evictionPatienceDivisor = 4;
+
 std::string memberPreparedName(const internal::prepared_statement &statement)
 {
     return (statement.access == statement_access::write ? 'w' : 'r') + statement.statementShape;
@@ -86,29 +92,6 @@
     return pool.drainingSince() && now - *pool.drainingSince() > m_policy.drainingPrimaryUsePeriod;
 }
 
-/** Sorts statements that can still meet their latency objective first, then by priority, then by
- * the time left. Statements that cannot meet it are sorted by their deadline only.
- */
-void dispatcher::sortQueue(database_state &group, time_point now)
-{
-    struct sort_key
-    {
-        bool late;
-        int priority;
-        time_point due;
-        session_number session;
-        auto operator<=>(const sort_key &) const = default;
-    };
-    const auto keyOf = [&](session_number number) {
-        const auto &from = m_callers.at(number);
-        const auto finish = now + fromSeconds(meanStatementTime(from));
-        const bool late = finish > from.job->latencyDeadline;
-        return sort_key{late, late ? 0 : from.route.priority,
-                        late ? from.job->deadline : from.job->latencyDeadline, number};
-    };
-    std::ranges::sort(group.queue, {}, keyOf);
-}
-
 /** \returns whether the primary or a replica may answer the statement at present. */
 bool dispatcher::canBeServed(const caller &from, const database_state &group, time_point now) const
 {
@@ -136,72 +119,75 @@
 /** \returns why the statement cannot be answered before its deadline; nothing if it may be.
  * \param ahead  statements that are served before it
  */
-std::optional<std::string> dispatcher::reasonToReject(const caller &from,
-                                                      const database_state &group,
-                                                      std::size_t ahead, time_point now) const
+std::optional<queue_refusal> dispatcher::reasonToReject(const caller &from, database_state &group,
+                                                        std::size_t ahead, time_point now)
 {
-    const auto wait = [now](time_point until) {
-        const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - now);
-        return std::to_string(std::max<std::int64_t>(left.count(), 0)) + " ms";
-    };
     const auto work = fromSeconds(meanStatementTime(from));
     const auto name = from.route.database.str();
+    const auto &rate = from.job->needsPrimary ? group.primaryRate : group.otherRate;
+    const auto served = rate.perSecond(now);
+    const auto interval = served ? fromSeconds(1 / std::max(*served, 1.0)) : work;
+    const auto refuse = [&](refusal_cause cause, duration earliest, std::string reason) {
+        return queue_refusal{from.number, cause, group.returns.next(earliest, interval, now),
+                             std::move(reason)};
+    };
     if (!canBeServed(from, group, now)) {
         const auto outlook = primaryOutlook(group, now);
         if (now > outlook.giveUpAt)
-            return "no primary of database " + name + " is known here; retry elsewhere";
+            return refuse(refusal_cause::noPrimary, m_policy.missingPrimaryTimeout,
+                          "no primary of database " + name + " is known here; retry elsewhere");
         if (outlook.expected + work > from.job->deadline)
-            return "database " + name + " is changing its primary; retry after "
-                   + wait(outlook.expected);
+            return refuse(refusal_cause::noPrimary, outlook.expected - now,
+                          "database " + name + " is changing its primary");
         return std::nullopt;
     }
-    const auto backlog =
-            group.completionsPerSecond > 0
-                    ? fromSeconds(static_cast<double>(ahead) / group.completionsPerSecond)
-                    : duration::zero();
+    const auto backlog = served ? interval * static_cast<std::int64_t>(ahead) : duration::zero();
     if (now + backlog + work > from.job->deadline)
-        return "the queue of database " + name + " is longer than the time left; retry after "
-               + wait(now + backlog);
+        return refuse(refusal_cause::backlog, backlog,
+                      "the queue of database " + name + " is longer than the time left");
     return std::nullopt;
 }
 
-/** Rejects queued statements that cannot be answered before their deadline. */
+/** Rejects queued statements that cannot be answered before their deadline. A connection that is
+ * being opened for a statement will serve it without the others.
+ */
 void dispatcher::rejectUnservableStatements(database_state &group, time_point now)
 {
-    std::vector<std::pair<session_number, std::string>> unservable;
-    std::size_t ahead = 0;
-    for (const auto number : group.queue) {
-        if (auto reason = reasonToReject(m_callers.at(number), group, ahead, now))
-            unservable.emplace_back(number, std::move(*reason));
-        else if (canBeServed(m_callers.at(number), group, now))
+    std::vector<queue_refusal> unservable;
+    std::size_t aheadOnPrimary = 0;
+    std::size_t aheadElsewhere = 0;
+    for (const auto number : group.queue.order()) {
+        const auto &from = m_callers.at(number);
+        const bool isOpening = isOpeningFor(from);
+        auto &ahead = from.job->needsPrimary ? aheadOnPrimary : aheadElsewhere;
+        if (auto refusal = reasonToReject(from, group, isOpening ? 0 : ahead, now))
+            unservable.push_back(std::move(*refusal));
+        else if (!isOpening && canBeServed(from, group, now))
             ++ahead;
     }
-    std::ranges::for_each(unservable, [&](const auto &each) {
-        if (auto *from = findCaller(each.first))
-            reject(*from, statement_error::busy, each.second, now);
+    group.primaryRate.setWaiting(aheadOnPrimary, now);
+    group.otherRate.setWaiting(aheadElsewhere, now);
+    std::ranges::for_each(unservable, [&](const queue_refusal &each) {
+        auto *from = findCaller(each.session);
+        if (from && from->job && from->job->currentStage == job_stage::queued)
+            reject(*from, each, now);
     });
 }
 
 void dispatcher::dispatchQueue(database_state &group, time_point now)
 {
-    if (group.queue.empty())
-        return;
-    if (group.queue.size() > 1)
-        sortQueue(group, now);
-    const auto waiting = group.queue;
-    std::vector<session_number> placed;
-    for (const auto number : waiting) {
+    group.queue.advance(now);
+    for (const auto number : group.queue.order()) {
         auto *from = findCaller(number);
-        if (!from || !from->job || from->job->currentStage != job_stage::queued)
+        if (!from || !from->job || from->job->currentStage != job_stage::queued
+            || now < from->job->notBefore)
             continue;
-        if (now < from->job->notBefore)
+        const bool needsPrimary = from->job->needsPrimary;
+        if (!placeStatement(*from, group, now))
             continue;
-        if (placeStatement(*from, group, now))
-            placed.push_back(number);
+        group.queue.take(number);
+        (needsPrimary ? group.primaryRate : group.otherRate).countService();
     }
-    std::erase_if(group.queue, [&](session_number number) {
-        return std::ranges::find(placed, number) != placed.end();
-    });
     rejectUnservableStatements(group, now);
 }
 
@@ -289,9 +275,7 @@
             return sendOnIdleConnection(from, each, now);
         }))
         return true;
-    const auto *pool =
-            from.job->openingConnection != 0 ? poolOf(from.job->openingConnection) : nullptr;
-    if (pool && pool->isOpening(from.job->openingConnection))
+    if (isOpeningFor(from))
         return false;
     from.job->openingConnection = 0;
     std::ranges::any_of(choices,
@@ -299,6 +283,16 @@
     return false;
 }
 
+/** \returns whether a connection is being opened for the statement. */
+bool dispatcher::isOpeningFor(const caller &from) const
+{
+    const auto server = m_connectionServers.find(from.job->openingConnection);
+    if (server == m_connectionServers.end())
+        return false;
+    const auto pool = m_pools.find(server->second);
+    return pool != m_pools.end() && pool->second.isOpening(from.job->openingConnection);
+}
+
 std::string dispatcher::preparedNameFor(const caller &from) const
 {
     const auto *execute = executeOf(*from.job);
@@ -318,6 +312,23 @@
     return true;
 }
 
+/** \returns how long a connection must be idle before it gives way to the statement. Where other
+ * workspaces use each connection again at once, a workspace without one would wait for ever.
+ */
+duration dispatcher::leastIdleToEvict(const caller &from, const member_pool &pool,
+                                      time_point now) const
+{
+    const auto &job = *from.job;
+    const auto patience = (job.latencyDeadline - job.arrivedAt) / evictionPatienceDivisor;
+    const auto isOwn = [&](const member_connection &each) {
+        return each.workspace == from.workspace;
+    };
+    if (now - job.queuedSince < patience
+        || std::ranges::any_of(pool.connections(), isOwn, mappedOf))
+        return m_policy.minimumIdleBeforeEviction;
+    return duration::zero();
+}
+
 /** Opens a connection to the candidate for the statement, if the connection budget allows it.
  * \returns whether one is being opened
  */
@@ -328,7 +339,7 @@
         return false;
     if (pool.connections().size() >= connectionBudget(pool)) {
         auto *evicted = pool.findLongestIdleOfOthers(from.workspace, now,
-                                                     m_policy.minimumIdleBeforeEviction);
+                                                     leastIdleToEvict(from, pool, now));
         if (!evicted)
             return false;
         closeConnection(pool, evicted->id, now);
--- a/sycamorespan/src/Overload/retry_budget.h
+++ b/sycamorespan/src/Overload/retry_budget.h
@@ -29,10 +29,13 @@
         m_balance = std::min(m_balance + m_policy.retriesPerRequest, m_policy.maxBalance);
     }
 
+    /** \returns whether a retry is left. */
+    bool hasRetry() const { return m_balance >= 1; }
+
     /** \brief Takes a retry from the budget if one is left. \returns whether it did */
     bool trySpend()
     {
-        if (m_balance < 1)
+        if (!hasRetry())
             return false;
         m_balance -= 1;
         return true;
--- a/sycamorespan/src/Pooling/fair_queue.cpp
+++ b/sycamorespan/src/Pooling/fair_queue.cpp
@@ -4,16 +4,16 @@
 #include <ranges>
 
 namespace sycamorespan {
+
 namespace {
 
-/** \brief Number of flows below which idle flows are not removed. */
-constexpr std::size_t minFlowsBeforeSweep = 64;
+/** \brief Number of idle flows below which they are not removed. */
+constexpr std::size_t minFlowsBeforeSweep = 32;
 
 } // namespace
 
 fair_queue::fair_queue(fair_queue_limits limits)
     : m_limits(limits)
-    , m_idleSweepThreshold(minFlowsBeforeSweep)
 { }
 
 template<typename Change>
@@ -34,7 +34,7 @@
     const bool byArrival = m_limits.discipline == queue_discipline::firstComeFirstServed;
     const auto position =
             byArrival ? static_cast<std::int64_t>(workspaceFlow.requests.front().arrival)
-                      : workspaceFlow.virtualTime.count();
+                      : m_shares.usedBy(workspace).count();
     return {position, workspace};
 }
 
@@ -45,7 +45,7 @@
     if (workspaceFlow.requests.size() >= m_limits.perWorkspace)
         return request;
     if (workspaceFlow.requests.empty())
-        workspaceFlow.virtualTime = std::max(workspaceFlow.virtualTime, m_virtualTime);
+        m_shares.begin(workspace);
     updateFlow(workspace, workspaceFlow, [&] {
         workspaceFlow.requests.push_back({m_arrivalCount++, std::move(request)});
     });
@@ -64,10 +64,10 @@
     const workspace_id workspace = next->second;
     auto &workspaceFlow = m_flows[workspace];
     slot_request request = workspaceFlow.requests.front().request;
-    m_virtualTime = std::max(m_virtualTime, workspaceFlow.virtualTime);
+    m_shares.advanceTo(m_shares.usedBy(workspace));
     updateFlow(workspace, workspaceFlow, [&] {
         workspaceFlow.requests.pop_front();
-        workspaceFlow.virtualTime += request.expectedDuration;
+        m_shares.charge(workspace, request.expectedDuration);
     });
     return request;
 }
@@ -105,7 +105,7 @@
 void fair_queue::charge(const workspace_id &workspace, duration slotTime)
 {
     auto &workspaceFlow = m_flows[workspace];
-    updateFlow(workspace, workspaceFlow, [&] { workspaceFlow.virtualTime += slotTime; });
+    updateFlow(workspace, workspaceFlow, [&] { m_shares.charge(workspace, slotTime); });
 }
 
 std::size_t fair_queue::sizeOf(const workspace_id &workspace) const
@@ -125,15 +125,12 @@
     return dropped;
 }
 
-/** Removes idle flows that are not ahead of the current virtual time: they equal new ones. */
+/** Removes flows without requests, and forgets those that equal new ones. */
 void fair_queue::removeIdleFlows()
 {
-    if (m_flows.size() < m_idleSweepThreshold)
-        return;
-    std::erase_if(m_flows, [this](const auto &item) {
-        return item.second.requests.empty() && item.second.virtualTime <= m_virtualTime;
-    });
-    m_idleSweepThreshold = m_flows.size() * 2 + minFlowsBeforeSweep;
+    m_shares.removeIdle([this](const workspace_id &workspace) { return sizeOf(workspace) > 0; });
+    if (m_flows.size() > 2 * (m_waitingOrder.size() + minFlowsBeforeSweep))
+        std::erase_if(m_flows, [](const auto &item) { return item.second.requests.empty(); });
 }
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Pooling/fair_queue.h
+++ b/sycamorespan/src/Pooling/fair_queue.h
@@ -13,6 +13,7 @@
 
 #include "sycamorespan/src/Core/identifiers.h"
 #include "sycamorespan/src/Core/time_types.h"
+#include "sycamorespan/src/Pooling/fair_shares.h"
 
 namespace sycamorespan {
 
@@ -95,7 +96,6 @@
     struct flow
     {
         std::deque<waiting_request> requests;
-        duration virtualTime{0};
     };
     using order_key = std::pair<std::int64_t, workspace_id>;
 
@@ -109,10 +109,9 @@
     fair_queue_limits m_limits;
     std::unordered_map<workspace_id, flow> m_flows;
     std::set<order_key> m_waitingOrder; // workspaces with waiting requests, the next one first
-    duration m_virtualTime{0};
+    fair_shares m_shares;
     std::uint64_t m_arrivalCount = 0;
     std::size_t m_size = 0;
-    std::size_t m_idleSweepThreshold = 0;
 };
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Quota/quota_holder.cpp
+++ b/sycamorespan/src/Quota/quota_holder.cpp
@@ -45,6 +45,7 @@
     , m_shareValidUntil(now)
     , m_nextBorrowAt(now)
     , m_borrowInterval(policy.minBorrowInterval)
+    , m_returns(maxRetryAfter - policy.refillTimeout)
     , m_demandCountedSince(now)
 { }
 
@@ -102,7 +103,7 @@
         return;
     }
     if (m_waitingRequests.size() >= m_policy.maxWaitingRequests) {
-        actions.emplace_back(quota_action::refuse{event.id, retryAfter(event.cost)});
+        actions.emplace_back(quota_action::refuse{event.id, retryAfter(event.cost, now)});
         return;
     }
     m_waitingRequests.push_back({event.id, event.cost, now, now + m_policy.borrowTimeout});
@@ -282,6 +283,7 @@
 {
     if (available(now) < cost)
         return false;
+    m_countedAdmissions += cost;
     const auto ownCost = cost - spendBorrowedTokens(id, cost, now);
     if (ownCost > token_amount{}) {
         m_bucket.trySpend(ownCost);
@@ -354,36 +356,36 @@
 void quota_holder::refuseTimedOut(time_point now, outputs &actions)
 {
     while (!m_waitingRequests.empty() && now >= m_waitingRequests.front().deadline)
-        refuseFirstWaiting(actions);
+        refuseFirstWaiting(now, actions);
 }
 
-void quota_holder::refuseFirstWaiting(outputs &actions)
+void quota_holder::refuseFirstWaiting(time_point now, outputs &actions)
 {
     const auto &first = m_waitingRequests.front();
-    actions.emplace_back(quota_action::refuse{first.id, retryAfter(first.cost)});
+    actions.emplace_back(quota_action::refuse{first.id, retryAfter(first.cost, now)});
     m_waitingRequests.pop_front();
 }
 
 /** Refuses the requests that won't get tokens before \a refilledAt if they would have to wait
  * longer than refillTimeout.
  */
-void quota_holder::refuseWithoutTokensUntil(time_point refilledAt, outputs &actions)
+void quota_holder::refuseWithoutTokensUntil(time_point refilledAt, time_point now, outputs &actions)
 {
     while (!m_waitingRequests.empty()
            && refilledAt > m_waitingRequests.front().arrivedAt + m_policy.refillTimeout)
-        refuseFirstWaiting(actions);
+        refuseFirstWaiting(now, actions);
 }
 
 void quota_holder::borrow(time_point now, outputs &actions)
 {
     const auto lenders = lendersByLevel(now);
     const auto firstCost = m_waitingRequests.front().cost;
-    auto obtainable = available(now);
+    auto lendersHave = available(now);
     for (const auto &id : lenders)
-        obtainable += estimatedLevel(m_peers.at(id), now);
-    if (obtainable < firstCost) {
+        lendersHave += estimatedLevel(m_peers.at(id), now);
+    if (lendersHave < firstCost) {
         if (!awaitingLoans(now))
-            awaitRefill(firstCost - obtainable, now, actions);
+            awaitRefill(firstCost - lendersHave, now, actions);
         return;
     }
     const bool anyAnswerSlow = std::ranges::any_of(
@@ -392,7 +394,7 @@
     if (!continuesRound && now < m_nextBorrowAt) {
         const bool nextRoundIsTooLate = m_nextBorrowAt >= m_waitingRequests.front().deadline;
         if (nextRoundIsTooLate && !awaitingLoans(now))
-            refuseWithoutTokensUntil(ownRefillAt(firstCost, now), actions);
+            refuseWithoutTokensUntil(ownRefillAt(firstCost, now), now, actions);
         return;
     }
     if (!continuesRound)
@@ -417,18 +419,23 @@
     m_nextBorrowAt = now + m_borrowInterval;
 }
 
-/** Keeps the requests waiting if the lenders earn \a missing soon, and refuses them otherwise. */
-void quota_holder::awaitRefill(token_amount missing, time_point now, outputs &actions)
+/** \returns the tokens that the responsive lenders earn each second. */
+double quota_holder::lendersRefill(time_point now) const
 {
     const auto share = m_sharePerPeer.value_or(m_bucket.limit());
     const auto responsivePeers = std::ranges::count_if(
             m_peers, [&](const auto &entry) { return !isUnresponsive(entry.second, now); });
-    const auto tokensPerSecond =
-            (share.rate * fromSeconds(1)).asTokens() * static_cast<double>(responsivePeers);
+    return (share.rate * fromSeconds(1)).asTokens() * static_cast<double>(responsivePeers);
+}
+
+/** Keeps the requests waiting if the lenders earn \a missing soon, and refuses them otherwise. */
+void quota_holder::awaitRefill(token_amount missing, time_point now, outputs &actions)
+{
+    const auto tokensPerSecond = lendersRefill(now);
     if (tokensPerSecond <= 0)
-        return refuseWithoutTokensUntil(time_point::max(), actions);
+        return refuseWithoutTokensUntil(time_point::max(), now, actions);
     const auto refilledAt = now + fromSeconds(missing.asTokens() / tokensPerSecond);
-    refuseWithoutTokensUntil(refilledAt, actions);
+    refuseWithoutTokensUntil(refilledAt, now, actions);
     if (!m_waitingRequests.empty())
         m_nextBorrowAt = std::max(refilledAt, now + minRefillWait);
 }
@@ -538,7 +545,11 @@
         const auto measured = m_countedDemand.asTokens() / toSeconds(elapsed);
         m_demandTokensPerSecond =
                 demandSampleWeight * measured + (1 - demandSampleWeight) * m_demandTokensPerSecond;
+        m_admittedTokensPerSecond =
+                demandSampleWeight * m_countedAdmissions.asTokens() / toSeconds(elapsed)
+                + (1 - demandSampleWeight) * m_admittedTokensPerSecond;
         m_countedDemand = {};
+        m_countedAdmissions = {};
         m_demandCountedSince = now;
     }
     m_countedDemand += cost;
@@ -552,9 +563,32 @@
     });
 }
 
-duration quota_holder::retryAfter(token_amount cost) const
+/** \returns the tokens that this holder and the responsive lenders likely have. */
+token_amount quota_holder::obtainable(time_point now) const
+{
+    return std::accumulate(m_peers.begin(), m_peers.end(), available(now),
+                           [&](token_amount sum, const auto &entry) {
+                               return sum + estimatedLevel(entry.second, now);
+                           });
+}
+
+/** \returns the time after which a refused request likely gets its tokens: when they are earned,
+ * and after those that were told to return before it. Their rate is that of the admissions here,
+ * because the other holders admit the rest.
+ */
+duration quota_holder::retryAfter(token_amount cost, time_point now)
 {
-    return std::min(m_bucket.timeUntil(cost), maxRetryAfter);
+    const auto ownRefill = (m_bucket.limit().rate * fromSeconds(1)).asTokens();
+    const auto tokensPerSecond = lendersRefill(now) + ownRefill;
+    if (tokensPerSecond <= 0)
+        return maxRetryAfter;
+    const auto missing = std::max(token_amount{}, cost + queuedCost() - obtainable(now));
+    const auto refill = fromSeconds(missing.asTokens() / tokensPerSecond);
+    const auto earliest = std::min(std::max(refill, m_policy.refillTimeout), maxRetryAfter);
+    const auto holders = static_cast<double>(m_peers.size() + 1);
+    const auto admitted = std::max(m_admittedTokensPerSecond, tokensPerSecond / holders);
+    const auto interval = fromSeconds(cost.asTokens() / admitted);
+    return std::min(m_returns.next(earliest, interval, now), maxRetryAfter);
 }
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Quota/quota_holder.h
+++ b/sycamorespan/src/Quota/quota_holder.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMORESPAN_QUOTA_QUOTA_HOLDER_H
 #define SYCAMORESPAN_QUOTA_QUOTA_HOLDER_H
 
+#include "sycamorespan/src/Overload/return_schedule.h"
 #include "sycamorespan/src/Quota/quota_messages.h"
 #include "sycamorespan/src/Quota/refund_credits.h"
 #include "sycamorespan/src/Quota/token_bucket.h"
@@ -246,8 +247,8 @@
     token_amount lendable(time_point now) const;
     void admitWaiting(time_point now, outputs &actions);
     void refuseTimedOut(time_point now, outputs &actions);
-    void refuseFirstWaiting(outputs &actions);
-    void refuseWithoutTokensUntil(time_point refilledAt, outputs &actions);
+    void refuseFirstWaiting(time_point now, outputs &actions);
+    void refuseWithoutTokensUntil(time_point refilledAt, time_point now, outputs &actions);
     void processWaiting(time_point now, outputs &actions);
     void borrow(time_point now, outputs &actions);
     void beginBorrowRound(token_amount firstCost, time_point now);
@@ -264,7 +265,9 @@
     token_amount expectedDemand() const;
     void countDemand(token_amount cost, time_point now);
     bool awaitingLoans(time_point now) const;
-    duration retryAfter(token_amount cost) const;
+    duration retryAfter(token_amount cost, time_point now);
+    token_amount obtainable(time_point now) const;
+    double lendersRefill(time_point now) const;
 
     workspace_id m_workspace;
     holder_incarnation m_self;
@@ -288,6 +291,9 @@
     std::optional<time_point> m_nextSettlementAt;
     double m_demandTokensPerSecond = 0;
     token_amount m_countedDemand;
+    token_amount m_countedAdmissions;
+    double m_admittedTokensPerSecond = 0;
+    return_schedule m_returns;
     time_point m_demandCountedSince;
     time_point m_lastEventAt;
 };
--- a/test/dispatch_load.cpp
+++ b/test/dispatch_load.cpp
@@ -23,19 +23,58 @@
 constexpr std::size_t memberQueueLimit = 40;
 constexpr std::uint32_t seed = 20261204;
 
+/** Statements of one kind that a workspace sends, each as a session of one operation. */
+struct load_stream
+{
+    std::string workspace = "shop";
+    bool isWrite = false;
+    double perSecond = 0;
+    duration from{}; ///< since the start of the load
+    duration until = 6s;
+};
+
 struct load_pattern
 {
     double readsPerSecond = 200;
     double slowMemberFactor = 1; ///< factor by which statements take longer at the last replica
     duration length = 6s;
+    std::vector<load_stream> streams = {}; ///< if empty, reads of one workspace
+    duration primaryKnownAfter{}; ///< since the start of the load
+    duration meanWork = 33ms; ///< of a read; a write takes a quarter
+    int maximumTries = 1; ///< of a caller that is told when to return
+    std::size_t connections = 62; ///< that each member accepts
 };
 
 struct load_result
 {
     std::size_t arrived = 0;
     std::size_t inObjective = 0;
+    std::size_t served = 0;
     std::size_t rejected = 0;
+    std::size_t triesRejected = 0;
     duration longestTimeToRejection{}; ///< measured from the arrival of the read
+    std::vector<duration> latencies = {}; ///< of served statements
+    std::vector<time_point> returns = {}; ///< times at which callers were told to return
+
+    duration p99()
+    {
+        const auto position = static_cast<std::ptrdiff_t>(latencies.size() * 99 / 100);
+        std::ranges::nth_element(latencies, latencies.begin() + position);
+        return latencies[static_cast<std::size_t>(position)];
+    }
+
+    /** \returns the largest number of callers that were told to return within \a period. */
+    std::size_t mostReturnsWithin(duration period) const
+    {
+        auto sorted = returns;
+        std::ranges::sort(sorted);
+        std::size_t most = 0;
+        for (auto first = sorted.begin(); first != sorted.end(); ++first) {
+            const auto end = std::lower_bound(first, sorted.end(), *first + period);
+            most = std::max(most, static_cast<std::size_t>(end - first));
+        }
+        return most;
+    }
 };
 
 /** A member that runs a limited number of statements at a time, queues a limited number and refuses
@@ -64,9 +103,20 @@
         route.statementTimeout = 1s;
         route.latencyObjective = 400ms;
         route.maxStaleness = 1h;
+        route.priority = 2;
         directory->routes.emplace("browse", route);
-        directory->keyOwners.emplace("key", workspace_id("shop"));
-        directory->databases[m_database] = {62, 1};
+        route.reads = consistency::latest;
+        route.statementTimeout = 600ms;
+        route.latencyObjective = 100ms;
+        route.priority = 0;
+        directory->routes.emplace("order", route);
+        if (m_pattern.streams.empty())
+            m_pattern.streams.push_back({.perSecond = pattern.readsPerSecond});
+        for (const auto &each : m_pattern.streams) {
+            directory->keyOwners.emplace(each.workspace, workspace_id(each.workspace));
+            directory->workspaces[workspace_id(each.workspace)] = {100, 100};
+        }
+        directory->databases[m_database] = {m_pattern.connections, 1};
         std::vector<server_entry> servers;
         for (const auto *id : {"s1", "s2", "s3"}) {
             server_entry entry;
@@ -81,21 +131,33 @@
         m_members[server_id("s3")].slowness = pattern.slowMemberFactor;
         apply(m_dispatcher.setDirectory(directory, now()));
         apply(m_dispatcher.setServers(servers, now()));
-        apply(m_dispatcher.setPrimary(m_database, usable_primary{server_id("s1"), 1, now() + 1h},
-                                      now()));
-        m_dispatcher.addFloor(m_database, {{1, 1}, now()}, now());
+        schedule(now() + m_pattern.primaryKnownAfter, [this] {
+            apply(m_dispatcher.setPrimary(m_database,
+                                          usable_primary{server_id("s1"), 1, now() + 1h}, now()));
+            m_dispatcher.addFloor(m_database, {{1, 1}, now()}, now());
+        });
     }
 
-    load_result run()
+    /** \returns the results of each stream. */
+    std::vector<load_result> run()
     {
-        std::exponential_distribution<double> gap(m_pattern.readsPerSecond);
-        for (auto at = now(); at < now() + m_pattern.length; at += fromSeconds(gap(m_random)))
-            schedule(at, [this] { arrive(); });
+        m_results.resize(m_pattern.streams.size());
+        for (std::size_t index = 0; index < m_pattern.streams.size(); ++index) {
+            const auto &stream = m_pattern.streams[index];
+            std::mt19937 random(seed + index); // the same arrivals whatever the other streams are
+            std::exponential_distribution<double> gap(stream.perSecond);
+            const auto until = now() + std::min(stream.until, m_pattern.length);
+            for (auto at = now() + stream.from; at < until; at += fromSeconds(gap(random)))
+                schedule(at, [this, index] {
+                    ++m_results[index].arrived;
+                    arrive({index, now(), now(), 1});
+                });
+        }
         const auto end = now() + m_pattern.length + 2s;
         for (auto at = now(); at < end; at += 20ms)
             schedule(at, [this] { apply(m_dispatcher.tick(now())); });
         m_events.runUntil(duration::max());
-        return m_result;
+        return m_results;
     }
 
 private:
@@ -106,55 +168,97 @@
         m_events.at(at.time_since_epoch(), std::move(action));
     }
 
-    void arrive()
+    /** One try of a caller. */
+    struct caller_try
+    {
+        std::size_t stream = 0;
+        time_point firstArrival;
+        time_point arrival;
+        int number = 1;
+    };
+
+    void arrive(const caller_try &attempt)
     {
         const auto session = ++m_lastSession;
-        m_arrived[session] = now();
-        ++m_result.arrived;
-        apply(m_dispatcher.callerConnected(session, "browse", "key", now()));
+        const auto &stream = m_pattern.streams[attempt.stream];
+        m_tries[session] = attempt;
+        apply(m_dispatcher.callerConnected(session, stream.isWrite ? "order" : "browse",
+                                           stream.workspace, now()));
         caller_request request;
         request.id = std::to_string(session);
         request.text = "READ x";
-        request.parsed = caller_statement::direct{statement_access::read};
+        request.parsed = caller_statement::direct{stream.isWrite ? statement_access::write
+                                                                 : statement_access::read};
         apply(m_dispatcher.requestArrived(session, request, now()));
     }
 
     void apply(const dispatch_outputs &outputs)
     {
         for (const auto &output : outputs)
-            std::visit(overloaded{
-                               [this](const reply_to_caller &each) { recordReply(each); },
-                               [this](const open_member &each) {
-                                   m_servers[each.connection] = each.server;
-                                   schedule(now() + 13ms, [this, each] {
-                                       apply(m_dispatcher.opened(each.connection,
-                                                                 log_position{1, 1}, now()));
-                                   });
-                               },
-                               [this](const send_to_member &each) {
-                                   schedule(now() + 1ms,
-                                            [this, each] { deliver(each.connection); });
-                               },
-                               [this](const request_admission &each) {
-                                   apply(m_dispatcher.admitted(each.session, now()));
-                               },
-                               [](const auto &) {},
-                       },
-                       output);
+            std::visit(
+                    overloaded{
+                            [this](const reply_to_caller &each) { recordReply(each); },
+                            [this](const open_member &each) {
+                                m_servers[each.connection] = each.server;
+                                schedule(now() + 13ms, [this, each] {
+                                    apply(m_dispatcher.opened(each.connection, log_position{1, 1},
+                                                              now()));
+                                });
+                            },
+                            [this](const send_to_member &each) {
+                                for (const auto &statement : each.statements)
+                                    if (const auto *forward =
+                                                std::get_if<member_statement::forward>(&statement))
+                                        m_boundSession[each.connection] = std::stoull(forward->id);
+                                schedule(now() + 1ms, [this, each] { deliver(each.connection); });
+                            },
+                            [this](const request_admission &each) {
+                                apply(m_dispatcher.admitted(each.session, now()));
+                            },
+                            [](const auto &) {},
+                    },
+                    output);
     }
 
     void recordReply(const reply_to_caller &each)
     {
-        const auto took = now() - m_arrived.at(each.session);
-        if (each.answer.succeeded()) {
-            m_result.inObjective += took <= 400ms ? 1 : 0;
+        const auto attempt = m_tries.at(each.session);
+        auto &result = m_results[attempt.stream];
+        const auto took = now() - attempt.firstArrival;
+        if (const auto *why = std::get_if<rejected>(&each.answer.result)) {
+            ++result.triesRejected;
+            result.longestTimeToRejection =
+                    std::max(result.longestTimeToRejection, now() - attempt.arrival);
+            repeat(attempt, why->text);
         } else {
-            ++m_result.rejected;
-            m_result.longestTimeToRejection = std::max(m_result.longestTimeToRejection, took);
+            ++result.served;
+            result.latencies.push_back(took);
+            const auto objective = m_pattern.streams[attempt.stream].isWrite ? 100ms : 400ms;
+            result.inObjective += took <= objective ? 1 : 0;
         }
         apply(m_dispatcher.callerDisconnected(each.session, now()));
     }
 
+    /** Returns at the time that the refusal names, or gives up. */
+    void repeat(const caller_try &refused, const std::string &reason)
+    {
+        static const std::string phrase = "retry after ";
+        const auto found = reason.find(phrase);
+        if (found != std::string::npos) {
+            const auto wait =
+                    std::chrono::milliseconds(std::stoll(reason.substr(found + phrase.size())));
+            m_results[refused.stream].returns.push_back(now() + wait);
+            if (refused.number < m_pattern.maximumTries) {
+                const auto at = now() + wait;
+                schedule(at, [this, refused, at] {
+                    arrive({refused.stream, refused.firstArrival, at, refused.number + 1});
+                });
+                return;
+            }
+        }
+        ++m_results[refused.stream].rejected;
+    }
+
     void deliver(connection_id connection)
     {
         auto &member = m_members[m_servers.at(connection)];
@@ -173,9 +277,12 @@
     void start(member_model &member, connection_id connection)
     {
         ++member.running;
+        const auto session = m_boundSession[connection];
+        const bool isWrite = m_pattern.streams[m_tries.at(session).stream].isWrite;
+        const double factor = toSeconds(m_pattern.meanWork) / 0.033 * (isWrite ? 0.25 : 1);
         std::lognormal_distribution<double> work(-3.6, 0.6); // mean 33 ms
-        schedule(now() + fromSeconds(work(m_random) * member.slowness), [this, &member,
-                                                                         connection] {
+        schedule(now() + fromSeconds(work(m_random) * member.slowness * factor), [this, &member,
+                                                                                  connection] {
             --member.running;
             apply(m_dispatcher.answered(
                     connection,
@@ -195,10 +302,11 @@
     std::mt19937 m_random{seed};
     test::event_queue m_events;
     session_number m_lastSession = 0;
-    std::map<session_number, time_point> m_arrived;
+    std::map<session_number, caller_try> m_tries;
+    std::map<connection_id, session_number> m_boundSession;
     std::map<connection_id, server_id> m_servers;
     std::map<server_id, member_model> m_members;
-    load_result m_result;
+    std::vector<load_result> m_results;
 };
 
 double shareInObjective(const load_result &result)
@@ -208,7 +316,7 @@
 
 load_result replay(const load_pattern &pattern, const dispatch_policy &policy = {})
 {
-    return load_replay(pattern, policy).run();
+    return load_replay(pattern, policy).run().front();
 }
 
 /** \returns the share of reads within the objective with round-robin dispatch, first in, first out
@@ -269,4 +377,51 @@
     EXPECT_GT(shareInObjective(result), roundRobinShare(overload) + 0.1);
 }
 
+/** \returns the results of each stream. */
+std::vector<load_result> replayStreams(load_pattern pattern, std::vector<load_stream> streams)
+{
+    pattern.streams = std::move(streams);
+    return load_replay(pattern, {}).run();
+}
+
+TEST(DispatchLoad, Print)
+{
+    const auto print = [](const char *name, std::vector<load_result> results) {
+        for (auto &each : results)
+            std::printf("%s arrived %zu inObj %.3f served %.3f triesRej %zu longestToRej %.0f ms "
+                        "p99 %.0f "
+                        "returns %zu most50 %zu\n",
+                        name, each.arrived, shareInObjective(each),
+                        double(each.served) / double(each.arrived), each.triesRejected,
+                        toSeconds(each.longestTimeToRejection) * 1000,
+                        each.latencies.empty() ? 0 : toSeconds(each.p99()) * 1000,
+                        each.returns.size(), each.mostReturnsWithin(50ms));
+    };
+    const load_stream writes{.isWrite = true, .perSecond = 180};
+    const load_stream reads{.perSecond = 625};
+    print("reads", replayStreams({.maximumTries = 3, .connections = 10}, {reads, writes}));
+    const load_stream steady{.workspace = "steady", .perSecond = 60};
+    std::vector<load_stream> calm{steady};
+    std::vector<load_stream> hot{steady};
+    for (const auto *name : {"a", "b", "c"}) {
+        calm.push_back({.workspace = name, .perSecond = 60});
+        hot.push_back({.workspace = name, .perSecond = 360});
+    }
+    print("calm", replayStreams({.connections = 10}, calm));
+    print("hot", replayStreams({.connections = 10}, hot));
+    auto both = hot;
+    both.push_back(writes);
+    both.push_back(reads);
+    print("both", replayStreams({.maximumTries = 3, .connections = 10}, both));
+    print("power",
+          replayStreams(
+                  {.length = 10s, .primaryKnownAfter = 4s, .maximumTries = 8, .connections = 10},
+                  {{.perSecond = 250, .until = 10s},
+                   {.isWrite = true, .perSecond = 100, .until = 10s}}));
+    print("cutoff",
+          replayStreams(
+                  {.length = 6s, .primaryKnownAfter = 20s, .maximumTries = 3, .connections = 10},
+                  {{.perSecond = 250}, {.isWrite = true, .perSecond = 100}}));
+}
+
 } // namespace
