--- a/test/dispatch_load.cpp
+++ b/test/dispatch_load.cpp
@@ -384,44 +384,73 @@
     return load_replay(pattern, {}).run();
 }
 
-TEST(DispatchLoad, Print)
+constexpr std::size_t scarceConnections = 10;
+const load_stream usualReads{.perSecond = 250};
+const load_stream readsTimes2_5{.perSecond = 625};
+const load_stream writesTimes1_8{.isWrite = true, .perSecond = 180};
+
+/** \returns reads of a workspace that sends what it always does, beside three at \a factor times.
+ */
+std::vector<load_stream> threeWorkspacesAt(double factor)
 {
-    const auto print = [](const char *name, std::vector<load_result> results) {
-        for (auto &each : results)
-            std::printf("%s arrived %zu inObj %.3f served %.3f triesRej %zu longestToRej %.0f ms "
-                        "p99 %.0f "
-                        "returns %zu most50 %zu\n",
-                        name, each.arrived, shareInObjective(each),
-                        double(each.served) / double(each.arrived), each.triesRejected,
-                        toSeconds(each.longestTimeToRejection) * 1000,
-                        each.latencies.empty() ? 0 : toSeconds(each.p99()) * 1000,
-                        each.returns.size(), each.mostReturnsWithin(50ms));
-    };
-    const load_stream writes{.isWrite = true, .perSecond = 180};
-    const load_stream reads{.perSecond = 625};
-    print("reads", replayStreams({.maximumTries = 3, .connections = 10}, {reads, writes}));
-    const load_stream steady{.workspace = "steady", .perSecond = 60};
-    std::vector<load_stream> calm{steady};
-    std::vector<load_stream> hot{steady};
-    for (const auto *name : {"a", "b", "c"}) {
-        calm.push_back({.workspace = name, .perSecond = 60});
-        hot.push_back({.workspace = name, .perSecond = 360});
+    std::vector<load_stream> streams{{.workspace = "steady", .perSecond = 60}};
+    for (const auto *name : {"a", "b", "c"})
+        streams.push_back({.workspace = name, .perSecond = 60 * factor});
+    return streams;
+}
+
+/** Writes need little and are urgent; no read may turn one away. */
+TEST(DispatchLoad, ReadsTimes2_5DoNotTurnWritesTimes1_8Away)
+{
+    const auto results = replayStreams({.maximumTries = 3, .connections = scarceConnections},
+                                       {readsTimes2_5, writesTimes1_8});
+    EXPECT_GT(shareInObjective(results.at(1)), 0.99);
+    EXPECT_EQ(results.at(1).triesRejected, 0U);
+    // In 50 ms, the members serve 23 reads.
+    EXPECT_LT(results.at(0).mostReturnsWithin(50ms), 100U);
+}
+
+/** The steady workspace stays below its part of the capacity. */
+TEST(DispatchLoad, ThreeWorkspacesTimes6DoNotTurnASteadyOneAway)
+{
+    const load_pattern scarce{.connections = scarceConnections};
+    EXPECT_GT(shareInObjective(replayStreams(scarce, threeWorkspacesAt(6)).front()), 0.9);
+    EXPECT_EQ(shareInObjective(replayStreams(scarce, threeWorkspacesAt(1)).front()), 1);
+}
+
+TEST(DispatchLoad, ReadsWritesAndThreeWorkspacesAtOnceLeaveTheSteadyOneAndWritesServed)
+{
+    auto streams = threeWorkspacesAt(6);
+    streams.push_back(writesTimes1_8);
+    streams.push_back(readsTimes2_5);
+    const auto results =
+            replayStreams({.maximumTries = 3, .connections = scarceConnections}, streams);
+    EXPECT_GT(shareInObjective(results.at(0)), 0.8);
+    EXPECT_GT(shareInObjective(results.at(4)), 0.95);
+}
+
+/** Instances that start without a primary tell each caller when to return, and serve them then. */
+TEST(DispatchLoad, CallersThatReturnAfterAPowerLossAreServed)
+{
+    const auto results = replayStreams(
+            {.length = 10s,
+             .primaryKnownAfter = 4s,
+             .maximumTries = 8,
+             .connections = scarceConnections},
+            {{.perSecond = 250, .until = 10s}, {.isWrite = true, .perSecond = 100, .until = 10s}});
+    for (const auto &each : results)
+        EXPECT_GT(static_cast<double>(each.served) / static_cast<double>(each.arrived), 0.9);
+}
+
+/** In a data centre without a primary nothing waits in vain. */
+TEST(DispatchLoad, CallersOfASeparatedDataCentreAreToldAtOnceWhenToReturn)
+{
+    const auto results = replayStreams({.primaryKnownAfter = 20s, .maximumTries = 3},
+                                       {usualReads, {.isWrite = true, .perSecond = 100}});
+    for (const auto &each : results) {
+        EXPECT_EQ(each.longestTimeToRejection, duration::zero());
+        EXPECT_EQ(each.returns.size(), each.triesRejected);
     }
-    print("calm", replayStreams({.connections = 10}, calm));
-    print("hot", replayStreams({.connections = 10}, hot));
-    auto both = hot;
-    both.push_back(writes);
-    both.push_back(reads);
-    print("both", replayStreams({.maximumTries = 3, .connections = 10}, both));
-    print("power",
-          replayStreams(
-                  {.length = 10s, .primaryKnownAfter = 4s, .maximumTries = 8, .connections = 10},
-                  {{.perSecond = 250, .until = 10s},
-                   {.isWrite = true, .perSecond = 100, .until = 10s}}));
-    print("cutoff",
-          replayStreams(
-                  {.length = 6s, .primaryKnownAfter = 20s, .maximumTries = 3, .connections = 10},
-                  {{.perSecond = 250}, {.isWrite = true, .perSecond = 100}}));
 }
 
 } // namespace
