Queue of a database: statements of a kind that no connection serves are not tried again

Each event tried all waiting statements at all members. After one that finds no connection, others of its workspace and route that need at least as fresh a member are left out.

--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -22,6 +22,28 @@
  */
 constexpr int evictionPatienceDivisor = 4;
 
+/** Statements that the same connections may serve if a member is fresh enough. */
+struct statement_kind
+{
+    workspace_id workspace;
+    std::string route;
+    bool needsPrimary = false;
+
+    auto operator<=>(const statement_kind &) const = default;
+};
+
+/** How fresh a member must be for a statement. */
+struct statement_demand
+{
+    time_point freshnessCutoff;
+    log_position lastCommit;
+
+    bool isAtMost(const statement_demand &other) const
+    {
+        return freshnessCutoff <= other.freshnessCutoff && lastCommit <= other.lastCommit;
+    }
+};
+
 std::string memberPreparedName(const internal::prepared_statement &statement)
 {
     return (statement.access == statement_access::write ? 'w' : 'r') + statement.statementShape;
@@ -174,17 +196,29 @@
     });
 }
 
+/** Places the statements that can be placed. After one that no connection serves, others of its
+ * kind that need at least as much are not tried.
+ */
 void dispatcher::dispatchQueue(database_state &group, time_point now)
 {
     group.queue.advance(now);
+    std::map<statement_kind, statement_demand> unplaceable;
     for (const auto number : group.queue.order()) {
         auto *from = findCaller(number);
         if (!from || !from->job || from->job->currentStage != job_stage::queued
             || now < from->job->notBefore)
             continue;
         const bool needsPrimary = from->job->needsPrimary;
-        if (!placeStatement(*from, group, now))
+        const statement_kind kind{from->workspace, from->databaseName, needsPrimary};
+        const statement_demand demand{from->job->freshnessCutoff, from->lastCommitPosition};
+        const auto failed = unplaceable.find(kind);
+        if (failed != unplaceable.end() && failed->second.isAtMost(demand))
             continue;
+        if (!placeStatement(*from, group, now)) {
+            if (!isOpeningFor(*from) && from->job->lagging.empty())
+                unplaceable.try_emplace(kind, demand);
+            continue;
+        }
         group.queue.take(number);
         (needsPrimary ? group.primaryRate : group.otherRate).countService();
     }
