--- a/sycamorespan/src/Dispatch/dispatcher_access.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_access.cpp
@@ -46,34 +46,35 @@
 /** \returns why no member may run the statement in its time; nothing if one may.
  * \param ahead  statements that are served before it
  */
-std::optional<std::string> dispatcher::reasonNotAllowed(const caller &from,
-                                                        const database_state &state,
-                                                        std::size_t ahead, time_point now) const
+std::optional<queue_refusal> dispatcher::reasonNotAllowed(const caller &from,
+                                                          const database_state &state,
+                                                          std::size_t ahead, time_point now) const
 {
     const bool hasHomes =
             !from.route.homes.empty() || m_directory->workspaceHomes.contains(from.workspace);
     if (!hasHomes && m_access.isUnrestricted(now))
         return std::nullopt;
     const auto name = from.route.database.str();
-    const auto after = [now](time_point due) {
-        const auto left = std::chrono::ceil<std::chrono::milliseconds>(due - now);
-        return "retry after " + std::to_string(std::max<std::int64_t>(left.count(), 0)) + " ms";
+    const auto refuse = [&](std::string reason, std::optional<time_point> due = std::nullopt) {
+        return queue_refusal{from.number, refusal_cause::notAllowed,
+                             due ? std::max(*due - now, duration::zero()) : duration::zero(),
+                             std::move(reason)};
     };
     std::vector<server_id> atHome;
     std::ranges::copy_if(state.members, std::back_inserter(atHome), [&](const server_id &id) {
         return isHome(from, m_pools.at(id).entry().dataCentre);
     });
     if (atHome.empty() && !state.members.empty())
-        return "no member of database " + name
-               + " is in an area that the route and the workspace allow";
+        return refuse("no member of database " + name
+                      + " is in an area that the route and the workspace allow");
     std::vector<server_id> able = atHome;
     if (from.job->needsPrimary) {
         if (!isPrimaryUsable(state, now))
             return std::nullopt;
         able = {state.primary->server};
         if (!isHome(from, m_pools.at(able.front()).entry().dataCentre))
-            return "the primary of database " + name
-                   + " is in an area that the route and the workspace do not allow";
+            return refuse("the primary of database " + name
+                          + " is in an area that the route and the workspace do not allow");
     }
     const bool hadMembers = !able.empty();
     std::erase_if(able, [&](const server_id &id) { return m_access.isEvacuated(id, now); });
@@ -82,9 +83,10 @@
             return !m_pools.at(id).entry().isEvacuated;
         });
         if (!hasOther || !from.job->needsPrimary)
-            return "database " + name + " has members only in data centres that are evacuated";
-        return "the primary of database " + name + " is in a data centre that is evacuated; "
-               + after(state.primaryExpected.value_or(now + m_policy.expectedStartupTime));
+            return refuse("database " + name
+                          + " has members only in data centres that are evacuated");
+        return refuse("the primary of database " + name + " is in a data centre that is evacuated",
+                      state.primaryExpected.value_or(now + m_policy.expectedStartupTime));
     }
     const auto dueOf = [&](const server_id &id) {
         return m_access.hasShare(id) ? m_access.dueAfter(id, ahead, now)
@@ -96,7 +98,7 @@
     const auto first = std::ranges::min(able, {}, dueOf);
     if (dueOf(first) + fromSeconds(meanStatementTime(from)) <= from.job->deadline)
         return std::nullopt;
-    return "member " + first.str() + " of database " + name + " warms up; " + after(dueOf(first));
+    return refuse("member " + first.str() + " of database " + name + " warms up", dueOf(first));
 }
 
 std::size_t dispatcher::connectionsTo(const data_centre_id &dataCentre) const
