--- a/programs/node/broker_link.cpp
+++ b/programs/node/broker_link.cpp
@@ -4,77 +4,116 @@
 #include "sycamorespan/src/Net/clock.h"
 #include "sycamorespan/src/Net/tcp_socket.h"
 
+#include <algorithm>
+#include <functional>
+#include <numeric>
 #include <utility>
 
 namespace sycamorespan::node {
 
 namespace {
 
-/** Time after which a connection with a silent peer is closed. */
-constexpr duration unresponsiveTimeout = 700ms;
-
-/** Greatest length of a message: the longest line of a caller with its session values. */
-constexpr std::size_t maximumMessageBytes = std::size_t{4} << 20;
+/** Time after which the kernel closes a connection whose peer acknowledges nothing. */
+constexpr duration unacknowledgedTimeout = 700ms;
 
 } // namespace
 
-broker_link::broker_link(ev::loop_ref loop, const endpoint &address, event_log &log,
-                         event_guard &guard, handlers callbacks)
+broker_link::broker_link(ev::loop_ref loop, instance_incarnation self, const endpoint &address,
+                         event_log &log, event_guard &guard, handlers callbacks)
     : m_loop(loop)
+    , m_self(std::move(self))
     , m_log(log)
     , m_guard(guard)
     , m_handlers(std::move(callbacks))
     , m_listener(loop, address, [this](file_descriptor socket) {
-        m_guard.run("connection of another instance", [&] { accept(std::move(socket)); });
+        m_guard.run("link of another instance", [&] { accept(std::move(socket)); });
     })
 { }
 
-void broker_link::handOver(const instance_id &broker, const endpoint &address,
-                           const brokered_statement &statement)
+// Links to brokers.
+
+/** \returns the new link to a broker; nullptr if it can't be opened. */
+broker_link::outgoing_link *broker_link::open(const instance_id &broker, const endpoint &address)
 {
-    auto known = m_brokers.find(broker);
-    if (known == m_brokers.end()) {
-        try {
-            auto socket = connectTo(address);
-            detectSilence(socket, unresponsiveTimeout);
-            auto stream = std::make_unique<byte_stream>(
-                    m_loop, std::move(socket),
-                    byte_stream::handlers{
-                            [this, broker](std::string_view bytes) {
-                                m_guard.run("answer of a broker",
-                                            [&] { receiveAnswers(broker, bytes); });
-                            },
-                            [this, broker] { loseBroker(broker, "connection closed"); }});
-            known = m_brokers
-                            .emplace(broker,
-                                     outgoing_connection{std::move(stream),
-                                                         broker_frame_reader(maximumMessageBytes)})
-                            .first;
-        } catch (const error &failure) {
-            return loseBroker(broker, failure.what());
-        }
+    try {
+        auto socket = connectTo(address);
+        detectSilence(socket, unacknowledgedTimeout);
+        auto stream = std::make_unique<byte_stream>(
+                m_loop, std::move(socket),
+                byte_stream::handlers{[this, broker](std::string_view bytes) {
+                                          m_guard.run("answer of a broker",
+                                                      [&] { receiveAnswers(broker, bytes); });
+                                      },
+                                      [this, broker] { loseBroker(broker, "connection closed"); }});
+        outgoing_link link{std::move(stream),
+                           broker_frame_reader(m_limits.messageBytes),
+                           link_monitor(link_policy{}, suspendAwareNow()),
+                           false,
+                           {},
+                           {},
+                           {}};
+        auto &opened = m_brokers.emplace(broker, std::move(link)).first->second;
+        opened.stream->write(encodeFrame(
+                broker_hello{brokerMessagesVersion, m_self.instance, m_self.incarnation}));
+        // A write that fails closes the link.
+        const auto known = m_brokers.find(broker);
+        return known == m_brokers.end() ? nullptr : &known->second;
+    } catch (const error &failure) {
+        loseBroker(broker, failure.what());
+        return nullptr;
     }
-    known->second.stream->write(encodeFrame(statement));
 }
 
-void broker_link::end(const instance_id &broker, const brokered_end &end)
+void broker_link::handOver(const instance_id &broker, const endpoint &address,
+                           const brokered_statement &statement)
 {
     const auto known = m_brokers.find(broker);
-    if (known != m_brokers.end())
-        known->second.stream->write(encodeFrame(end));
+    const bool isBegun = statement.transaction && statement.transaction->isBegun;
+    if (known == m_brokers.end() && isBegun)
+        return decline(broker, statement, "the link to the broker is closed");
+    auto *link = known == m_brokers.end() ? open(broker, address) : &known->second;
+    if (!link)
+        return decline(broker, statement, "the link to the broker can't be opened");
+    const auto now = suspendAwareNow();
+    if (link->stream->pendingBytes() > m_limits.unsentStatementBytes)
+        return decline(broker, statement, "the broker does not read");
+    if (!isBegun && link->monitor.isSuspected(link->awaitsAnswer(), now))
+        return decline(broker, statement, "the broker is silent");
+    link->monitor.onSent(link->awaitsAnswer(), now);
+    link->unanswered[statement.operation] = statement.number;
+    link->operations.insert(statement.operation);
+    if (link->isAccepted)
+        link->stream->write(encodeFrame(statement));
+    else
+        link->held.push_back(statement);
 }
 
-void broker_link::answer(session_number session, const brokered_answer &answer)
+/** Answers a statement that was not sent. */
+void broker_link::decline(const instance_id &broker, const brokered_statement &statement,
+                          std::string_view why)
 {
-    const auto connection = m_connectionOfSession.find(session);
-    if (connection == m_connectionOfSession.end())
+    brokered_answer answer;
+    answer.operation = statement.operation;
+    answer.number = statement.number;
+    answer.isDeclined = true;
+    answer.answer.result = rejected{statement_error::busy, std::string(why)};
+    m_handlers.onAnswer(broker, answer);
+}
+
+void broker_link::end(const instance_id &broker, const brokered_end &end)
+{
+    const auto known = m_brokers.find(broker);
+    if (known == m_brokers.end())
         return;
-    auto &to = m_instances.at(connection->second);
-    if (answer.isDeclined || answer.answer.state != session_state::inTransaction) {
-        to.sessions.erase(answer.operation);
-        m_connectionOfSession.erase(connection);
-    }
-    to.stream->write(encodeFrame(answer));
+    auto &link = known->second;
+    link.unanswered.erase(end.operation);
+    link.operations.erase(end.operation);
+    if (link.isAccepted)
+        link.stream->write(encodeFrame(end));
+    else
+        std::erase_if(link.held, [&](const brokered_statement &each) {
+            return each.operation == end.operation;
+        });
 }
 
 void broker_link::receiveAnswers(const instance_id &broker, std::string_view bytes)
@@ -82,113 +121,259 @@
     const auto known = m_brokers.find(broker);
     if (known == m_brokers.end())
         return;
+    known->second.monitor.onReceived(suspendAwareNow());
+    known->second.reader.append(bytes);
     try {
-        known->second.reader.append(bytes);
-        while (true) {
-            const auto current = m_brokers.find(broker);
-            if (current == m_brokers.end())
-                return;
-            const auto message = current->second.reader.next();
+        // Handling a message may close the link.
+        for (auto link = known; link != m_brokers.end(); link = m_brokers.find(broker)) {
+            const auto message = link->second.reader.next();
             if (!message)
                 return;
-            if (const auto *answer = std::get_if<brokered_answer>(&*message))
-                m_handlers.onAnswer(broker, *answer);
+            std::visit([&](const auto &each) { handle(broker, each); }, *message);
         }
     } catch (const decode_error &failure) {
         loseBroker(broker, failure.what());
     }
 }
 
+void broker_link::handle(const instance_id &broker, const broker_hello &hello)
+{
+    auto &link = m_brokers.at(broker);
+    if (hello.version != brokerMessagesVersion)
+        return loseBroker(broker, "unknown version of messages: " + std::to_string(hello.version));
+    if (hello.sender != broker)
+        return loseBroker(broker, "another instance answers: " + hello.sender.str());
+    link.isAccepted = true;
+    std::string frames;
+    std::ranges::for_each(std::exchange(link.held, {}),
+                          [&](const brokered_statement &each) { frames += encodeFrame(each); });
+    link.stream->write(frames);
+}
+
+void broker_link::handle(const instance_id &broker, const brokered_answer &answer)
+{
+    auto &link = m_brokers.at(broker);
+    const auto expected = link.unanswered.find(answer.operation);
+    if (expected == link.unanswered.end() || expected->second != answer.number)
+        return; // the operation has ended here in the meantime
+    link.unanswered.erase(expected);
+    if (answer.isDeclined || answer.answer.state != session_state::inTransaction)
+        link.operations.erase(answer.operation);
+    m_handlers.onAnswer(broker, answer);
+}
+
+template<typename Message>
+void broker_link::handle(const instance_id &, const Message &)
+{
+    throw decode_error("a broker sent a message that only instances send to brokers");
+}
+
+void broker_link::dropBroker(std::map<instance_id, outgoing_link>::iterator link)
+{
+    link->second.stream->abandon();
+    m_closed.push_back(std::move(link->second.stream));
+    m_brokers.erase(link);
+}
+
 void broker_link::loseBroker(const instance_id &broker, std::string_view why)
 {
-    logLoss("connection to broker lost", broker.str(), why);
+    std::vector<brokered_statement> held;
+    std::size_t unanswered = 0;
+    std::size_t operations = 0;
     if (const auto known = m_brokers.find(broker); known != m_brokers.end()) {
-        known->second.stream->abandon();
-        m_closed.push_back(std::move(known->second.stream));
-        m_brokers.erase(known);
+        held = std::move(known->second.held);
+        unanswered = known->second.unanswered.size() - held.size();
+        operations = known->second.operations.size() - held.size();
+        dropBroker(known);
     }
-    m_handlers.onBrokerLost(broker);
+    m_log.write(line_importance::failure, "link to broker lost",
+                {{"broker", broker.str()},
+                 {"error", std::string(why)},
+                 {"not_sent", std::to_string(held.size())},
+                 {"unanswered", std::to_string(unanswered)},
+                 {"operations", std::to_string(operations)}},
+                suspendAwareNow());
+    std::ranges::for_each(held,
+                          [&](const brokered_statement &each) { decline(broker, each, why); });
+    m_handlers.onBrokerLost(broker, why);
+}
+
+bool broker_link::isSuspected(const instance_id &broker, time_point now) const
+{
+    const auto known = m_brokers.find(broker);
+    return known != m_brokers.end()
+           && known->second.monitor.isSuspected(known->second.awaitsAnswer(), now);
 }
 
+// Links of other instances to this one.
+
 void broker_link::accept(file_descriptor socket)
 {
-    const auto connection = ++m_lastConnection;
-    detectSilence(socket, unresponsiveTimeout);
+    const auto number = ++m_lastLink;
+    detectSilence(socket, unacknowledgedTimeout);
     auto stream = std::make_unique<byte_stream>(
             m_loop, std::move(socket),
-            byte_stream::handlers{
-                    [this, connection](std::string_view bytes) {
-                        m_guard.run("statement of another instance",
-                                    [&] { receiveStatements(connection, bytes); });
-                    },
-                    [this, connection] { loseInstance(connection, "connection closed"); }});
+            byte_stream::handlers{[this, number](std::string_view bytes) {
+                                      m_guard.run("statement of another instance",
+                                                  [&] { receiveStatements(number, bytes); });
+                                  },
+                                  [this, number] { loseInstance(number, "connection closed"); }});
     m_instances.emplace(
-            connection,
-            incoming_connection{std::move(stream), broker_frame_reader(maximumMessageBytes), {}});
+            number,
+            incoming_link{std::move(stream), broker_frame_reader(m_limits.messageBytes), {}, {}});
 }
 
-void broker_link::receiveStatements(std::uint64_t connection, std::string_view bytes)
+void broker_link::receiveStatements(std::uint64_t link, std::string_view bytes)
 {
-    const auto known = m_instances.find(connection);
+    const auto known = m_instances.find(link);
     if (known == m_instances.end())
         return;
+    known->second.reader.append(bytes);
     try {
-        known->second.reader.append(bytes);
-        while (true) {
-            const auto current = m_instances.find(connection);
-            if (current == m_instances.end())
-                return;
+        // Handling a message may close the link.
+        for (auto current = known; current != m_instances.end(); current = m_instances.find(link)) {
             const auto message = current->second.reader.next();
             if (!message)
                 return;
-            auto &sessions = current->second.sessions;
-            if (const auto *statement = std::get_if<brokered_statement>(&*message)) {
-                const auto session = sessions.find(statement->operation);
-                const auto number =
-                        session == sessions.end() ? m_handlers.newSession() : session->second;
-                sessions[statement->operation] = number;
-                m_connectionOfSession[number] = connection;
-                m_handlers.onStatement(number, *statement);
-            } else if (const auto *ended = std::get_if<brokered_end>(&*message)) {
-                const auto session = sessions.find(ended->operation);
-                if (session == sessions.end())
-                    continue;
-                const auto number = session->second;
-                sessions.erase(session);
-                m_connectionOfSession.erase(number);
-                m_handlers.onEnd(number);
-            }
+            if (!current->second.hello && !std::holds_alternative<broker_hello>(*message))
+                throw decode_error("the first message is not a hello");
+            std::visit([&](const auto &each) { handle(link, each); }, *message);
         }
     } catch (const decode_error &failure) {
-        loseInstance(connection, failure.what());
+        loseInstance(link, failure.what());
+    }
+}
+
+/** Answers with the version of this instance, by which the other one decides whether to use it. */
+void broker_link::handle(std::uint64_t link, const broker_hello &hello)
+{
+    auto &from = m_instances.at(link);
+    from.hello = hello;
+    from.stream->write(
+            encodeFrame(broker_hello{brokerMessagesVersion, m_self.instance, m_self.incarnation}));
+}
+
+void broker_link::handle(std::uint64_t link, const brokered_statement &statement)
+{
+    auto &from = m_instances.at(link);
+    auto session = from.sessions.find(statement.operation);
+    if (session == from.sessions.end()) {
+        session = from.sessions.emplace(statement.operation, m_handlers.newSession()).first;
+        m_linkOfSession[session->second] = link;
+    }
+    m_handlers.onStatement(session->second, from.hello->sender, statement);
+}
+
+void broker_link::handle(std::uint64_t link, const brokered_end &end)
+{
+    auto &from = m_instances.at(link);
+    const auto session = from.sessions.find(end.operation);
+    if (session == from.sessions.end())
+        return;
+    const auto number = session->second;
+    from.sessions.erase(session);
+    m_linkOfSession.erase(number);
+    m_handlers.onEnd(number);
+}
+
+void broker_link::handle(std::uint64_t link, const broker_probe &)
+{
+    m_instances.at(link).stream->write(encodeFrame(broker_probe_answer{}));
+}
+
+template<typename Message>
+void broker_link::handle(std::uint64_t, const Message &)
+{
+    throw decode_error("an instance sent a message that only brokers send");
+}
+
+void broker_link::answer(session_number session, const brokered_answer &answer)
+{
+    const auto known = m_linkOfSession.find(session);
+    if (known == m_linkOfSession.end())
+        return;
+    const auto link = known->second;
+    auto &to = m_instances.at(link);
+    if (answer.isDeclined || answer.answer.state != session_state::inTransaction) {
+        to.sessions.erase(answer.operation);
+        m_linkOfSession.erase(known);
     }
+    const auto unsent = to.stream->pendingBytes();
+    if (unsent > m_limits.greatestUnsentBytes)
+        return loseInstance(link, "it does not read answers");
+    if (unsent > m_limits.unsentAnswerBytes)
+        to.stream->pauseReading(true);
+    to.stream->write(encodeFrame(answer));
 }
 
-void broker_link::loseInstance(std::uint64_t connection, std::string_view why)
+void broker_link::loseInstance(std::uint64_t link, std::string_view why)
 {
-    const auto known = m_instances.find(connection);
+    const auto known = m_instances.find(link);
     if (known == m_instances.end())
         return;
-    logLoss("connection of another instance lost", std::to_string(connection), why);
     const auto sessions = std::move(known->second.sessions);
+    const auto &hello = known->second.hello;
+    m_log.write(sessions.empty() ? line_importance::routine : line_importance::failure,
+                "link of another instance ended",
+                {{"instance", hello ? hello->sender.str() : ""},
+                 {"error", std::string(why)},
+                 {"operations", std::to_string(sessions.size())}},
+                suspendAwareNow());
     known->second.stream->abandon();
     m_closed.push_back(std::move(known->second.stream));
     m_instances.erase(known);
     for (const auto &[operation, session] : sessions) {
-        m_connectionOfSession.erase(session);
+        m_linkOfSession.erase(session);
         m_handlers.onEnd(session);
     }
 }
 
-void broker_link::removeClosed()
+std::size_t broker_link::unsentAnswerBytes() const
 {
-    m_closed.clear();
+    return std::transform_reduce(
+            m_instances.begin(), m_instances.end(), std::size_t{0}, std::plus<>(),
+            [](const auto &each) { return each.second.stream->pendingBytes(); });
 }
 
-void broker_link::logLoss(std::string_view event, const std::string &subject, std::string_view why)
+void broker_link::tick(time_point now)
 {
-    m_log.write(line_importance::failure, std::string(event),
-                {{"instance", subject}, {"error", std::string(why)}}, suspendAwareNow());
+    m_closed.clear();
+    std::vector<instance_id> lost;
+    std::vector<instance_id> probed;
+    std::vector<instance_id> unused;
+    for (auto &[broker, link] : m_brokers) {
+        if (!link.isAccepted && link.monitor.isSuspected(true, now)) {
+            lost.push_back(broker); // nothing was sent, so that everything may run elsewhere
+            continue;
+        }
+        switch (link.monitor.next(link.awaitsAnswer(), !link.operations.empty(), now)) {
+        case link_monitor::step::none:
+            break;
+        case link_monitor::step::probe:
+            if (link.isAccepted)
+                probed.push_back(broker);
+            break;
+        case link_monitor::step::lose:
+            lost.push_back(broker);
+            break;
+        case link_monitor::step::close:
+            unused.push_back(broker);
+            break;
+        }
+    }
+    std::ranges::for_each(probed, [&](const instance_id &broker) {
+        if (const auto link = m_brokers.find(broker); link != m_brokers.end())
+            link->second.stream->write(encodeFrame(broker_probe{}));
+    });
+    std::ranges::for_each(
+            lost, [&](const instance_id &broker) { loseBroker(broker, "the broker is silent"); });
+    std::ranges::for_each(unused, [&](const instance_id &broker) {
+        if (const auto link = m_brokers.find(broker); link != m_brokers.end())
+            dropBroker(link);
+    });
+    for (auto &[number, link] : m_instances)
+        if (link.stream->pendingBytes() <= m_limits.unsentAnswerBytes / 2)
+            link.stream->pauseReading(false);
 }
 
 } // namespace sycamorespan::node
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -2,7 +2,6 @@
 
 #include "programs/node/coordination_rows.h"
 
-#include "sycamorespan/src/Brokerage/broker_choice.h"
 #include "sycamorespan/src/Core/error.h"
 #include "sycamorespan/src/Core/json_integer.h"
 #include "sycamorespan/src/Core/overloaded.h"
@@ -26,9 +25,6 @@
 
 constexpr duration tickInterval = 20ms;
 
-/** Time for which an instance is not chosen as a broker after its connection was lost. */
-constexpr duration lostBrokerPause = 1s;
-
 /** \returns how long the store may hold a request for changes back. Two fifths of the time in which
  * a new configuration has to be in force leave enough of it to detect and replace an unresponsive
  * connection. The answers also show that the store is reachable, so the wait stays below
@@ -147,25 +143,8 @@
                [this](const holder_id &to, const quota_message &message) {
                    m_fleet.send(instance_id(to.str()), message);
                }})
-    , m_brokers(loop,
-                endpoint{m_settings.address,
-                         static_cast<std::uint16_t>(m_settings.firstPeerPort + 1)},
-                m_log, m_guard,
-                {[this](const instance_id &broker, const brokered_answer &answer) {
-                     apply(m_dispatcher.brokerAnswered(broker, answer, suspendAwareNow()));
-                 },
-                 [this](const instance_id &broker) {
-                     const auto now = suspendAwareNow();
-                     m_lostBrokers[broker] = now;
-                     apply(m_dispatcher.brokerLost(broker, now));
-                     updateBrokers(now);
-                 },
-                 [this](session_number session, const brokered_statement &statement) {
-                     apply(m_dispatcher.handedOver(session, statement, suspendAwareNow()));
-                 },
-                 [this](session_number session) {
-                     apply(m_dispatcher.callerDisconnected(session, suspendAwareNow()));
-                 },
+    , m_brokers(loop, m_self, m_dispatcher, m_log, m_metrics, m_guard,
+                {[this](dispatch_outputs outputs) { apply(std::move(outputs)); },
                  [this] { return ++m_lastSession; }})
     , m_configuration(loop, m_store, platform::table_name::operatorTable, longPollWait(m_settings),
                       m_guard, m_random,
@@ -455,42 +434,17 @@
 
 void node::perform(const dispatch_action::hand_over &action)
 {
-    m_brokers.handOver(action.broker, m_brokerAddresses[action.broker], action.statement);
+    m_brokers.perform(action);
 }
 
 void node::perform(const dispatch_action::end_hand_over &action)
 {
-    m_brokers.end(action.broker, action.end);
+    m_brokers.perform(action);
 }
 
 void node::perform(const dispatch_action::answer_hand_over &action)
 {
-    m_brokers.answer(action.session, action.answer);
-}
-
-void node::updateBrokers(time_point now)
-{
-    if (!m_directory)
-        return;
-    const auto &live = m_fleet.table().candidates(ownFlags(now));
-    std::vector<instance_incarnation> candidates;
-    std::set<data_centre_id> dataCentres;
-    const auto add = [&](const instance_incarnation &each) {
-        dataCentres.insert(each.dataCentre);
-        const auto lost = m_lostBrokers.find(each.instance);
-        const bool isPaused = lost != m_lostBrokers.end() && now - lost->second < lostBrokerPause;
-        if (!isPaused && each.dataCentre == m_self.dataCentre)
-            candidates.push_back(each);
-    };
-    std::ranges::for_each(live, add);
-    std::map<database_id, instance_id> brokers;
-    for (const auto &[database, broker] : chooseBrokers(*m_directory, candidates)) {
-        brokers[database] = broker.instance;
-        auto address = parseEndpoint(broker.address);
-        ++address.port;
-        m_brokerAddresses[broker.instance] = address;
-    }
-    m_dispatcher.setBrokers(std::move(brokers), m_self.instance, dataCentres.size());
+    m_brokers.perform(action);
 }
 
 void node::perform(const dispatch_action::record_outcome &action)
@@ -504,6 +458,8 @@
                         {"workspace", action.workspace.str()},
                         {"outcome", action.outcome},
                         {"server", action.server.str()},
+                        {"broker", action.broker.str()},
+                        {"served_for", action.servedFor.str()},
                         {"latency_ms", milliseconds(action.latency)},
                         {"queued_ms", milliseconds(action.queued)},
                         {"attempts", std::to_string(action.attempts)},
@@ -822,7 +778,7 @@
     std::ranges::for_each(m_serverEntries, [&](const server_entry &entry) {
         m_dispatcher.setBusyConnectionsOfOthers(entry.id, table.statementsOfOthers(entry.id));
     });
-    updateBrokers(now);
+    m_brokers.update(m_directory, table, m_stopRequestedAt.has_value(), now);
     const bool following = isFollower(now);
     m_configuration.setFollowing(following);
     m_servers.setFollowing(following);
@@ -900,7 +856,7 @@
                 course.sessionsToClose(m_dispatcher.sessionCount(), elapsed), now));
     if (course.endsStatements(elapsed))
         closeAllCallers(now);
-    const bool empty = m_callers.empty() && m_closedCallers.empty();
+    const bool empty = m_callers.empty() && m_closedCallers.empty() && m_brokers.isIdle();
     if ((empty && course.closesIdleSessions(elapsed)) || course.endsStatements(elapsed))
         deregister();
     if ((empty && m_isDeregistered) || course.mustExit(elapsed))
@@ -963,11 +919,11 @@
     };
     std::erase_if(m_closedCallers, [](const auto &each) { return !each->isOpen(); });
     m_closedMembers.clear();
-    m_brokers.removeClosed();
     step("list of servers", [&] { updateServers(now); });
     step("list of instances", [&] { updateInstances(now); });
     step("primary views", [&] { m_views.tick(now); });
     step("rates", [&] { m_quota.tick(now); });
+    step("brokers", [&] { m_brokers.tick(now); });
     step("statements", [&] { apply(m_dispatcher.tick(now)); });
     step("readiness", [&] { updateReadiness(now); });
     step("shutdown", [&] { advanceShutdown(now); });
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -4,7 +4,7 @@
 #include "platform/documents.h"
 #include "platform/settings.h"
 
-#include "programs/node/broker_link.h"
+#include "programs/node/brokerage.h"
 #include "programs/node/caller_channel.h"
 #include "programs/node/document_fetcher.h"
 #include "programs/node/fleet_link.h"
@@ -76,7 +76,6 @@
     void perform(const dispatch_action::hand_over &action);
     void perform(const dispatch_action::end_hand_over &action);
     void perform(const dispatch_action::answer_hand_over &action);
-    void updateBrokers(time_point now);
     void perform(const dispatch_action::record_outcome &action);
     void perform(const dispatch_action::record_step &action);
 
@@ -133,9 +132,7 @@
     fleet_link m_fleet;
     view_keeper m_views;
     quota_gate m_quota;
-    broker_link m_brokers;
-    std::map<instance_id, endpoint> m_brokerAddresses;
-    std::map<instance_id, time_point> m_lostBrokers;
+    brokerage m_brokers;
 
     std::shared_ptr<const service_directory> m_directory;
     std::string m_encodedConfiguration;
--- a/programs/node/node_metrics.cpp
+++ b/programs/node/node_metrics.cpp
@@ -30,6 +30,16 @@
                       .Name("sycamorespan_node")
                       .Help("State of the instance, by item")
                       .Register(*m_registry))
+    , m_handOvers(prometheus::BuildCounter()
+                          .Name("sycamorespan_hand_overs_total")
+                          .Help("Statements handed over to brokers or served as a broker, and lost "
+                                "links, by result")
+                          .Register(*m_registry))
+    , m_openings(prometheus::BuildCounter()
+                         .Name("sycamorespan_member_openings_total")
+                         .Help("Connections to members that were opened")
+                         .Register(*m_registry)
+                         .Add({}))
     , m_malformed(prometheus::BuildCounter()
                           .Name("sycamorespan_malformed_messages_total")
                           .Help("Messages of callers and instances that could not be decoded")
@@ -48,6 +58,8 @@
 
 void node_metrics::count(const dispatch_action::record_outcome &outcome)
 {
+    if (!outcome.servedFor.empty())
+        return; // the caller's instance counts it
     auto *&counter = m_outcomes[{outcome.database.str(), outcome.outcome}];
     if (!counter)
         counter = &m_statements.Add(
@@ -66,6 +78,12 @@
     m_steps.Add({{"step", step.step}}).Increment();
 }
 
+void node_metrics::setBrokerage(std::size_t links, std::size_t served)
+{
+    m_state.Add({{"item", "broker_links"}}).Set(static_cast<double>(links));
+    m_state.Add({{"item", "served_operations"}}).Set(static_cast<double>(served));
+}
+
 void node_metrics::set(const node_gauges &gauges)
 {
     const auto write = [this](const char *item, double value) {
--- a/programs/node/node_metrics.h
+++ b/programs/node/node_metrics.h
@@ -41,6 +41,16 @@
     void count(const dispatch_action::record_outcome &outcome);
     /** \brief Counts a repetition of a statement. */
     void count(const dispatch_action::record_step &step);
+    /** \param result  what became of a statement that is handed over, or of a link */
+    void countHandOver(const std::string &result)
+    {
+        m_handOvers.Add({{"result", result}}).Increment();
+    }
+    void countOpening() { m_openings.Increment(); }
+    /** \param links   links from and to this instance
+     *  \param served  operations of other instances that run here
+     */
+    void setBrokerage(std::size_t links, std::size_t served);
     void countMalformedMessage() { m_malformed.Increment(); }
     /** \param list  name of the list that the entry belongs to */
     void countRejectedEntry(const std::string &list)
@@ -58,6 +68,8 @@
     prometheus::Family<prometheus::Counter> &m_steps;
     prometheus::Family<prometheus::Histogram> &m_latency;
     prometheus::Family<prometheus::Gauge> &m_state;
+    prometheus::Family<prometheus::Counter> &m_handOvers;
+    prometheus::Counter &m_openings;
     prometheus::Counter &m_malformed;
     prometheus::Family<prometheus::Counter> &m_rejectedEntries;
     prometheus::Counter &m_unexpectedErrors;
--- a/sycamorespan/src/Brokerage/broker_messages.cpp
+++ b/sycamorespan/src/Brokerage/broker_messages.cpp
@@ -21,7 +21,7 @@
 /** Bytes of the length in front of each message. */
 constexpr std::size_t lengthBytes = 4;
 
-enum class message_type { statement, answer, end };
+enum class message_type { hello, statement, answer, end, probe, probeAnswer };
 
 json encodePosition(const log_position &position)
 {
@@ -44,6 +44,14 @@
     return field.get<std::string>();
 }
 
+/** Greatest absolute value of a relative time. It is longer than any timeout or transaction. */
+constexpr std::int64_t maximumTime = duration(24h).count();
+
+duration decodeTime(const json &field)
+{
+    return duration(toInteger<std::int64_t>(field, -maximumTime, maximumTime));
+}
+
 json encodeWork(const brokered_work &work)
 {
     return std::visit(overloaded{[](const brokered_execution &each) {
@@ -82,7 +90,7 @@
     if (fields.is_null())
         return std::nullopt;
     return brokered_transaction{fields.at(0).get<bool>(), fields.at(1).get<bool>(),
-                                duration(toInteger<std::int64_t>(fields.at(2)))};
+                                decodeTime(fields.at(2))};
 }
 
 json encodeFields(const brokered_statement &each)
@@ -90,8 +98,8 @@
     return json::array({static_cast<int>(message_type::statement), each.operation, each.number,
                         each.requestId, each.text, encodeWork(each.work), each.databaseName,
                         each.workspace.str(), encodeTransaction(each.transaction), each.values,
-                        encodePosition(each.lastCommitPosition), each.timeLeft.count(),
-                        each.objectiveLeft.count()});
+                        encodePosition(each.lastCommitPosition), each.configurationVersion,
+                        each.timeLeft.count(), each.objectiveLeft.count()});
 }
 
 brokered_statement decodeStatement(const json &fields)
@@ -107,8 +115,9 @@
     result.transaction = decodeTransaction(fields.at(8));
     result.values = fields.at(9).get<std::map<std::string, std::string>>();
     result.lastCommitPosition = decodePosition(fields.at(10));
-    result.timeLeft = duration(toInteger<std::int64_t>(fields.at(11)));
-    result.objectiveLeft = duration(toInteger<std::int64_t>(fields.at(12)));
+    result.configurationVersion = toInteger<std::uint64_t>(fields.at(11));
+    result.timeLeft = decodeTime(fields.at(12));
+    result.objectiveLeft = decodeTime(fields.at(13));
     return result;
 }
 
@@ -158,17 +167,41 @@
     return json::array({static_cast<int>(message_type::end), each.operation});
 }
 
+json encodeFields(const broker_hello &each)
+{
+    return json::array({static_cast<int>(message_type::hello), each.version, each.sender.str(),
+                        each.incarnation});
+}
+
+json encodeFields(const broker_probe &)
+{
+    return json::array({static_cast<int>(message_type::probe)});
+}
+
+json encodeFields(const broker_probe_answer &)
+{
+    return json::array({static_cast<int>(message_type::probeAnswer)});
+}
+
 broker_message decodeMessage(std::string_view bytes)
 {
     try {
         const auto fields = parseCbor(bytes, maximumDepth);
-        switch (decodeEnumeration(fields.at(0), message_type::end)) {
+        switch (decodeEnumeration(fields.at(0), message_type::probeAnswer)) {
+        case message_type::hello:
+            return broker_hello{toInteger<std::uint64_t>(fields.at(1)),
+                                instance_id(decodeText(fields.at(2))),
+                                toInteger<std::uint64_t>(fields.at(3))};
         case message_type::statement:
             return decodeStatement(fields);
         case message_type::answer:
             return decodeAnswer(fields);
         case message_type::end:
             return brokered_end{toInteger<operation_number>(fields.at(1))};
+        case message_type::probe:
+            return broker_probe{};
+        case message_type::probeAnswer:
+            return broker_probe_answer{};
         }
         throw decode_error("broker message: unknown type");
     } catch (const json::exception &failure) {
--- a/sycamorespan/src/Brokerage/broker_messages.h
+++ b/sycamorespan/src/Brokerage/broker_messages.h
@@ -11,8 +11,13 @@
 
 namespace sycamorespan {
 
-/** \brief Messages on the connection between an instance and a broker. */
-using broker_message = std::variant<brokered_statement, brokered_answer, brokered_end>;
+/** \brief Messages on the link between an instance and a broker. */
+using broker_message = std::variant<broker_hello, brokered_statement, brokered_answer, brokered_end,
+                                    broker_probe, broker_probe_answer>;
+
+/** Version of the layout of the messages. The layout of broker_hello is the same in all versions.
+ */
+constexpr std::uint64_t brokerMessagesVersion = 1;
 
 /** \returns the message as a frame: its length in four bytes, most significant first, and a CBOR
  * array.
--- a/sycamorespan/src/Brokerage/brokered_statement.h
+++ b/sycamorespan/src/Brokerage/brokered_statement.h
@@ -58,6 +58,7 @@
     std::optional<brokered_transaction> transaction;
     std::map<std::string, std::string> values; ///< session values, by name
     log_position lastCommitPosition; ///< covers every acknowledged commit of the session
+    std::uint64_t configurationVersion = 0; ///< in force at the instance; not older at the broker
     duration timeLeft{}; ///< until its deadline
     duration objectiveLeft{}; ///< until the end of the route's latency objective; may be negative
 
@@ -69,7 +70,7 @@
 {
     operation_number operation = 0;
     std::uint64_t number = 0; ///< of the statement
-    bool isDeclined = false; ///< the broker did not accept the statement; it did not run
+    bool isDeclined = false; ///< the broker does not serve the statement; it did not run
     bool wasSent = false; ///< the statement was sent to a member
     statement_answer answer;
 
@@ -84,6 +85,28 @@
     auto operator<=>(const brokered_end &) const = default;
 };
 
+/** \brief First message of each side of a link. */
+struct broker_hello
+{
+    std::uint64_t version = 0; ///< of the layout of the sender's messages
+    instance_id sender;
+    std::uint64_t incarnation = 0; ///< of the sender
+
+    auto operator<=>(const broker_hello &) const = default;
+};
+
+/** \brief Asks the other side of a link for a sign of life. */
+struct broker_probe
+{
+    auto operator<=>(const broker_probe &) const = default;
+};
+
+/** \brief Answers a probe. */
+struct broker_probe_answer
+{
+    auto operator<=>(const broker_probe_answer &) const = default;
+};
+
 } // namespace sycamorespan
 
 #endif
--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -49,16 +49,19 @@
     bool awaitsResend = false; ///< is sent again on the bound connection at notBefore
     connection_id openingConnection = 0; ///< connection being opened for it; 0: none
     std::uint64_t handOver = 0; ///< number with which it was handed over last; 0: never
+    instance_id broker; ///< to which it was handed over last
     bool avoidsBroker = false; ///< it runs on connections of this instance
 };
 
 /** \brief What the session of another instance's operation serves. */
 struct brokered_session
 {
+    instance_id instance; ///< that handed the operation over
     operation_number operation = 0;
     std::uint64_t statement = 0; ///< number of the last statement
     time_point deadline; ///< of the last statement
     time_point latencyDeadline;
+    bool wasSent = false; ///< a statement of the operation was sent to a member
 
     auto operator<=>(const brokered_session &) const = default;
 };
--- a/sycamorespan/src/Dispatch/dispatch_action.h
+++ b/sycamorespan/src/Dispatch/dispatch_action.h
@@ -153,6 +153,8 @@
     std::string outcome; ///< "completed", or the error's name
     std::string cause; ///< reason of the rejection or failure; empty after success
     server_id server; ///< member of the last attempt, if any
+    instance_id broker; ///< broker of the last attempt, if it was handed over
+    instance_id servedFor; ///< instance that handed the statement over, if any
     duration latency{};
     duration queued{};
     int attempts = 0;
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -209,6 +209,8 @@
      */
     void setBrokers(std::map<database_id, instance_id> brokers, instance_id self,
                     std::size_t sharers);
+    /** \returns the number of operations of other instances that run here. */
+    std::size_t servedCount() const;
     /** \brief Handles a broker's answer to a statement. */
     dispatch_outputs brokerAnswered(const instance_id &broker, const brokered_answer &answer,
                                     time_point now);
@@ -218,9 +220,10 @@
     dispatch_outputs brokerLost(const instance_id &broker, time_point now);
     /** \brief Handles a statement that another instance has handed over.
      * \param session  session of the operation, the same for each statement of a transaction
+     * \param instance  that handed the statement over
      */
-    dispatch_outputs handedOver(session_number session, const brokered_statement &statement,
-                                time_point now);
+    dispatch_outputs handedOver(session_number session, const instance_id &instance,
+                                const brokered_statement &statement, time_point now);
 
     // Connections to members.
 
@@ -263,7 +266,8 @@
     std::optional<time_point> writesUnansweredSince(const database_id &database) const;
     /** \returns when the primary last refused a statement as read-only, as a replica does */
     std::optional<time_point> primaryLastRefusedAt(const database_id &database) const;
-    std::size_t sessionCount() const { return m_callers.size(); }
+    /** \returns the number of sessions of callers. */
+    std::size_t sessionCount() const { return m_callers.size() - servedCount(); }
     /** \returns the number of queued statements, over all databases. */
     std::size_t queuedCount() const;
     /** \returns the number of connections to members. */
@@ -292,6 +296,11 @@
         std::optional<time_point> oldestUnansweredWrite; ///< when it was sent
         double completionsPerSecond = 0; ///< measured while statements wait; 0 if none do
         std::size_t completions = 0; ///< since completionsCountedSince
+        /** Until when nothing, or nothing that requires the primary, is handed over, because the
+         * broker has declined it.
+         */
+        time_point brokerAvoidedUntil;
+        time_point brokerAvoidedForPrimaryUntil;
         time_point completionsCountedSince;
     };
 
@@ -338,11 +347,17 @@
     void startJob(caller &from, const caller_request &request, statement_access access,
                   bool isCommit, time_point now);
     void enqueue(caller &from, time_point now);
-    std::optional<instance_id> brokerOf(const caller &from) const;
+    std::optional<instance_id> brokerOf(const caller &from, time_point now) const;
     void handOver(caller &from, const instance_id &broker, time_point now);
     void endHandOver(caller &from);
-    void answerHandOver(caller &to, statement_answer answer);
+    void leaveBroker(caller &from);
+    void returnDeclined(caller &from, std::string why, time_point now);
+    void serve(caller &from, const brokered_statement &statement, time_point now);
+    void answerHandOver(caller &to, statement_answer answer, time_point now);
     void decline(session_number session, const brokered_statement &statement, std::string why);
+    void declineUnreachable(time_point now);
+    bool isPrimaryUnreachable(const database_state &group, time_point now) const;
+    void closeSession(const caller &of);
     void removeServedOperations(time_point now);
     void charge(caller &from);
     void releaseAdmission(caller &from);
@@ -443,6 +458,7 @@
     std::map<database_id, instance_id> m_brokers;
     instance_id m_self;
     std::size_t m_brokersOfDatabase = 1; ///< brokers that share the connections of a member
+    std::unordered_map<operation_number, session_number> m_handedOver; ///< operations at brokers
     operation_number m_lastOperation = 0;
     std::uint64_t m_lastHandOver = 0;
     accepted_work m_acceptedWork = accepted_work::all;
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -1,13 +1,16 @@
+#include "sycamorespan/src/Core/map_projections.h"
 #include "sycamorespan/src/Core/overloaded.h"
 #include "sycamorespan/src/Dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sycamorespan {
 
 namespace {
 
 using namespace dispatch_action;
+using internal::caller_state;
 using internal::prepared_statement;
 using internal::statement_job;
 
@@ -19,6 +22,22 @@
  */
 constexpr duration brokerAnswerMargin = 10ms;
 
+/** Outcome in the log of a statement that this instance declined as a broker. */
+const std::string declinedOutcome = "declined";
+
+/** \returns what a broker is to run for the statement in progress. */
+brokered_work workOf(const caller_state &from)
+{
+    const auto &job = *from.job;
+    if (const auto *execute = std::get_if<caller_statement::execute>(&job.request.parsed)) {
+        const auto &prepared = from.prepared.at(execute->name);
+        return brokered_execution{prepared.access, prepared.statementShape, execute->arguments};
+    }
+    if (job.isCommit)
+        return caller_statement::commit{};
+    return caller_statement::direct{job.access};
+}
+
 } // namespace
 
 void dispatcher::setBrokers(std::map<database_id, instance_id> brokers, instance_id self,
@@ -29,44 +48,51 @@
     m_brokersOfDatabase = std::max<std::size_t>(sharers, 1);
 }
 
+std::size_t dispatcher::servedCount() const
+{
+    const auto isServed = [](const caller &each) { return each.served.has_value(); };
+    return static_cast<std::size_t>(std::ranges::count_if(m_callers, isServed, mappedOf));
+}
+
 /** \returns the other instance that is to run the statement; nothing if this one does. */
-std::optional<instance_id> dispatcher::brokerOf(const caller &from) const
+std::optional<instance_id> dispatcher::brokerOf(const caller &from, time_point now) const
 {
     if (from.served || !from.job || from.job->avoidsBroker)
         return std::nullopt;
     const auto broker = m_brokers.find(from.route.database);
     if (broker == m_brokers.end() || broker->second == m_self)
         return std::nullopt;
+    const auto state = m_databases.find(from.route.database);
+    if (state != m_databases.end()) {
+        const auto &avoided = state->second;
+        if (now < avoided.brokerAvoidedUntil
+            || (from.job->needsPrimary && now < avoided.brokerAvoidedForPrimaryUntil))
+            return std::nullopt;
+    }
     return broker->second;
 }
 
 void dispatcher::handOver(caller &from, const instance_id &broker, time_point now)
 {
     auto &job = *from.job;
-    brokered_statement statement;
     if (from.broker.empty()) {
         from.broker = broker;
         from.handedOver = ++m_lastOperation;
+        m_handedOver.emplace(from.handedOver, from.number);
     }
     job.currentStage = job_stage::running;
     job.queueTime += now - job.queuedSince;
     job.sentAt = now;
     ++job.attempts;
     job.handOver = ++m_lastHandOver;
+    job.broker = from.broker;
+    brokered_statement statement;
     statement.operation = from.handedOver;
     statement.number = job.handOver;
     statement.requestId = job.request.id;
-    statement.text = job.request.text;
-    if (const auto *execute = std::get_if<caller_statement::execute>(&job.request.parsed)) {
-        const auto &prepared = from.prepared.at(execute->name);
-        statement.work =
-                brokered_execution{prepared.access, prepared.statementShape, execute->arguments};
-        statement.text.clear();
-    } else if (job.isCommit) {
-        statement.work = caller_statement::commit{};
-    } else {
-        statement.work = caller_statement::direct{job.access};
-    }
+    statement.work = workOf(from);
+    if (!std::holds_alternative<brokered_execution>(statement.work))
+        statement.text = job.request.text;
     statement.databaseName = from.databaseName;
     statement.workspace = from.workspace;
     if (from.state == session_state::inTransaction)
@@ -74,6 +100,7 @@
                 brokered_transaction{from.readOnly, !job.startsTransaction, now - from.begunAt};
     statement.values = from.values;
     statement.lastCommitPosition = from.lastCommitPosition;
+    statement.configurationVersion = m_directory->version;
     statement.timeLeft = job.deadline - now - brokerAnswerMargin;
     statement.objectiveLeft = job.latencyDeadline - now;
     if (job.access == statement_access::write)
@@ -87,39 +114,36 @@
     if (from.broker.empty())
         return;
     m_outputs.push_back(end_hand_over{from.broker, {from.handedOver}});
+    leaveBroker(from);
+}
+
+/** Forgets the broker of the operation, which is over there. */
+void dispatcher::leaveBroker(caller &from)
+{
+    m_handedOver.erase(from.handedOver);
     from.broker = {};
+    from.handedOver = 0;
 }
 
 dispatch_outputs dispatcher::brokerAnswered(const instance_id &broker,
                                             const brokered_answer &answer, time_point now)
 {
-    const auto isAnswered = [&](const auto &entry) {
-        const auto &each = entry.second;
-        return each.job && each.broker == broker && each.handedOver == answer.operation
-               && each.job->handOver == answer.number;
-    };
-    const auto found = std::ranges::find_if(m_callers, isAnswered);
-    if (found == m_callers.end())
-        return takeOutputs();
-    auto &from = found->second;
+    const auto session = m_handedOver.find(answer.operation);
+    auto *found = session == m_handedOver.end() ? nullptr : findCaller(session->second);
+    if (!found || !found->job || found->broker != broker || found->job->handOver != answer.number
+        || found->job->currentStage != job_stage::running)
+        return takeOutputs(); // the statement has ended here in the meantime
+    auto &from = *found;
     if (answer.wasSent)
         charge(from);
+    const auto *why = std::get_if<rejected>(&answer.answer.result);
     if (answer.isDeclined) {
-        const bool canMove =
-                from.state != session_state::inTransaction || from.job->startsTransaction;
-        from.broker = {};
-        if (!canMove) {
-            reject(from, statement_error::aborted, "the broker left: rolled back", now);
-            return takeOutputs();
-        }
-        from.job->avoidsBroker = true;
-        from.hasWritten = false;
-        enqueue(from, now);
+        returnDeclined(from, why ? why->text : std::string(), now);
         return takeOutputs();
     }
-    if (const auto *why = std::get_if<rejected>(&answer.answer.result)) {
+    if (why) {
         if (answer.answer.state != session_state::inTransaction)
-            from.broker = {};
+            leaveBroker(from);
         reject(from, why->code, why->text, now);
         return takeOutputs();
     }
@@ -134,7 +158,7 @@
         from.hasWritten = false;
         from.readOnly = false;
     }
-    record(from, ended, "completed", {}, server_id(broker.str()), now);
+    record(from, ended, "completed", {}, {}, now);
     reply(from, answer.answer, now);
     if (from.isDisconnected)
         removeCaller(from.number, now);
@@ -143,27 +167,47 @@
     return takeOutputs();
 }
 
+/** Runs a statement here that its broker declined, so that it did not run there. */
+void dispatcher::returnDeclined(caller &from, std::string why, time_point now)
+{
+    leaveBroker(from);
+    auto &job = *from.job;
+    if (from.isDisconnected) {
+        from.job.reset();
+        return removeCaller(from.number, now);
+    }
+    if (from.state == session_state::inTransaction && !job.startsTransaction)
+        return reject(from, statement_error::aborted, why + ": rolled back", now);
+    auto &state = group(from);
+    (job.needsPrimary ? state.brokerAvoidedForPrimaryUntil : state.brokerAvoidedUntil) =
+            now + m_policy.avoidancePeriod;
+    recordStep(from, "declined", {}, why);
+    job.avoidsBroker = true;
+    from.hasWritten = false;
+    enqueue(from, now);
+}
+
 dispatch_outputs dispatcher::brokerLost(const instance_id &broker, time_point now)
 {
     std::erase_if(m_brokers, [&](const auto &each) { return each.second == broker; });
     std::vector<session_number> affected;
-    for (const auto &[number, each] : m_callers)
-        if (each.broker == broker)
-            affected.push_back(number);
+    for (const auto &[operation, session] : m_handedOver)
+        if (const auto *from = findCaller(session); from && from->broker == broker)
+            affected.push_back(session);
     std::ranges::for_each(affected, [&](session_number number) {
         auto *from = findCaller(number);
-        if (!from)
+        if (!from || from->broker != broker)
             return;
         if (from->job) {
             from->job->avoidsBroker = true;
-            charge(*from);
+            charge(*from); // the broker may have sent it
         }
-        onConnectionLost(*from, server_id(broker.str()), "the connection to the broker broke", now);
+        onConnectionLost(*from, {}, "the link to broker " + broker.str() + " broke", now);
     });
     return takeOutputs();
 }
 
-/** Tells the other instance that its statement was not accepted. */
+/** Tells the other instance that its statement is not served. */
 void dispatcher::decline(session_number session, const brokered_statement &statement,
                          std::string why)
 {
@@ -175,15 +219,40 @@
     m_outputs.push_back(answer_hand_over{session, std::move(answer)});
 }
 
-dispatch_outputs dispatcher::handedOver(session_number session, const brokered_statement &statement,
-                                        time_point now)
+/** \returns whether the primary of a valid view can't be reached from here, although other
+ * instances may reach it.
+ */
+bool dispatcher::isPrimaryUnreachable(const database_state &group, time_point now) const
+{
+    return isPrimaryUsable(group, now) && !isMemberUsable(m_pools.at(group.primary->server), now);
+}
+
+dispatch_outputs dispatcher::handedOver(session_number session, const instance_id &instance,
+                                        const brokered_statement &statement, time_point now)
 {
     const bool isBegun = statement.transaction && statement.transaction->isBegun;
     const auto route = m_directory->routes.find(statement.databaseName);
     auto *known = findCaller(session);
-    if (isBegun ? !known || known->state != session_state::inTransaction
-                : route == m_directory->routes.end() || m_acceptedWork != accepted_work::all) {
-        decline(session, statement, "the broker does not serve the operation");
+    const auto reason = [&]() -> std::string {
+        if (isBegun)
+            return known && !known->job && known->state == session_state::inTransaction
+                           ? ""
+                           : "the broker does not have the transaction";
+        if (known)
+            return "the operation has ended";
+        if (m_acceptedWork != accepted_work::all)
+            return "the broker is shutting down";
+        if (m_directory->version < statement.configurationVersion)
+            return "the broker has an older configuration";
+        return route == m_directory->routes.end() ? "the broker does not know the route" : "";
+    }();
+    if (!reason.empty()) {
+        decline(session, statement, reason);
+        if (known) {
+            auto outputs = takeOutputs();
+            std::ranges::move(callerDisconnected(session, now), std::back_inserter(outputs));
+            return outputs;
+        }
         return takeOutputs();
     }
     auto &from = known ? *known : m_callers[session];
@@ -193,19 +262,28 @@
         from.route = route->second;
         from.workspace = statement.workspace;
         from.isAdmitted = true; // by the caller's instance
-        from.isCharged = true;
+        from.served.emplace();
+        from.served->instance = instance;
+        from.served->operation = statement.operation;
         if (statement.transaction) {
             from.state = session_state::inTransaction;
             from.readOnly = statement.transaction->readOnly;
             from.begunAt = now - statement.transaction->age;
         }
     }
+    serve(from, statement, now);
+    return takeOutputs();
+}
+
+/** Runs a statement of another instance in the session of its operation. */
+void dispatcher::serve(caller &from, const brokered_statement &statement, time_point now)
+{
     from.lastActive = now;
     from.values = statement.values;
     from.lastCommitPosition = std::max(from.lastCommitPosition, statement.lastCommitPosition);
-    from.served =
-            internal::brokered_session{statement.operation, statement.number,
-                                       now + statement.timeLeft, now + statement.objectiveLeft};
+    from.served->statement = statement.number;
+    from.served->deadline = now + statement.timeLeft;
+    from.served->latencyDeadline = now + statement.objectiveLeft;
     caller_request request{statement.requestId, statement.text, {}};
     std::visit(
             overloaded{[&](const brokered_execution &each) {
@@ -216,11 +294,12 @@
                        [&](const auto &each) { request.parsed = each; }},
             statement.work);
     process(from, std::move(request), now);
-    return takeOutputs();
 }
 
-/** Answers the statement of another instance. */
-void dispatcher::answerHandOver(caller &to, statement_answer answer)
+/** Answers the statement of another instance. One that was not sent to a member is declined if the
+ * other instance may be able to run it itself.
+ */
+void dispatcher::answerHandOver(caller &to, statement_answer answer, time_point now)
 {
     answer.position = to.lastCommitPosition;
     if (to.isDisconnected)
@@ -228,12 +307,44 @@
     brokered_answer message;
     message.operation = to.served->operation;
     message.number = to.served->statement;
+    message.wasSent = to.served->wasSent;
     const auto *why = std::get_if<rejected>(&answer.result);
-    message.wasSent = !why || why->code != statement_error::busy;
+    const bool isRefused = why && why->code == statement_error::busy && !message.wasSent;
+    message.isDeclined =
+            isRefused && (m_acceptedWork != accepted_work::all || !isPrimaryUsable(group(to), now));
     message.answer = std::move(answer);
     m_outputs.push_back(answer_hand_over{to.number, std::move(message)});
 }
 
+/** Declines waiting statements of other instances that require a primary which can't be reached
+ * from here.
+ */
+void dispatcher::declineUnreachable(time_point now)
+{
+    std::vector<session_number> declined;
+    for (const auto &[number, each] : m_callers) {
+        if (!each.served || each.served->wasSent || !each.job
+            || each.job->currentStage != job_stage::queued || !each.job->needsPrimary)
+            continue;
+        const auto state = m_databases.find(each.route.database);
+        if (state != m_databases.end() && isPrimaryUnreachable(state->second, now))
+            declined.push_back(number);
+    }
+    std::ranges::for_each(declined, [&](session_number number) {
+        auto &from = *findCaller(number);
+        const auto why =
+                "the broker does not reach the primary of database " + from.route.database.str();
+        brokered_statement statement;
+        statement.operation = from.served->operation;
+        statement.number = from.served->statement;
+        record(from, *from.job, declinedOutcome, why, {}, now);
+        std::erase(group(from).queue, number);
+        from.job.reset();
+        decline(number, statement, why);
+        removeCaller(number, now);
+    });
+}
+
 /** Removes the sessions of operations that have ended. */
 void dispatcher::removeServedOperations(time_point now)
 {
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -214,7 +214,7 @@
     reject(from, statement_error::busy, shutdownReason, now);
     // A statement that the caller sent in advance may have begun to run.
     if (!from.job && from.state == session_state::idle)
-        m_outputs.push_back(close_caller{from.number});
+        closeSession(from);
 }
 
 /** Checks the session's route and key again, so that a changed directory applies to its next
@@ -226,7 +226,7 @@
     if (route == m_directory->routes.end()) {
         reject(from, statement_error::unknownDatabase,
                "database \"" + from.databaseName + "\" does not exist any more", now);
-        m_outputs.push_back(close_caller{from.number});
+        closeSession(from);
         return false;
     }
     from.route = route->second;
@@ -242,7 +242,7 @@
         return true;
     }
     reject(from, statement_error::unknownKey, "the key was withdrawn", now);
-    m_outputs.push_back(close_caller{from.number});
+    closeSession(from);
     return false;
 }
 
@@ -298,7 +298,7 @@
     if (!from.isAdmitted) {
         // What would be rejected anyway must use up nothing of the workspace's rate.
         const auto reason =
-                brokerOf(from) ? std::nullopt : reasonToReject(from, group(from), 0, now);
+                brokerOf(from, now) ? std::nullopt : reasonToReject(from, group(from), 0, now);
         if (reason)
             return reject(from, statement_error::busy, *reason, now);
         from.job->currentStage = job_stage::awaitingAdmission;
@@ -336,7 +336,7 @@
 
 void dispatcher::enqueue(caller &from, time_point now)
 {
-    if (const auto broker = brokerOf(from))
+    if (const auto broker = brokerOf(from, now))
         return handOver(from, *broker, now);
     auto &state = group(from);
     from.job->currentStage = job_stage::queued;
@@ -351,7 +351,9 @@
 /** Charges the operation to the workspace's rate, because it is being sent to a member. */
 void dispatcher::charge(caller &from)
 {
-    if (!from.isAdmitted || std::exchange(from.isCharged, true))
+    if (from.served)
+        from.served->wasSent = true; // the caller's instance charges it
+    if (!from.isAdmitted || std::exchange(from.isCharged, true) || from.served)
         return;
     m_outputs.push_back(settle_admission{from.number, from.workspace, true});
 }
@@ -359,7 +361,7 @@
 /** Ends the admission of the operation. One that was never sent is not charged. */
 void dispatcher::releaseAdmission(caller &from)
 {
-    if (from.isAdmitted && !from.isCharged)
+    if (from.isAdmitted && !from.isCharged && !from.served)
         m_outputs.push_back(settle_admission{from.number, from.workspace, false});
     from.isAdmitted = false;
     from.isCharged = false;
@@ -369,7 +371,7 @@
 {
     to.lastActive = now;
     if (to.served)
-        return answerHandOver(to, std::move(answer));
+        return answerHandOver(to, std::move(answer), now);
     answer.position.reset();
     if (!to.isDisconnected)
         m_outputs.push_back(reply_to_caller{to.number, std::move(answer)});
@@ -452,7 +454,7 @@
         if (idle.size() >= count)
             break;
         if (each.state == session_state::idle && !each.job && each.pendingRequests.empty()
-            && !each.isDisconnected)
+            && !each.isDisconnected && !each.served)
             idle.push_back(number);
     }
     std::ranges::for_each(idle, [&](session_number number) {
@@ -471,8 +473,8 @@
         if (auto *from = findCaller(number))
             endStatement(*from, shutdownReason,
                          "the instance is shutting down and the member has not answered", now);
-        if (findCaller(number))
-            m_outputs.push_back(close_caller{number});
+        if (auto *from = findCaller(number))
+            closeSession(*from);
     });
     return takeOutputs();
 }
@@ -503,6 +505,15 @@
     return takeOutputs();
 }
 
+/** Closes the caller's connection. The session of another instance's operation has none, and is
+ * removed when it is over.
+ */
+void dispatcher::closeSession(const caller &of)
+{
+    if (!of.served)
+        m_outputs.push_back(close_caller{of.number});
+}
+
 bool dispatcher::isIdle() const
 {
     const auto isCallerIdle = [](const caller &each) {
@@ -523,6 +534,10 @@
     entry.outcome = std::move(outcome);
     entry.cause = std::move(cause);
     entry.server = server;
+    if (server.empty())
+        entry.broker = ended.broker;
+    if (from.served)
+        entry.servedFor = from.served->instance;
     entry.latency = now - ended.arrivedAt;
     entry.queued = ended.queueTime
                    + (ended.currentStage == job_stage::queued ? now - ended.queuedSince
@@ -562,11 +577,13 @@
                             std::string_view why)
 {
     const auto &of = *from.job;
-    m_outputs.push_back(record_step{of.request.id,
-                                    std::move(step),
-                                    {{"server", server.str()},
-                                     {"reason", std::string(why)},
-                                     {"attempts", std::to_string(of.attempts)}}});
+    const bool ranAtBroker = server.empty() && !of.broker.empty();
+    m_outputs.push_back(record_step{
+            of.request.id,
+            std::move(step),
+            {{ranAtBroker ? "broker" : "server", ranAtBroker ? of.broker.str() : server.str()},
+             {"reason", std::string(why)},
+             {"attempts", std::to_string(of.attempts)}}});
 }
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -134,7 +134,7 @@
     job.notBefore = now + refusalDelay;
     if (isLagging)
         job.lagging.insert(server);
-    else if (!isBusy)
+    else if (!isBusy && !server.empty())
         job.excluded.insert(server);
     job.currentStage = job_stage::queued;
     job.queuedSince = now;
@@ -325,7 +325,7 @@
 
 void dispatcher::unbind(caller &from)
 {
-    from.broker = {};
+    leaveBroker(from);
     from.boundConnection = 0;
     from.boundServer = {};
 }
@@ -395,6 +395,7 @@
 {
     removeServedOperations(now);
     checkConnections(now);
+    declineUnreachable(now);
     checkDeadlines(now);
     resendRefusedStatements(now);
     checkTransactions(now);
@@ -506,11 +507,12 @@
 /** Rejects a statement whose deadline has passed. */
 void dispatcher::onDeadlineExpired(caller &from, time_point now)
 {
+    const auto executor = from.broker.empty() ? "member " + from.boundServer.str()
+                                              : "broker " + from.broker.str();
     endStatement(from,
                  "no member of database " + from.route.database.str()
                          + " took the statement in its time; it did not run",
-                 "member " + from.boundServer.str() + " did not answer in the statement's time",
-                 now);
+                 executor + " did not answer in the statement's time", now);
 }
 
 /** Ends the statement in progress with what is known of its outcome.
@@ -524,6 +526,8 @@
         return;
     if (from.job->currentStage != job_stage::running)
         return reject(from, statement_error::busy, whyNotRun, now);
+    if (!from.broker.empty())
+        charge(from); // the broker may have sent it
     endHandOver(from);
     if (auto *pool = poolOf(from.boundConnection))
         closeConnection(*pool, from.boundConnection, now);
