--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -70,6 +70,12 @@
     /** Fair share of connections below which smallShareConnections and smallShareIdleTimeout apply.
      */
     std::size_t smallShareThreshold = 3;
+    /** Connections to a member that an instance may open past the broker of its database. */
+    std::size_t connectionsPastBroker = 1;
+    /** Time for which a statement at a broker waits for a connection that other statements of its
+     * workspace use, before one more is opened. It is about the time of an opening.
+     */
+    duration ownConnectionWait = 15ms;
     /** Idle time after which a connection is closed where the fair share is below
      * smallShareThreshold. It is twice the time of a usual statement.
      */
@@ -394,7 +400,10 @@
     connection_id openConnection(member_pool &pool, const database_id &database,
                                  const workspace_id &workspace, time_point now);
     std::size_t fairConnectionShare(const member_pool &pool) const;
-    std::size_t connectionBudget(const member_pool &pool) const;
+    std::size_t connectionBudget(const member_pool &pool, time_point now) const;
+    bool isBrokerOf(const database_id &database) const;
+    bool awaitsOwnConnection(const caller &from, const std::vector<candidate> &choices,
+                             time_point now) const;
     bool canBeServed(const caller &from, const database_state &group, time_point now) const;
     primary_outlook primaryOutlook(const database_state &group, time_point now) const;
     bool isMemberUsable(const member_pool &pool, time_point now) const;
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -224,7 +224,11 @@
  */
 bool dispatcher::isPrimaryUnreachable(const database_state &group, time_point now) const
 {
-    return isPrimaryUsable(group, now) && !isMemberUsable(m_pools.at(group.primary->server), now);
+    if (!isPrimaryUsable(group, now))
+        return false;
+    const auto &pool = m_pools.at(group.primary->server);
+    const auto heard = pool.lastMessageAt();
+    return !isMemberUsable(pool, now) && (!heard || now - *heard > m_policy.avoidancePeriod);
 }
 
 dispatch_outputs dispatcher::handedOver(session_number session, const instance_id &instance,
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -74,6 +74,8 @@
     } else if (wasOpening) {
         pool->recordConnectionFailure(now);
     }
+    if (refusal == statement_error::connectionLimit)
+        pool->recordConnectionLimit(now);
     if (refusal == statement_error::moved)
         pool->setAvoidedUntil(now + m_policy.unresponsiveTimeout);
     pool->erase(connection);
@@ -430,7 +432,7 @@
             const bool slowRollback = each.state == member_connection::phase::rollingBack
                                       && now - each.since > m_policy.rollbackTimeout;
             const bool idle = each.state == member_connection::phase::idle;
-            const bool surplus = idle && pool.connections().size() > connectionBudget(pool);
+            const bool surplus = idle && pool.connections().size() > connectionBudget(pool, now);
             const bool unused = idle && scarce && now - each.since > m_policy.smallShareIdleTimeout;
             if (slowOpening || slowRollback || surplus || unused)
                 overdueConnections.push_back({&pool, each.id, each.session});
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -59,16 +59,26 @@
     const auto limit = known->second.maxConnections;
     const auto shared =
             limit > m_policy.reservedConnections ? limit - m_policy.reservedConnections : limit;
-    const auto broker = m_brokers.find(pool.entry().database);
-    if (broker != m_brokers.end() && broker->second == m_self)
+    if (isBrokerOf(pool.entry().database))
         return std::max<std::size_t>(shared * 9 / 10 / m_brokersOfDatabase, 1);
     return std::max<std::size_t>(shared / m_instances, 1);
 }
 
-std::size_t dispatcher::connectionBudget(const member_pool &pool) const
+std::size_t dispatcher::connectionBudget(const member_pool &pool, time_point now) const
 {
     const auto fair = fairConnectionShare(pool);
-    return fair < m_policy.smallShareThreshold ? m_policy.smallShareConnections : fair;
+    const auto &database = pool.entry().database;
+    const bool hasOtherBroker = m_brokers.contains(database) && !isBrokerOf(database);
+    const auto small =
+            hasOtherBroker ? m_policy.connectionsPastBroker : m_policy.smallShareConnections;
+    return std::min(fair < m_policy.smallShareThreshold ? small : fair, pool.connectionLimit(now));
+}
+
+/** \returns whether this instance is the broker of the database in its data centre. */
+bool dispatcher::isBrokerOf(const database_id &database) const
+{
+    const auto broker = m_brokers.find(database);
+    return broker != m_brokers.end() && broker->second == m_self;
 }
 
 bool dispatcher::isMemberUsable(const member_pool &pool, time_point now) const
@@ -230,7 +240,10 @@
         score += toSeconds(m_policy.otherDataCentrePenalty);
     // In a large fleet the load reported by other instances is outdated. Without random variation
     // all instances would choose the same member at the same time.
-    const auto draw = rendezvousWeight(from.job->request.id, pool.entry().id.str());
+    // At a broker, statements of a workspace prefer the same member, which has its connections.
+    const auto draw = rendezvousWeight(isBrokerOf(from.route.database) ? from.workspace.str()
+                                                                       : from.job->request.id,
+                                       pool.entry().id.str());
     constexpr double largestDraw = 18446744073709551616.0; // 2^64
     return score * (1 + m_policy.scoreJitter * static_cast<double>(draw) / largestDraw);
 }
@@ -294,11 +307,27 @@
     if (pool && pool->isOpening(from.job->openingConnection))
         return false;
     from.job->openingConnection = 0;
+    if (awaitsOwnConnection(from, choices, now))
+        return false;
     std::ranges::any_of(choices,
                         [&](const candidate &each) { return openConnectionFor(from, each, now); });
     return false;
 }
 
+/** \returns whether the statement waits for a connection of its workspace that is in use or being
+ * opened, because connections are too scarce to open one for each statement.
+ */
+bool dispatcher::awaitsOwnConnection(const caller &from, const std::vector<candidate> &choices,
+                                     time_point now) const
+{
+    if (!isBrokerOf(from.route.database)
+        || now - from.job->queuedSince >= m_policy.ownConnectionWait)
+        return false;
+    return std::ranges::any_of(choices, [&](const candidate &each) {
+        return each.pool->hasConnectionOf(from.workspace);
+    });
+}
+
 std::string dispatcher::preparedNameFor(const caller &from) const
 {
     const auto *execute = executeOf(*from.job);
@@ -326,7 +355,7 @@
     auto &pool = *chosen.pool;
     if (!pool.mayOpen(now))
         return false;
-    if (pool.connections().size() >= connectionBudget(pool)) {
+    if (pool.connections().size() >= connectionBudget(pool, now)) {
         auto *evicted = pool.findLongestIdleOfOthers(from.workspace, now,
                                                      m_policy.minimumIdleBeforeEviction);
         if (!evicted)
--- a/sycamorespan/src/Dispatch/member_pool.cpp
+++ b/sycamorespan/src/Dispatch/member_pool.cpp
@@ -2,6 +2,7 @@
 #include "sycamorespan/src/Core/map_projections.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace sycamorespan {
@@ -22,6 +23,10 @@
 constexpr double slownessSmoothing = 0.1;
 constexpr double maximumSlownessRatio = 20;
 
+/** Time after which one more connection is tried at a member that refused one because of its limit.
+ */
+constexpr duration connectionLimitGrowthInterval = 200ms;
+
 bool needsDiscard(const session_values &held, const session_values &wanted)
 {
     return std::ranges::any_of(held,
@@ -95,6 +100,13 @@
     return found == m_connections.end() ? nullptr : &found->second;
 }
 
+bool member_pool::hasConnectionOf(const workspace_id &workspace) const
+{
+    return std::ranges::any_of(
+            m_connections,
+            [&](const member_connection &each) { return each.workspace == workspace; }, mappedOf);
+}
+
 bool member_pool::isOpening(connection_id id) const
 {
     const auto found = m_connections.find(id);
@@ -128,6 +140,24 @@
     m_openAfter = now + maximumReopenDelay / 2;
 }
 
+void member_pool::recordConnectionLimit(time_point now)
+{
+    const auto isOpen = [](const member_connection &each) {
+        return each.state != member_connection::phase::opening;
+    };
+    const auto open = std::ranges::count_if(m_connections, isOpen, mappedOf);
+    m_connectionLimit = std::max<std::size_t>(static_cast<std::size_t>(open), 1);
+    m_connectionLimitAt = now;
+}
+
+std::size_t member_pool::connectionLimit(time_point now) const
+{
+    if (!m_connectionLimit)
+        return std::numeric_limits<std::size_t>::max();
+    return *m_connectionLimit
+           + static_cast<std::size_t>((now - m_connectionLimitAt) / connectionLimitGrowthInterval);
+}
+
 std::optional<time_point> member_pool::unresponsiveSince() const
 {
     std::optional<time_point> oldest;
--- a/sycamorespan/src/Dispatch/member_pool.h
+++ b/sycamorespan/src/Dispatch/member_pool.h
@@ -65,6 +65,9 @@
     member_connection *findLongestIdleOfOthers(const workspace_id &workspace, time_point now,
                                                duration leastIdle);
 
+    /** \returns whether a connection of \a workspace is open or being opened. */
+    bool hasConnectionOf(const workspace_id &workspace) const;
+
     member_connection &add(connection_id id, workspace_id workspace, time_point now);
     member_connection *find(connection_id id);
     void erase(connection_id id) { m_connections.erase(id); }
@@ -90,6 +93,14 @@
     /** \brief Delays further connection attempts because the member refused one. */
     void pauseOpening(time_point now);
 
+    /** \brief Records that the member refused a connection because it has too many. */
+    void recordConnectionLimit(time_point now);
+
+    /** \returns how many connections the member accepts from this instance, as far as its refusals
+     * tell. It grows again with the time since the last one.
+     */
+    std::size_t connectionLimit(time_point now) const;
+
     /** \returns since when a statement or opening has been unanswered without any message from the
      * member; nothing if none is unanswered.
      */
@@ -132,6 +143,8 @@
     std::optional<time_point> m_lastMessageAt;
     time_point m_openAfter;
     int m_failures = 0;
+    std::optional<std::size_t> m_connectionLimit; ///< at the last refusal
+    time_point m_connectionLimitAt;
     double m_slowness = 1;
     log_position m_position;
     time_point m_positionObservedAt;
