--- a/programs/node/brokerage.cpp
+++ b/programs/node/brokerage.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-/** \returns the address of the instance's links: the port after that of its reports. */
+/** \returns the address of the instance's links: the port after that of its reports.
+ * \throws error if the instance's address is malformed
+ */
 endpoint linkAddress(const instance_incarnation &instance)
 {
     auto address = parseEndpoint(instance.address);
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -359,6 +359,7 @@
 
 void node::perform(const dispatch_action::open_member &action)
 {
+    m_metrics.countOpening();
     const auto connection = action.connection;
     const auto closed = [this, connection, server = action.server](const channel_end &end) {
         const auto found = m_members.find(connection);
--- a/standins/users_platform/users_platform.py
+++ b/standins/users_platform/users_platform.py
@@ -85,10 +85,11 @@
 
     # Configuration.
 
-    async def configure(self, routes, workspaces, idle_ms=3000):
+    async def configure(self, routes, workspaces, idle_ms=3000, connections=32):
         """Writes a new version of the configuration to the store.
 
-        routes: name -> (database, type, max_staleness_ms); workspaces: name -> (keys, rate, burst).
+        routes: name -> (database, type, max_staleness_ms); workspaces: name -> (keys, rate, burst);
+        connections: accepted by each member.
         """
         self.version += 1
         self.configuration = {
@@ -97,7 +98,7 @@
                         "target_latency_ms": 400, "priority": 1, "backend": database, "attempts": 2,
                         "public": False, **({"max_staleness_ms": stale} if stale else {})}
                        for name, (database, kind, stale) in routes.items()],
-            "services": [{"name": name, "health_check": "/health", "max_conns": 32, "protocol": "h1",
+            "services": [{"name": name, "health_check": "/health", "max_conns": connections, "protocol": "h1",
                           "tls": False, "sync_replicas": 1} for name in self.groups],
             "limits": {"txn_idle_ms": idle_ms},
             "tenants": [{"name": name, "api_keys": keys, "priority": 1, "rate_per_s": rate,
--- a/sycamorespan/src/Brokerage/link_monitor.h
+++ b/sycamorespan/src/Brokerage/link_monitor.h
@@ -12,11 +12,11 @@
 struct link_policy
 {
     /** Time without a byte, while an answer is awaited, after which a probe is sent. */
-    duration probeInterval = 100ms;
-    /** Silence after which nothing more is handed over. It allows for two lost probes. */
-    duration suspicionTimeout = 300ms;
-    /** Silence after which the link is lost. */
-    duration lossTimeout = 600ms;
+    duration probeInterval = 75ms;
+    /** Silence after which nothing more is handed over. */
+    duration suspicionTimeout = 200ms;
+    /** Silence after which the link is lost. It leaves a read time to be repeated elsewhere. */
+    duration lossTimeout = 400ms;
     /** Time without an operation after which the link is closed. */
     duration idleTimeout = 10s;
 
--- a/test/decoders_mutations.cpp
+++ b/test/decoders_mutations.cpp
@@ -8,6 +8,7 @@
 #include "platform/settings.h"
 #include "platform/store_protocol.h"
 #include "programs/node/coordination_rows.h"
+#include "sycamorespan/Brokerage"
 #include "sycamorespan/src/Core/error.h"
 #include "sycamorespan/src/Membership/fleet_messages.h"
 #include "sycamorespan/src/Quota/quota_messages.h"
@@ -135,6 +136,23 @@
                               token_amount::tokens(9)})};
 }
 
+std::vector<std::string> brokerFrames()
+{
+    brokered_statement statement;
+    statement.operation = 7;
+    statement.requestId = "5c0e";
+    statement.work = brokered_execution{statement_access::write, "q", "1a4"};
+    statement.databaseName = "sales";
+    statement.workspace = workspace_id("shop");
+    statement.transaction = brokered_transaction{true, true, 40ms};
+    statement.values = {{"v", "1"}};
+    brokered_answer answer;
+    answer.answer.rows = {"one"};
+    answer.answer.position = log_position{1, 2};
+    return {encodeFrame(broker_hello{1, instance_id("front-a-1"), 77}) + encodeFrame(statement),
+            encodeFrame(answer) + encodeFrame(brokered_end{7}) + encodeFrame(broker_probe{})};
+}
+
 const std::string settingsText = "node_name=front-a-1\nip=127.0.0.1\nzone=a\n"
                                  "listen_addrs.front=127.0.0.1:1\nlisten_addrs.ready=127.0.0.1:2\n"
                                  "internal_ports=7560,7575\nheartbeat_ms=1200\n"
@@ -175,6 +193,13 @@
                      ;
                  reader.refusal();
              }},
+            {"messages of brokers", brokerFrames(),
+             [](const std::string &text) {
+                 broker_frame_reader reader(4096);
+                 reader.append(text);
+                 while (reader.next())
+                     ;
+             }},
             {"member status",
              {"replica 3 3.1209 0 12 2 17"},
              [](const std::string &text) { platform::decodeMemberStatus(text); }},
--- a/test/node_programs.py
+++ b/test/node_programs.py
@@ -22,6 +22,20 @@
             return port
 
 
+def free_port_pair():
+    """Returns a free port whose successor is free too, each of them only once."""
+    while True:
+        first = free_port()
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, first + 1))
+            except OSError:
+                continue
+        if first + 1 not in _ports:
+            _ports.add(first + 1)
+            return first
+
+
 class Caller:
     """Client side of one caller's session."""
 
@@ -48,7 +62,7 @@
 class Node:
     def __init__(self, program, platform, name, data_centre, folder, store_port=None):
         self.program, self.name, self.folder = program, name, folder
-        self.ports = [free_port() for _ in range(3)]
+        self.ports = [free_port(), free_port(), free_port_pair()]
         self.settings = folder / f"{name}.conf"
         self.settings.write_text(node_settings(platform, name, data_centre, self.ports, store_port),
                                  encoding="utf-8")
