--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -143,6 +143,8 @@
                [this](const holder_id &to, const quota_message &message) {
                    m_fleet.send(instance_id(to.str()), message);
                }})
+    , m_members(loop, m_dispatcher, m_log, m_metrics, m_guard,
+                [this](dispatch_outputs outputs) { apply(std::move(outputs)); })
     , m_brokers(loop, m_self, m_dispatcher, m_log, m_metrics, m_guard,
                 {[this](dispatch_outputs outputs) { apply(std::move(outputs)); },
                  [this] { return ++m_lastSession; }})
@@ -305,20 +307,6 @@
     m_isPerformingActions = false;
 }
 
-/** Handles a message of a member. After an unexpected error the state of the connection is unknown,
- * so that it is closed.
- */
-void node::handleMember(connection_id connection,
-                        const std::function<dispatch_outputs(time_point)> &handle)
-{
-    const auto now = suspendAwareNow();
-    if (m_guard.run("message of a member", [&] { apply(handle(now)); }))
-        return;
-    perform(dispatch_action::close_member{connection});
-    m_guard.run("loss of a connection to a member",
-                [&] { apply(m_dispatcher.closed(connection, std::nullopt, now)); });
-}
-
 void node::perform(const dispatch_action::reply_to_caller &action)
 {
     const auto found = m_callers.find(action.session);
@@ -359,63 +347,17 @@
 
 void node::perform(const dispatch_action::open_member &action)
 {
-    m_metrics.countOpening();
-    const auto connection = action.connection;
-    const auto closed = [this, connection, server = action.server](const channel_end &end) {
-        const auto found = m_members.find(connection);
-        if (found == m_members.end())
-            return;
-        m_log.write(line_importance::failure, "connection to member lost",
-                    {{"server", server.str()},
-                     {"error", end.refusal ? std::string(nameOf(*end.refusal)) : "closed"}},
-                    suspendAwareNow());
-        m_closedMembers.push_back(std::move(found->second));
-        m_members.erase(found);
-        m_guard.run("loss of a connection to a member", [&] {
-            apply(m_dispatcher.closed(connection, end.refusal, suspendAwareNow()));
-        });
-    };
-    try {
-        m_members.emplace(
-                connection,
-                std::make_unique<member_channel>(
-                        m_loop, parseEndpoint(action.address), action.database, action.workspace,
-                        action.server,
-                        member_channel::handlers{
-                                [this, connection](std::optional<log_position> position) {
-                                    handleMember(connection, [&](time_point now) {
-                                        return m_dispatcher.opened(connection, position, now);
-                                    });
-                                },
-                                [this, connection](const statement_answer &answer) {
-                                    handleMember(connection, [&](time_point now) {
-                                        return m_dispatcher.answered(connection, answer, now);
-                                    });
-                                },
-                                closed}));
-    } catch (const error &failure) {
-        m_log.write(line_importance::failure, "opening a connection to a member failed",
-                    {{"server", action.server.str()}, {"error", failure.what()}},
-                    suspendAwareNow());
-        apply(m_dispatcher.closed(connection, std::nullopt, suspendAwareNow()));
-    }
+    m_members.perform(action);
 }
 
 void node::perform(const dispatch_action::send_to_member &action)
 {
-    const auto found = m_members.find(action.connection);
-    if (found != m_members.end())
-        found->second->send(action.statements);
+    m_members.perform(action);
 }
 
 void node::perform(const dispatch_action::close_member &action)
 {
-    const auto found = m_members.find(action.connection);
-    if (found == m_members.end())
-        return;
-    found->second->close();
-    m_closedMembers.push_back(std::move(found->second));
-    m_members.erase(found);
+    m_members.perform(action);
 }
 
 void node::perform(const dispatch_action::request_admission &action)
@@ -919,7 +861,7 @@
         m_guard.run(subject, handle);
     };
     std::erase_if(m_closedCallers, [](const auto &each) { return !each->isOpen(); });
-    m_closedMembers.clear();
+    m_members.removeClosed();
     step("list of servers", [&] { updateServers(now); });
     step("list of instances", [&] { updateInstances(now); });
     step("primary views", [&] { m_views.tick(now); });
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -8,6 +8,7 @@
 #include "programs/node/caller_channel.h"
 #include "programs/node/document_fetcher.h"
 #include "programs/node/fleet_link.h"
+#include "programs/node/member_connections.h"
 #include "programs/node/node_metrics.h"
 #include "programs/node/quota_gate.h"
 #include "programs/node/rejected_entries.h"
@@ -61,8 +62,6 @@
     void retireChannel(
             std::unordered_map<session_number, std::unique_ptr<caller_channel>>::iterator caller);
     void apply(dispatch_outputs outputs);
-    void handleMember(connection_id connection,
-                      const std::function<dispatch_outputs(time_point)> &handle);
     void perform(const dispatch_action::reply_to_caller &action);
     void perform(const dispatch_action::accept_caller &action);
     void perform(const dispatch_action::reject_caller &action);
@@ -132,6 +131,7 @@
     fleet_link m_fleet;
     view_keeper m_views;
     quota_gate m_quota;
+    member_connections m_members;
     brokerage m_brokers;
 
     std::shared_ptr<const service_directory> m_directory;
@@ -146,9 +146,7 @@
 
     caller_channel::handlers m_callerHandlers;
     std::unordered_map<session_number, std::unique_ptr<caller_channel>> m_callers;
-    std::unordered_map<connection_id, std::unique_ptr<member_channel>> m_members;
     std::vector<std::unique_ptr<caller_channel>> m_closedCallers; ///< until answers are delivered
-    std::vector<std::unique_ptr<member_channel>> m_closedMembers;
     std::map<session_number, pending_connect> m_pendingConnects;
     session_number m_lastSession = 0;
     std::deque<dispatch_output> m_outputs;
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -198,10 +198,8 @@
         auto *from = findCaller(number);
         if (!from || from->broker != broker)
             return;
-        if (from->job) {
-            from->job->avoidsBroker = true;
+        if (from->job)
             charge(*from); // the broker may have sent it
-        }
         onConnectionLost(*from, {}, "the link to broker " + broker.str() + " broke", now);
     });
     return takeOutputs();
--- a/test/dispatch_brokers.cpp
+++ b/test/dispatch_brokers.cpp
@@ -89,6 +89,18 @@
     EXPECT_EQ(instance.settlements(), settled(0, 1));
 }
 
+TEST(dispatch_brokers, a_refused_operation_is_over_at_the_broker)
+{
+    caller_side instance;
+    instance.connect(1);
+    instance.request(1, "WRITE x 1");
+    const auto refused = instance.lastHandedOver().operation;
+    instance.brokerAnswers(false, rejected{statement_error::busy, "queue"});
+    instance.request(1, "WRITE x 1");
+    EXPECT_NE(instance.lastHandedOver().operation, refused);
+    EXPECT_TRUE(instance.outputsOf<dispatch_action::end_hand_over>().empty());
+}
+
 TEST(dispatch_brokers, what_the_broker_declines_runs_on_connections_of_the_instance)
 {
     caller_side instance;
@@ -229,7 +241,8 @@
 
     brokered_answer lastAnswer() const
     {
-        return outputsOf<dispatch_action::answer_hand_over>().back().answer;
+        const auto answers = outputsOf<dispatch_action::answer_hand_over>();
+        return answers.empty() ? brokered_answer{} : answers.back().answer;
     }
 
     std::size_t answerCount() const
