--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -76,6 +76,10 @@
      * workspace use, before one more is opened. It is about the time of an opening.
      */
     duration ownConnectionWait = 15ms;
+    /** Wait of a statement at a broker after which it may close any idle connection of another
+     * workspace, so that workspaces which are never idle for long don't keep it out.
+     */
+    duration evictionWait = 100ms;
     /** Idle time after which a connection is closed where the fair share is below
      * smallShareThreshold. It is twice the time of a usual statement.
      */
@@ -357,7 +361,7 @@
     void handOver(caller &from, const instance_id &broker, time_point now);
     void endHandOver(caller &from);
     void leaveBroker(caller &from);
-    void returnDeclined(caller &from, std::string why, time_point now);
+    void returnDeclined(caller &from, const std::string &why, time_point now);
     void serve(caller &from, const brokered_statement &statement, time_point now);
     void answerHandOver(caller &to, statement_answer answer, time_point now);
     void decline(session_number session, const brokered_statement &statement, std::string why);
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -11,8 +11,6 @@
 
 using namespace dispatch_action;
 using internal::caller_state;
-using internal::prepared_statement;
-using internal::statement_job;
 
 /** Name of the prepared statement that a served operation executes. */
 const std::string servedStatementName = "s";
@@ -168,7 +166,7 @@
 }
 
 /** Runs a statement here that its broker declined, so that it did not run there. */
-void dispatcher::returnDeclined(caller &from, std::string why, time_point now)
+void dispatcher::returnDeclined(caller &from, const std::string &why, time_point now)
 {
     leaveBroker(from);
     auto &job = *from.job;
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -356,8 +356,10 @@
     if (!pool.mayOpen(now))
         return false;
     if (pool.connections().size() >= connectionBudget(pool, now)) {
-        auto *evicted = pool.findLongestIdleOfOthers(from.workspace, now,
-                                                     m_policy.minimumIdleBeforeEviction);
+        const bool hasWaited = isBrokerOf(from.route.database)
+                               && now - from.job->queuedSince >= m_policy.evictionWait;
+        const auto leastIdle = hasWaited ? duration::zero() : m_policy.minimumIdleBeforeEviction;
+        auto *evicted = pool.findLongestIdleOfOthers(from.workspace, now, leastIdle);
         if (!evicted)
             return false;
         closeConnection(pool, evicted->id, now);
--- a/test/dispatch_brokers.cpp
+++ b/test/dispatch_brokers.cpp
@@ -222,7 +222,8 @@
     }
 
     void handOver(session_number session, brokered_work work,
-                  std::optional<brokered_transaction> transaction = {})
+                  std::optional<brokered_transaction> transaction = {},
+                  const workspace_id &from = workspace_id("shop"))
     {
         brokered_statement statement;
         statement.operation = session;
@@ -231,7 +232,7 @@
         statement.text = "READ x";
         statement.work = std::move(work);
         statement.databaseName = "sales";
-        statement.workspace = workspace;
+        statement.workspace = from;
         statement.transaction = transaction;
         statement.configurationVersion = version;
         statement.timeLeft = 500ms;
@@ -377,6 +378,27 @@
     EXPECT_EQ(broker.serverOf(broker.lastSent().connection), server_id("s2"));
 }
 
+TEST(dispatch_brokers, a_workspace_that_is_never_idle_does_not_keep_others_out)
+{
+    broker_side broker; // holds 9 connections to each member, all of them used by one workspace
+    for (session_number session = 1; session <= 9; ++session) {
+        broker.handOver(session, aWrite);
+        broker.advance(20ms);
+    }
+    ASSERT_EQ(broker.outputsOf<dispatch_action::open_member>().size(), 9U);
+    const workspace_id another("another");
+    broker.handOver(100, aWrite, {}, another);
+    session_number session = 100;
+    bool isServed = false;
+    for (const auto end = broker.now + 300ms; broker.now < end && !isServed; broker.advance(10ms)) {
+        for (const auto &each : broker.outputsOf<dispatch_action::open_member>())
+            isServed = isServed || each.workspace == another;
+        broker.answer(broker.lastSent().connection);
+        broker.handOver(++session, aWrite);
+    }
+    EXPECT_TRUE(isServed);
+}
+
 TEST(dispatch_brokers, statements_of_one_workspace_share_its_connection)
 {
     broker_side broker;
