--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -2,7 +2,6 @@
 
 #include "programs/node/coordination_rows.h"
 
-#include "sycamorespan/src/Brokerage/broker_choice.h"
 #include "sycamorespan/src/Core/error.h"
 #include "sycamorespan/src/Core/json_integer.h"
 #include "sycamorespan/src/Core/overloaded.h"
@@ -26,9 +25,6 @@
 
 constexpr duration tickInterval = 20ms;
 
-/** Time for which an instance is not chosen as a broker after its connection was lost. */
-constexpr duration lostBrokerPause = 1s;
-
 /** \returns how long the store may hold a request for changes back. Two fifths of the time in which
  * a new configuration has to be in force leave enough of it to detect and replace an unresponsive
  * connection. The answers also show that the store is reachable, so the wait stays below
@@ -142,25 +138,10 @@
                    m_fleet.send(instance_id(to.str()), message);
                }})
     , m_answerIntake(m_settings.memoryBytes)
-    , m_brokers(loop,
-                endpoint{m_settings.address,
-                         static_cast<std::uint16_t>(m_settings.firstPeerPort + 1)},
-                m_log, m_guard,
-                {[this](const instance_id &broker, const brokered_answer &answer) {
-                     apply(m_dispatcher.brokerAnswered(broker, answer, suspendAwareNow()));
-                 },
-                 [this](const instance_id &broker) {
-                     const auto now = suspendAwareNow();
-                     m_lostBrokers[broker] = now;
-                     apply(m_dispatcher.brokerLost(broker, now));
-                     updateBrokers(now);
-                 },
-                 [this](session_number session, const brokered_statement &statement) {
-                     apply(m_dispatcher.handedOver(session, statement, suspendAwareNow()));
-                 },
-                 [this](session_number session) {
-                     apply(m_dispatcher.callerDisconnected(session, suspendAwareNow()));
-                 },
+    , m_members(loop, m_dispatcher, m_log, m_metrics, m_guard, m_answerIntake,
+                [this](dispatch_outputs outputs) { apply(std::move(outputs)); })
+    , m_brokers(loop, m_self, m_dispatcher, m_log, m_metrics, m_guard,
+                {[this](dispatch_outputs outputs) { apply(std::move(outputs)); },
                  [this] { return ++m_lastSession; }})
     , m_operatorRows(m_log, m_rejectedEntries, m_settings.evacuationTimeout.has_value(),
                      {[this](const auto &directory) { useConfiguration(directory); },
@@ -263,20 +244,6 @@
     m_isPerformingActions = false;
 }
 
-/** Handles a message of a member. After an unexpected error the state of the connection is unknown,
- * so that it is closed.
- */
-void node::handleMember(connection_id connection,
-                        const std::function<dispatch_outputs(time_point)> &handle)
-{
-    const auto now = suspendAwareNow();
-    if (m_guard.run("message of a member", [&] { apply(handle(now)); }))
-        return;
-    perform(dispatch_action::close_member{connection});
-    m_guard.run("loss of a connection to a member",
-                [&] { apply(m_dispatcher.closed(connection, std::nullopt, now)); });
-}
-
 void node::perform(const dispatch_action::reply_to_caller &action)
 {
     m_sessions.answer(action.session, action.answer);
@@ -309,63 +276,17 @@
 
 void node::perform(const dispatch_action::open_member &action)
 {
-    const auto connection = action.connection;
-    const auto closed = [this, connection, server = action.server](const channel_end &end) {
-        const auto found = m_members.find(connection);
-        if (found == m_members.end())
-            return;
-        m_log.write(line_importance::failure, "connection to member lost",
-                    {{"server", server.str()},
-                     {"error", end.refusal ? std::string(nameOf(*end.refusal)) : "closed"}},
-                    suspendAwareNow());
-        m_closedMembers.push_back(std::move(found->second));
-        m_members.erase(found);
-        m_guard.run("loss of a connection to a member", [&] {
-            apply(m_dispatcher.closed(connection, end.refusal, suspendAwareNow()));
-        });
-    };
-    try {
-        m_members.emplace(
-                connection,
-                std::make_unique<member_channel>(
-                        m_loop, parseEndpoint(action.address), action.database, action.workspace,
-                        action.server,
-                        member_channel::handlers{
-                                [this, connection](std::optional<log_position> position) {
-                                    handleMember(connection, [&](time_point now) {
-                                        return m_dispatcher.opened(connection, position, now);
-                                    });
-                                },
-                                [this, connection](const statement_answer &answer) {
-                                    handleMember(connection, [&](time_point now) {
-                                        return m_dispatcher.answered(connection, answer, now);
-                                    });
-                                },
-                                closed},
-                        &m_answerIntake));
-    } catch (const error &failure) {
-        m_log.write(line_importance::failure, "opening a connection to a member failed",
-                    {{"server", action.server.str()}, {"error", failure.what()}},
-                    suspendAwareNow());
-        apply(m_dispatcher.closed(connection, std::nullopt, suspendAwareNow()));
-    }
+    m_members.perform(action);
 }
 
 void node::perform(const dispatch_action::send_to_member &action)
 {
-    const auto found = m_members.find(action.connection);
-    if (found != m_members.end())
-        found->second->send(action.statements);
+    m_members.perform(action);
 }
 
 void node::perform(const dispatch_action::close_member &action)
 {
-    const auto found = m_members.find(action.connection);
-    if (found == m_members.end())
-        return;
-    found->second->close();
-    m_closedMembers.push_back(std::move(found->second));
-    m_members.erase(found);
+    m_members.perform(action);
 }
 
 void node::perform(const dispatch_action::request_admission &action)
@@ -385,42 +306,17 @@
 
 void node::perform(const dispatch_action::hand_over &action)
 {
-    m_brokers.handOver(action.broker, m_brokerAddresses[action.broker], action.statement);
+    m_brokers.perform(action);
 }
 
 void node::perform(const dispatch_action::end_hand_over &action)
 {
-    m_brokers.end(action.broker, action.end);
+    m_brokers.perform(action);
 }
 
 void node::perform(const dispatch_action::answer_hand_over &action)
 {
-    m_brokers.answer(action.session, action.answer);
-}
-
-void node::updateBrokers(time_point now)
-{
-    if (!m_directory)
-        return;
-    const auto &live = m_fleet.table().candidates(ownFlags(now));
-    std::vector<instance_incarnation> candidates;
-    std::set<data_centre_id> dataCentres;
-    const auto add = [&](const instance_incarnation &each) {
-        dataCentres.insert(each.dataCentre);
-        const auto lost = m_lostBrokers.find(each.instance);
-        const bool isPaused = lost != m_lostBrokers.end() && now - lost->second < lostBrokerPause;
-        if (!isPaused && each.dataCentre == m_self.dataCentre)
-            candidates.push_back(each);
-    };
-    std::ranges::for_each(live, add);
-    std::map<database_id, instance_id> brokers;
-    for (const auto &[database, broker] : chooseBrokers(*m_directory, candidates)) {
-        brokers[database] = broker.instance;
-        auto address = parseEndpoint(broker.address);
-        ++address.port;
-        m_brokerAddresses[broker.instance] = address;
-    }
-    m_dispatcher.setBrokers(std::move(brokers), m_self.instance, dataCentres.size());
+    m_brokers.perform(action);
 }
 
 void node::perform(const dispatch_action::record_outcome &action)
@@ -434,6 +330,8 @@
                         {"workspace", action.workspace.str()},
                         {"outcome", action.outcome},
                         {"server", action.server.str()},
+                        {"broker", action.broker.str()},
+                        {"served_for", action.servedFor.str()},
                         {"latency_ms", milliseconds(action.latency)},
                         {"queued_ms", milliseconds(action.queued)},
                         {"attempts", std::to_string(action.attempts)},
@@ -729,7 +627,7 @@
     std::ranges::for_each(m_serverEntries, [&](const server_entry &entry) {
         m_dispatcher.setBusyConnectionsOfOthers(entry.id, table.statementsOfOthers(entry.id));
     });
-    updateBrokers(now);
+    m_brokers.update(m_directory, table, m_stopRequestedAt.has_value(), now);
     const bool following = isFollower(now);
     m_configuration.setFollowing(following);
     m_servers.setFollowing(following);
@@ -807,7 +705,7 @@
                 course.sessionsToClose(m_dispatcher.sessionCount(), elapsed), now));
     if (course.endsStatements(elapsed))
         closeAllCallers(now);
-    const bool empty = m_sessions.isEmpty();
+    const bool empty = m_sessions.isEmpty() && m_brokers.isIdle();
     if ((empty && course.closesIdleSessions(elapsed)) || course.endsStatements(elapsed))
         deregister();
     if ((empty && m_isDeregistered) || course.mustExit(elapsed))
@@ -863,14 +761,14 @@
     const auto step = [this](std::string_view subject, const std::function<void()> &handle) {
         m_guard.run(subject, handle);
     };
-    m_closedMembers.clear();
-    m_brokers.removeClosed();
+    m_members.removeClosed();
     step("list of servers", [&] { updateServers(now); });
     step("list of instances", [&] { updateInstances(now); });
     step("primary views", [&] { m_views.tick(now); });
     step("evacuations", [&] { m_operatorRows.tick(now); });
     step("rates", [&] { m_quota.tick(now); });
     step("sessions", [&] { m_sessions.tick(now); });
+    step("brokers", [&] { m_brokers.tick(now); });
     step("statements", [&] { apply(m_dispatcher.tick(now)); });
     step("readiness", [&] { updateReadiness(now); });
     step("shutdown", [&] { advanceShutdown(now); });
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -4,10 +4,11 @@
 #include "platform/documents.h"
 #include "platform/settings.h"
 
-#include "programs/node/broker_link.h"
+#include "programs/node/brokerage.h"
 #include "programs/node/caller_sessions.h"
 #include "programs/node/document_fetcher.h"
 #include "programs/node/fleet_link.h"
+#include "programs/node/member_connections.h"
 #include "programs/node/node_metrics.h"
 #include "programs/node/operator_rows.h"
 #include "programs/node/quota_gate.h"
@@ -46,8 +47,6 @@
 private:
     // Callers and members.
     void apply(dispatch_outputs outputs);
-    void handleMember(connection_id connection,
-                      const std::function<dispatch_outputs(time_point)> &handle);
     void perform(const dispatch_action::reply_to_caller &action);
     void perform(const dispatch_action::accept_caller &action);
     void perform(const dispatch_action::reject_caller &action);
@@ -61,7 +60,6 @@
     void perform(const dispatch_action::hand_over &action);
     void perform(const dispatch_action::end_hand_over &action);
     void perform(const dispatch_action::answer_hand_over &action);
-    void updateBrokers(time_point now);
     void perform(const dispatch_action::record_outcome &action);
     void perform(const dispatch_action::record_step &action);
 
@@ -120,9 +118,8 @@
     view_keeper m_views;
     quota_gate m_quota;
     answer_intake m_answerIntake;
-    broker_link m_brokers;
-    std::map<instance_id, endpoint> m_brokerAddresses;
-    std::map<instance_id, time_point> m_lostBrokers;
+    member_connections m_members;
+    brokerage m_brokers;
 
     std::shared_ptr<const service_directory> m_directory;
     operator_rows m_operatorRows;
@@ -138,8 +135,6 @@
     isolation_detector m_isolation;
     std::optional<bool> m_storeAvailable;
 
-    std::unordered_map<connection_id, std::unique_ptr<member_channel>> m_members;
-    std::vector<std::unique_ptr<member_channel>> m_closedMembers;
     session_number m_lastSession = 0;
     std::deque<dispatch_output> m_outputs;
     bool m_isPerformingActions = false;
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -75,6 +75,16 @@
     /** Fair share of connections below which smallShareConnections and smallShareIdleTimeout apply.
      */
     std::size_t smallShareThreshold = 3;
+    /** Connections to a member that an instance may open past the broker of its database. */
+    std::size_t connectionsPastBroker = 1;
+    /** Time for which a statement at a broker waits for a connection that other statements of its
+     * workspace use, before one more is opened. It is about the time of an opening.
+     */
+    duration ownConnectionWait = 15ms;
+    /** Wait of a statement at a broker after which it may close any idle connection of another
+     * workspace, so that workspaces which are never idle for long don't keep it out.
+     */
+    duration evictionWait = 100ms;
     /** Idle time after which a connection is closed where the fair share is below
      * smallShareThreshold. It is twice the time of a usual statement.
      */
@@ -229,6 +239,8 @@
      */
     void setBrokers(std::map<database_id, instance_id> brokers, instance_id self,
                     std::size_t sharers);
+    /** \returns the number of operations of other instances that run here. */
+    std::size_t servedCount() const;
     /** \brief Handles a broker's answer to a statement. */
     dispatch_outputs brokerAnswered(const instance_id &broker, const brokered_answer &answer,
                                     time_point now);
@@ -238,9 +250,10 @@
     dispatch_outputs brokerLost(const instance_id &broker, time_point now);
     /** \brief Handles a statement that another instance has handed over.
      * \param session  session of the operation, the same for each statement of a transaction
+     * \param instance  that handed the statement over
      */
-    dispatch_outputs handedOver(session_number session, const brokered_statement &statement,
-                                time_point now);
+    dispatch_outputs handedOver(session_number session, const instance_id &instance,
+                                const brokered_statement &statement, time_point now);
 
     // Connections to members.
 
@@ -287,7 +300,8 @@
     std::optional<time_point> writesUnansweredSince(const database_id &database) const;
     /** \returns when the primary last refused a statement as read-only, as a replica does */
     std::optional<time_point> primaryLastRefusedAt(const database_id &database) const;
-    std::size_t sessionCount() const { return m_callers.size(); }
+    /** \returns the number of sessions of callers. */
+    std::size_t sessionCount() const { return m_callers.size() - servedCount(); }
     /** \returns the bytes of the values and prepared statements that the session keeps. */
     std::size_t keptBytes(session_number session) const;
     /** \returns the number of queued statements, over all databases. */
@@ -320,6 +334,11 @@
         freshness_floors floors;
         std::set<server_id> members;
         std::optional<time_point> oldestUnansweredWrite; ///< when it was sent
+        /** Until when nothing, or nothing that requires the primary, is handed over, because the
+         * broker has declined it.
+         */
+        time_point brokerAvoidedUntil;
+        time_point brokerAvoidedForPrimaryUntil;
     };
 
     /** \brief When a missing primary is expected, and until when statements wait for it. */
@@ -365,11 +384,17 @@
     void startJob(caller &from, const caller_request &request, statement_access access,
                   bool isCommit, time_point now);
     void enqueue(caller &from, time_point now);
-    std::optional<instance_id> brokerOf(const caller &from) const;
+    std::optional<instance_id> brokerOf(const caller &from, time_point now) const;
     void handOver(caller &from, const instance_id &broker, time_point now);
     void endHandOver(caller &from);
-    void answerHandOver(caller &to, statement_answer answer);
+    void leaveBroker(caller &from);
+    void returnDeclined(caller &from, const std::string &why, time_point now);
+    void serve(caller &from, const brokered_statement &statement, time_point now);
+    void answerHandOver(caller &to, statement_answer answer, time_point now);
     void decline(session_number session, const brokered_statement &statement, std::string why);
+    void declineUnreachable(time_point now);
+    bool isPrimaryUnreachable(const database_state &group, time_point now) const;
+    void closeSession(const caller &of);
     void removeServedOperations(time_point now);
     void charge(caller &from);
     void releaseAdmission(caller &from);
@@ -408,7 +433,10 @@
     connection_id openConnection(member_pool &pool, const database_id &database,
                                  const workspace_id &workspace, time_point now);
     std::size_t fairConnectionShare(const member_pool &pool) const;
-    std::size_t connectionBudget(const member_pool &pool) const;
+    std::size_t connectionBudget(const member_pool &pool, time_point now) const;
+    bool isBrokerOf(const database_id &database) const;
+    bool awaitsOwnConnection(const caller &from, const std::vector<candidate> &choices,
+                             time_point now) const;
     bool canBeServed(const caller &from, const database_state &group, time_point now) const;
     primary_outlook primaryOutlook(const database_state &group, time_point now) const;
     bool isMemberUsable(const member_pool &pool, time_point now) const;
@@ -485,6 +513,7 @@
     std::map<database_id, instance_id> m_brokers;
     instance_id m_self;
     std::size_t m_brokersOfDatabase = 1; ///< brokers that share the connections of a member
+    std::unordered_map<operation_number, session_number> m_handedOver; ///< operations at brokers
     operation_number m_lastOperation = 0;
     std::uint64_t m_lastHandOver = 0;
     accepted_work m_acceptedWork = accepted_work::all;
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -74,6 +74,8 @@
     } else if (wasOpening) {
         pool->recordConnectionFailure(now);
     }
+    if (refusal == statement_error::connectionLimit)
+        pool->recordConnectionLimit(now);
     if (refusal == statement_error::moved)
         pool->setAvoidedUntil(now + m_policy.unresponsiveTimeout);
     pool->erase(connection);
@@ -142,7 +144,7 @@
     job.notBefore = now + refusalDelay;
     if (isLagging)
         job.lagging.insert(server);
-    else if (!isBusy)
+    else if (!isBusy && !server.empty())
         job.excluded.insert(server);
     job.floor.reset();
     queueStatement(from, now);
@@ -329,7 +331,7 @@
 
 void dispatcher::unbind(caller &from)
 {
-    from.broker = {};
+    leaveBroker(from);
     from.boundConnection = 0;
     from.boundServer = {};
 }
@@ -400,6 +402,7 @@
     removeServedOperations(now);
     endEvacuatedWork(now);
     checkConnections(now);
+    declineUnreachable(now);
     checkDeadlines(now);
     resendRefusedStatements(now);
     checkTransactions(now);
@@ -425,7 +428,7 @@
             const bool slowRollback = each.state == member_connection::phase::rollingBack
                                       && now - each.since > m_policy.rollbackTimeout;
             const bool idle = each.state == member_connection::phase::idle;
-            const bool surplus = idle && pool.connections().size() > connectionBudget(pool);
+            const bool surplus = idle && pool.connections().size() > connectionBudget(pool, now);
             const bool unused = idle && scarce && now - each.since > m_policy.smallShareIdleTimeout;
             if (slowOpening || slowRollback || surplus || unused)
                 overdueConnections.push_back({&pool, each.id, each.session});
@@ -502,11 +505,12 @@
 /** Rejects a statement whose deadline has passed. */
 void dispatcher::onDeadlineExpired(caller &from, time_point now)
 {
+    const auto executor = from.broker.empty() ? "member " + from.boundServer.str()
+                                              : "broker " + from.broker.str();
     endStatement(from,
                  "no member of database " + from.route.database.str()
                          + " took the statement in its time; it did not run",
-                 "member " + from.boundServer.str() + " did not answer in the statement's time",
-                 now);
+                 executor + " did not answer in the statement's time", now);
 }
 
 /** Ends the statement in progress with what is known of its outcome.
@@ -520,6 +524,8 @@
         return;
     if (from.job->currentStage != job_stage::running)
         return reject(from, statement_error::busy, whyNotRun, now, refusal_cause::deadline);
+    if (!from.broker.empty())
+        charge(from); // the broker may have sent it
     endHandOver(from);
     if (auto *pool = poolOf(from.boundConnection))
         closeConnection(*pool, from.boundConnection, now);
