Planned stop: messages that are held back at a connection are answered

Only two messages of a caller are taken before they are answered, and none while it does not read. The dispatcher did not know of the others: it closed the session as idle, or after the first refusal, and they got no answer.

A session with messages that have arrived is no longer idle. A close that the dispatcher orders for a session that it still serves waits for the answers of the messages that have arrived. At the end of the stop all received messages are taken and refused before the connection is closed.

Bytes that are still in the kernel's buffer at the end of the stop are not read.

--- a/programs/node/caller_channel.cpp
+++ b/programs/node/caller_channel.cpp
@@ -96,7 +96,24 @@
 
 bool caller_channel::mayTake() const
 {
-    return m_unanswered.size() < maxUnanswered && !m_handlers.mustPause(m_session);
+    return m_takesAll || (m_unanswered.size() < maxUnanswered && !m_handlers.mustPause(m_session));
+}
+
+void caller_channel::takeAllMessages()
+{
+    m_takesAll = true;
+    takeMessages();
+}
+
+bool caller_channel::hasMessages()
+{
+    if (m_closed)
+        return false;
+    try {
+        return !m_unanswered.empty() || m_lines.hasNext() || m_stream.unreadBytes() > 0;
+    } catch (const decode_error &) {
+        return true; // takeMessages() reports it
+    }
 }
 
 intake_load caller_channel::load() const
--- a/programs/node/caller_channel.h
+++ b/programs/node/caller_channel.h
@@ -44,6 +44,10 @@
     void write(std::string_view lines) { m_stream.write(lines); }
     /** \brief Takes the messages that have arrived and may be taken. */
     void takeMessages();
+    /** \brief Takes all messages that were received, also those that are held back. */
+    void takeAllMessages();
+    /** \returns whether messages have arrived that are not answered. */
+    bool hasMessages();
     /** \brief Sends what was written, then closes the connection. Calls no handler any more. */
     void closeAfterWrite();
     /** \brief Closes the connection at once and releases its buffers. Calls no handler any more. */
@@ -72,6 +76,7 @@
     std::optional<time_point> m_messageBegunAt;
     bool m_isPaused = false;
     bool m_isTaking = false;
+    bool m_takesAll = false; ///< messages are not held back
     bool m_closed = false;
     byte_stream m_stream;
 };
--- a/programs/node/caller_sessions.cpp
+++ b/programs/node/caller_sessions.cpp
@@ -1,9 +1,10 @@
 #include "programs/node/caller_sessions.h"
 
-#include "sycamorespan/src/Core/overloaded.h"
+#include "sycamorespan/src/Core/map_projections.h"
 #include "sycamorespan/src/Net/clock.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -157,8 +158,21 @@
     return true;
 }
 
+bool caller_sessions::hasMessages(session_number session)
+{
+    auto *channel = findOpen(session);
+    return channel && channel->hasMessages();
+}
+
 void caller_sessions::closeAll()
 {
+    std::vector<session_number> open;
+    std::ranges::transform(m_active, std::back_inserter(open), keyOf);
+    std::ranges::for_each(open, [this](session_number session) {
+        if (auto *channel = findOpen(session))
+            channel->takeAllMessages();
+        updateLoad(session);
+    });
     while (!m_active.empty())
         close(m_active.begin()->first);
 }
--- a/programs/node/caller_sessions.h
+++ b/programs/node/caller_sessions.h
@@ -49,6 +49,8 @@
     void startServing();
 
     bool contains(session_number session) const { return m_active.contains(session); }
+    /** \returns whether messages of the session have arrived that are not answered. */
+    bool hasMessages(session_number session);
     void accept(session_number session);
     void answer(session_number session, const statement_answer &answer);
     /** \brief Sends the error. The session stays open until close(). */
@@ -57,6 +59,9 @@
      * \returns whether the session was open
      */
     bool close(session_number session);
+    /** \brief Takes all messages that were received, also those that are held back, and closes the
+     * connections after all answers are delivered.
+     */
     void closeAll();
     /** \brief Closes the sessions that wait until requests can be served. */
     void rejectWaiting(const rejected &error);
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -275,13 +275,20 @@
                  {"reason", action.error.text},
                  {"configuration_version", std::to_string(m_directory ? m_directory->version : 0)}},
                 suspendAwareNow());
-    perform(dispatch_action::close_caller{action.session});
+    closeCaller(action.session);
 }
 
 void node::perform(const dispatch_action::close_caller &action)
 {
-    if (m_sessions.close(action.session))
-        apply(m_dispatcher.callerDisconnected(action.session, suspendAwareNow()));
+    // A session that the dispatcher still serves is closed with the last of these answers.
+    if (!m_dispatcher.hasSession(action.session) || !m_sessions.hasMessages(action.session))
+        closeCaller(action.session);
+}
+
+void node::closeCaller(session_number session)
+{
+    if (m_sessions.close(session))
+        apply(m_dispatcher.callerDisconnected(session, suspendAwareNow()));
 }
 
 void node::perform(const dispatch_action::open_member &action)
@@ -777,7 +784,7 @@
                     now);
     }
     if (m_isolated)
-        apply(m_dispatcher.closeIdleSessions(maxSessionsClosedPerTick, now));
+        closeIdleCallers(maxSessionsClosedPerTick, now);
 }
 
 void node::stop()
@@ -803,8 +810,7 @@
     if (course.endsTransactions(elapsed))
         apply(m_dispatcher.rollBackIdleTransactionsOnAllServers(now));
     if (course.closesIdleSessions(elapsed))
-        apply(m_dispatcher.closeIdleSessions(
-                course.sessionsToClose(m_dispatcher.sessionCount(), elapsed), now));
+        closeIdleCallers(course.sessionsToClose(m_dispatcher.sessionCount(), elapsed), now);
     if (course.endsStatements(elapsed))
         closeAllCallers(now);
     const bool empty = m_sessions.isEmpty();
@@ -814,6 +820,13 @@
         exit();
 }
 
+void node::closeIdleCallers(std::size_t count, time_point now)
+{
+    apply(m_dispatcher.closeIdleSessions(count, now, [this](session_number session) {
+        return m_sessions.hasMessages(session);
+    }));
+}
+
 /** Answers what callers have sent, and closes their connections. */
 void node::closeAllCallers(time_point now)
 {
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -50,6 +50,7 @@
     void perform(const dispatch_action::accept_caller &action);
     void perform(const dispatch_action::reject_caller &action);
     void perform(const dispatch_action::close_caller &action);
+    void closeCaller(session_number session);
     void perform(const dispatch_action::open_member &action);
     void perform(const dispatch_action::send_to_member &action);
     void perform(const dispatch_action::close_member &action);
@@ -90,6 +91,7 @@
     isolation_evidence isolationEvidence(time_point now) const;
     void updateReadiness(time_point now);
     void advanceShutdown(time_point now);
+    void closeIdleCallers(std::size_t count, time_point now);
     void closeAllCallers(time_point now);
     void deregister();
     void exit();
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -186,9 +186,13 @@
      */
     dispatch_outputs throttled(session_number session, duration retryAfter, time_point now);
     /** \brief Closes sessions that have no operation in progress, for a graceful shutdown.
-     * \param count  largest number of sessions to close
+     * \param count        largest number of sessions to close
+     * \param hasMessages  whether messages of a session have arrived that were not handed over to
+     *                     the dispatcher, so that it is not idle; null: of no session
      */
-    dispatch_outputs closeIdleSessions(std::size_t count, time_point now);
+    dispatch_outputs
+    closeIdleSessions(std::size_t count, time_point now,
+                      const std::function<bool(session_number)> &hasMessages = nullptr);
     /** \brief Sets which new operations are accepted, for a graceful shutdown.
      *
      * A refused operation is answered with busy, and its session is closed, so that the caller
@@ -264,6 +268,7 @@
     /** \returns when the primary last refused a statement as read-only, as a replica does */
     std::optional<time_point> primaryLastRefusedAt(const database_id &database) const;
     std::size_t sessionCount() const { return m_callers.size(); }
+    bool hasSession(session_number session) const { return m_callers.contains(session); }
     /** \returns the bytes of the values and prepared statements that the session keeps. */
     std::size_t keptBytes(session_number session) const;
     /** \returns the number of queued statements, over all databases. */
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -468,14 +468,16 @@
     m_callers.erase(session);
 }
 
-dispatch_outputs dispatcher::closeIdleSessions(std::size_t count, time_point now)
+dispatch_outputs
+dispatcher::closeIdleSessions(std::size_t count, time_point now,
+                              const std::function<bool(session_number)> &hasMessages)
 {
     std::vector<session_number> idle;
     for (const auto &[number, each] : m_callers) {
         if (idle.size() >= count)
             break;
         if (each.state == session_state::idle && !each.job && each.pendingRequests.empty()
-            && !each.isDisconnected)
+            && !each.isDisconnected && !(hasMessages && hasMessages(number)))
             idle.push_back(number);
     }
     std::ranges::for_each(idle, [&](session_number number) {
--- a/test/dispatch_shutdown.cpp
+++ b/test/dispatch_shutdown.cpp
@@ -102,6 +102,21 @@
     EXPECT_TRUE(harness.lastReply().succeeded());
 }
 
+// Messages that callers send in advance are held back at their connections while answers wait.
+TEST(DispatchShutdown, ASessionWithMessagesThatAreHeldBackIsNotIdle)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    harness.connect(2);
+    const auto isFirst = [](session_number session) { return session == 1; };
+    harness.collect(harness.subject.closeIdleSessions(10, harness.now, isFirst));
+    EXPECT_FALSE(isClosed(harness, 1));
+    EXPECT_TRUE(isClosed(harness, 2));
+    EXPECT_TRUE(harness.subject.hasSession(1));
+    harness.collect(harness.subject.closeIdleSessions(10, harness.now));
+    EXPECT_TRUE(isClosed(harness, 1));
+}
+
 TEST(DispatchShutdown, AtTheEndEveryStatementIsAnsweredWithWhatIsKnownOfItsOutcome)
 {
     dispatch_harness harness;
--- a/test/process_crowds.py
+++ b/test/process_crowds.py
@@ -7,8 +7,10 @@
 import socket
 import unittest
 
-from crowds import (CONNECT, HOST, MANY_BYTES_CROWD, MANY_SOCKETS_CROWD, MESSAGE_BYTES, PIECE_BYTES, ROW_BYTES, STALL_S,
-                    CrowdCase)
+from crowds import (ANSWER_BOUND_S, CONNECT, HOST, MANY_BYTES_CROWD, MANY_SOCKETS_CROWD, MESSAGE_BYTES, PIECE_BYTES,
+                    ROW_BYTES, STALL_S, CrowdCase)
+
+REFUSED_AFTER_S = 5  # of the 6 s that a stop may take; new operations are refused from 4.5 s on
 
 
 class CrowdTest(CrowdCase):
@@ -69,6 +71,23 @@
         await asyncio.sleep(STALL_S)
         await self.check()
 
+    async def test_messages_held_back_are_answered_at_a_planned_stop(self):
+        """Guards against sessions that were closed as idle while their messages were held back."""
+        for member in self.platform.groups["db1"].members.values():
+            member.log.append((1, 1, "large", "v" * ROW_BYTES))
+            member.applied = len(member.log)
+        messages = 40
+        caller = await self.session()
+        caller.writer.write(b"QUERY r READ large\r\n" * messages)
+        await asyncio.sleep(STALL_S)
+        self.node.process.terminate()
+        await asyncio.sleep(REFUSED_AFTER_S)
+        received = await asyncio.wait_for(caller.reader.read(), ANSWER_BOUND_S)
+        answered, refused = received.count(b"COMPLETE "), received.count(b"ERROR BUSY ")
+        print(f"{self._testMethodName}: {answered} answered, {refused} refused")
+        self.assertEqual(answered + refused, messages)
+        self.assertGreater(refused, 0, "no message was held back")
+
     async def test_large_values_kept_by_sessions(self):
         crowd = 20
         await self.open(crowd, CONNECT)
