--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -216,9 +216,13 @@
      */
     dispatch_outputs throttled(session_number session, duration retryAfter, time_point now);
     /** \brief Closes sessions that have no operation in progress, for a graceful shutdown.
-     * \param count  largest number of sessions to close
+     * \param count        largest number of sessions to close
+     * \param hasMessages  whether messages of a session have arrived that were not handed over to
+     *                     the dispatcher, so that it is not idle; null: of no session
      */
-    dispatch_outputs closeIdleSessions(std::size_t count, time_point now);
+    dispatch_outputs
+    closeIdleSessions(std::size_t count, time_point now,
+                      const std::function<bool(session_number)> &hasMessages = nullptr);
     /** \brief Sets which new operations are accepted, for a graceful shutdown.
      *
      * A refused operation is answered with busy, and its session is closed, so that the caller
@@ -302,6 +306,7 @@
     std::optional<time_point> primaryLastRefusedAt(const database_id &database) const;
     /** \returns the number of sessions of callers. */
     std::size_t sessionCount() const { return m_callers.size() - servedCount(); }
+    bool hasSession(session_number session) const { return m_callers.contains(session); }
     /** \returns the bytes of the values and prepared statements that the session keeps. */
     std::size_t keptBytes(session_number session) const;
     /** \returns the number of queued statements, over all databases. */
