Callers' sessions: statements sent before the first configuration keep their order

What callers saw: statements sent before the first configuration was known could overtake each other (trial: a member's log v1, v0, v2 to v5), because the channel handed over the next message while the waiting ones were delivered.

Change: a session takes no messages while its waiting ones are delivered. A listener accepts 64 connections in a turn of the event loop, so that sessions that have sent CONNECT are not closed as unidentified in a burst. A channel takes messages again after an unexpected error, and a session that a limit ends is not watched any more.

Test: process_node test_statements_sent_before_the_first_configuration_run_in_their_order.

--- a/programs/node/caller_channel.cpp
+++ b/programs/node/caller_channel.cpp
@@ -69,6 +69,9 @@
         m_stream.write(platform::encodeRejected({statement_error::malformed, failure.what()}));
         m_stream.closeAfterWrite();
         close(failure.what());
+    } catch (...) {
+        m_isTaking = false;
+        throw;
     }
     m_isTaking = false;
 }
--- a/programs/node/caller_sessions.cpp
+++ b/programs/node/caller_sessions.cpp
@@ -112,9 +112,12 @@
 {
     m_isServing = true;
     for (const auto &[session, waiting] : std::exchange(m_waiting, {})) {
+        m_delivering = session;
         m_handlers.onConnect(session, waiting.message);
         for (const auto &request : waiting.requests)
             m_handlers.onRequest(session, request);
+        m_delivering.reset();
+        takeMessages(session);
     }
 }
 
@@ -122,7 +125,14 @@
 {
     if (auto *channel = findOpen(session))
         channel->answer(platform::encodeAccepted());
-    if (auto *channel = findOpen(session))
+    takeMessages(session);
+}
+
+/** Takes messages that the channel holds back, unless earlier ones are still to be handed over. */
+void caller_sessions::takeMessages(session_number session)
+{
+    auto *channel = findOpen(session);
+    if (channel && m_delivering != session)
         channel->takeMessages();
     updateLoad(session);
 }
@@ -132,9 +142,7 @@
     if (auto *channel = findOpen(session))
         channel->answer(platform::encodeAnswer(answer));
     updateLoad(session);
-    if (auto *channel = findOpen(session))
-        channel->takeMessages();
-    updateLoad(session);
+    takeMessages(session);
 }
 
 void caller_sessions::reject(session_number session, const rejected &error)
@@ -153,8 +161,8 @@
     // Closing the channel must not find it among the active ones.
     m_retired.insert(m_active.extract(found));
     channel.closeAfterWrite();
+    m_watched.insert(session); // before updateLoad(), which may end the session
     updateLoad(session);
-    m_watched.insert(session);
     return true;
 }
 
@@ -195,11 +203,8 @@
 void caller_sessions::tick(time_point now)
 {
     m_ended.clear();
-    for (const auto session : std::vector(m_watched.begin(), m_watched.end())) {
-        if (auto *channel = findOpen(session))
-            channel->takeMessages();
-        updateLoad(session);
-    }
+    for (const auto session : std::vector(m_watched.begin(), m_watched.end()))
+        takeMessages(session);
     std::erase_if(m_retired, [this](const auto &each) {
         if (each.second->isOpen())
             return false;
--- a/programs/node/caller_sessions.h
+++ b/programs/node/caller_sessions.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -94,6 +95,7 @@
     void handle(session_number session, const caller_request &request);
     void handle(session_number session, const platform::quit_message &message);
     void disconnect(session_number session);
+    void takeMessages(session_number session);
     void updateLoad(session_number session);
     void end(const intake_budget::ends &ends);
     void end(const intake_end &ended);
@@ -115,6 +117,7 @@
     std::set<session_number> m_watched; ///< whose load changes without a message or an answer
     time_point m_expiryCheckedAt;
     bool m_isServing = false;
+    std::optional<session_number> m_delivering; ///< session whose waiting requests are handed over
     tcp_listener m_listener;
 };
 
--- a/sycamorespan/src/Net/tcp_listener.cpp
+++ b/sycamorespan/src/Net/tcp_listener.cpp
@@ -16,6 +16,11 @@
 /** Delay before accept is called again after it failed for lack of file descriptors or memory. */
 constexpr duration acceptRetryDelay = 100ms;
 
+/** Connections accepted in one turn of the event loop, so that what the accepted ones have sent is
+ * read between.
+ */
+constexpr int maxAcceptedPerTurn = 64;
+
 error systemError(const std::string &failedAction)
 {
     return error(failedAction + ": " + std::strerror(errno));
@@ -70,7 +75,7 @@
 
 void tcp_listener::acceptPending(ev::io &, int)
 {
-    while (m_socket) {
+    for (int count = 0; m_socket && count < maxAcceptedPerTurn; ++count) {
         file_descriptor accepted(
                 ::accept4(m_socket.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!accepted) {
--- a/test/process_node.py
+++ b/test/process_node.py
@@ -335,6 +335,37 @@
         self.assertIsNone(self.nodes[0].process.poll())
         self.assertNotIn("unexpected error", "\n".join(self.nodes[0].lines()))
 
+    async def test_statements_sent_before_the_first_configuration_run_in_their_order(self):
+        """Guards against statements that overtook each other when the first configuration came."""
+        node = self.nodes[0]
+        for each in self.nodes:
+            each.process.kill()
+            each.process.wait()
+        await self.platform.store.drop("op", "config")
+        node.start()
+        lines = [f"CONNECT sales {KEY}"] + [f"QUERY r{number} WRITE x v{number}" for number in range(6)]
+
+        async def connect():
+            try:
+                return await asyncio.open_connection(HOST, node.ports[0])
+            except OSError:
+                return None
+
+        streams = None
+        while streams is None:
+            streams = await connect()
+            await asyncio.sleep(0.05)
+        reader, writer = streams
+        writer.write("".join(f"{line}\r\n" for line in lines).encode())
+        await asyncio.sleep(0.5)
+        await self.configure([KEY])
+        answers = [await asyncio.wait_for(reader.readline(), START_BOUND_S) for _ in range(13)]
+        self.assertTrue(all(line.startswith((b"READY", b"COMPLETE")) for line in answers), answers)
+        members = self.platform.groups["db1"].members
+        log = max((member.log for member in members.values()), key=len)
+        self.assertEqual([data for _, _, item, data in log if item == "x"], [f"v{number}" for number in range(6)])
+        writer.close()
+
     async def test_odd_entries_of_the_server_list_cost_only_themselves(self):
         """Guards against an entry of another writer that ends processes, or stops a list or a change of primary."""
         member = self.group().members["db1-2"]
