Brokers: a locally declined transaction ends at the broker; merge faults of the parts

Found by review, by reading: - A statement of a begun transaction that was declined here because the broker does not read left the transaction open at the broker. - A broker that is no longer chosen refused what waited there as busy, although the next broker has room: it is declined, so that it runs elsewhere. - While load returns after an evacuation the candidates differ between statements, so that a failed placement says nothing about the next one. - Warm-up shares were computed from the former brokers. - A served transaction without a statement kept a stopping broker until the end of its notice.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -630,11 +630,11 @@
     if (m_views.hasReadRows())
         std::ranges::transform(holders, std::back_inserter(registered),
                                [](const auto &each) { return instance_id(each.holder.str()); });
-    m_dispatcher.setRegisteredInstances(m_self.instance, registered, now);
     std::ranges::for_each(m_serverEntries, [&](const server_entry &entry) {
         m_dispatcher.setBusyConnectionsOfOthers(entry.id, table.statementsOfOthers(entry.id));
     });
     m_brokers.update(m_directory, table, m_stopRequestedAt.has_value(), now);
+    m_dispatcher.setRegisteredInstances(m_self.instance, registered, now); // after the brokers
     const bool following = isFollower(now);
     m_configuration.setFollowing(following);
     m_servers.setFollowing(following);
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -169,7 +169,10 @@
 /** Runs a statement here that its broker declined, so that it did not run there. */
 void dispatcher::returnDeclined(caller &from, const std::string &why, time_point now)
 {
-    leaveBroker(from);
+    if (from.state == session_state::inTransaction && !from.job->startsTransaction)
+        endHandOver(from); // the broker may still have the transaction open
+    else
+        leaveBroker(from);
     auto &job = *from.job;
     if (from.isDisconnected) {
         from.job.reset();
@@ -311,8 +314,9 @@
     message.wasSent = to.served->wasSent;
     const auto *why = std::get_if<rejected>(&answer.result);
     const bool isRefused = why && why->code == statement_error::busy && !message.wasSent;
-    message.isDeclined =
-            isRefused && (m_acceptedWork != accepted_work::all || !isPrimaryUsable(group(to), now));
+    message.isDeclined = isRefused
+                         && (m_acceptedWork != accepted_work::all || !isBrokerOf(to.route.database)
+                             || !isPrimaryUsable(group(to), now));
     message.answer = std::move(answer);
     m_outputs.push_back(answer_hand_over{to.number, std::move(message)});
 }
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -544,7 +544,10 @@
         if (auto *from = findCaller(number))
             endStatement(*from, shutdownReason,
                          "the instance is shutting down and the member has not answered", now);
-        if (auto *from = findCaller(number))
+        auto *from = findCaller(number);
+        if (from && from->served && !from->job)
+            removeCaller(number, now); // its transaction is rolled back
+        else if (from)
             closeSession(*from);
     });
     return takeOutputs();
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -227,7 +227,8 @@
         if (failed != unplaceable.end() && failed->second.isAtMost(demand))
             continue;
         if (!placeStatement(*from, group, now)) {
-            if (!isOpeningFor(*from) && from->job->lagging.empty())
+            // While load returns after an evacuation, the choice differs between statements.
+            if (!isOpeningFor(*from) && from->job->lagging.empty() && !m_access.hasReturning(now))
                 unplaceable.try_emplace(kind, demand);
             continue;
         }
--- a/sycamorespan/src/Dispatch/member_access.h
+++ b/sycamorespan/src/Dispatch/member_access.h
@@ -78,6 +78,8 @@
     time_point dueAfter(const server_id &server, std::size_t ahead, time_point now) const;
     bool hasShare(const server_id &server) const;
     void onSent(const server_id &server, std::size_t count, time_point now);
+    /** \returns whether some member may get only a part of its reads. */
+    bool hasReturning(time_point now) const { return now < m_returnedUntil; }
     /** \returns whether a read should run elsewhere, because the evacuation of the member has ended
      * so recently that it gets only a part of its reads.
      * \param request  id of the request, which decides on the part that it belongs to
