Document fetcher: a running transfer is not restarted by further requests

Cause: each fetch replaced the HTTP client and so ended the running transfers without an outcome. The reports that request a document come every 200 ms and the fetch interval is 300 ms, so that a transfer that took longer was restarted for ever and the store was never asked. Change: each path has its own client, and no transfer starts while one of the same path runs. Each keeps its address for the log. Measured: test_node_document_fetcher failed 2 of 2 before (7 connections in 2 s, no document, no failure), passes 2 of 2 now.

--- a/programs/node/document_fetcher.cpp
+++ b/programs/node/document_fetcher.cpp
@@ -39,8 +39,9 @@
 
 void document_fetcher::request(const std::string &path, const std::string &address)
 {
-    m_requested.insert(path);
-    m_address = address;
+    if (isTransferred(path))
+        return;
+    m_requested.insert_or_assign(path, address);
     if (m_timer.isActive())
         return;
     const auto earliest = m_lastFetchAt + fetchInterval - suspendAwareNow();
@@ -51,15 +52,29 @@
 void document_fetcher::fetch()
 {
     m_lastFetchAt = suspendAwareNow();
-    m_client = std::make_unique<http_client>(m_loop, "http://" + m_address, fetchTimeouts.answer);
-    std::ranges::for_each(std::exchange(m_requested, {}), [this](const std::string &path) {
-        m_client->send({"GET", path, ""}, fetchTimeouts, [this, path](const http_outcome &outcome) {
-            m_guard.run("document of another instance", [&] { handle(path, outcome); });
-        });
-    });
+    for (const auto &[path, address] : std::exchange(m_requested, {}))
+        fetch(path, address);
+}
+
+void document_fetcher::fetch(const std::string &path, const std::string &address)
+{
+    auto &client = m_clients[path];
+    client = std::make_unique<http_client>(m_loop, "http://" + address, fetchTimeouts.answer);
+    client->send({"GET", path, ""}, fetchTimeouts,
+                 [this, path, address](const http_outcome &outcome) {
+                     m_guard.run("document of another instance",
+                                 [&] { handle(path, address, outcome); });
+                 });
+}
+
+bool document_fetcher::isTransferred(const std::string &path) const
+{
+    const auto client = m_clients.find(path);
+    return client != m_clients.end() && client->second->pendingCount() > 0;
 }
 
-void document_fetcher::handle(const std::string &path, const http_outcome &outcome)
+void document_fetcher::handle(const std::string &path, const std::string &address,
+                              const http_outcome &outcome)
 {
     const auto &document = m_documents.at(path);
     const auto *response = std::get_if<http_response>(&outcome);
@@ -76,7 +91,7 @@
         return document.onDocument(*body);
     m_log.write(line_importance::failure,
                 "fetch from another instance failed, reading from the store",
-                {{"address", m_address}, {"path", path}, {"error", cause}}, suspendAwareNow());
+                {{"address", address}, {"path", path}, {"error", cause}}, suspendAwareNow());
     document.onFailure();
 }
 
