Fleet reports: a release does not wait for the budget of urgent reports

Cause: suspicions use up the urgent reports, and a release then waited for the next regular report (200 ms) on each hop, just when primaries change. Change: a release replaces an earlier cause and is due after urgentInterval whatever the budget; the changes of views bound their number. An instance that asks for reports itself (cause requested) still keeps to the budget. Measured: AReleaseDoesNotWaitForSuspicions took 220, 210 and 220 ms at 6, 62 and 195 instances before (bound 100 ms), passes now; test_membership_fleet 44 of 44.

--- a/sycamorespan/src/Membership/fleet_table.cpp
+++ b/sycamorespan/src/Membership/fleet_table.cpp
@@ -64,10 +64,12 @@
     return "unknown";
 }
 
-/** Has the next reports sent soon. The first cause since the last ones is kept. */
+/** Has the next reports sent soon. The first cause since the last ones is kept, except that a
+ * release replaces the others, because it is sent sooner.
+ */
 void fleet_table::urge(report_cause cause)
 {
-    if (!m_urgentCause)
+    if (!m_urgentCause || cause == report_cause::released)
         m_urgentCause = cause;
 }
 
@@ -244,8 +246,12 @@
     const auto regular = m_lastReportsAt + m_policy.reportInterval;
     if (!m_urgentCause)
         return regular;
+    const auto soonest = m_lastReportsAt + m_policy.urgentInterval;
+    // A change of primary waits for releases. The changes of views bound their number.
+    if (*m_urgentCause == report_cause::released)
+        return std::min(regular, soonest);
     const auto allowed = m_urgentReportsCoverUntil - m_policy.urgentBurst * m_policy.reportInterval;
-    return std::min(regular, std::max(m_lastReportsAt + m_policy.urgentInterval, allowed));
+    return std::min(regular, std::max(soonest, allowed));
 }
 
 std::vector<outgoing_report> fleet_table::makeReports(const instance_report &own, time_point now)
--- a/test/membership_fleet.cpp
+++ b/test/membership_fleet.cpp
@@ -440,6 +440,27 @@
     EXPECT_LE(fleet.timeUntil(known, 5s), 100ms);
 }
 
+/** Load pattern: primaries fail over while many instances suspect them. The views are withdrawn
+ * during the suspicions, which have used up the urgent reports.
+ */
+TEST_P(membership_fleet_sizes, AReleaseDoesNotWaitForSuspicions)
+{
+    fleet_simulation fleet(GetParam().instances, GetParam().dataCentres, 11);
+    fleet.loss = 0;
+    fleet.advance(1s);
+    const auto flicker = [&] {
+        for (std::size_t number = 0; number < fleet.instances.size(); ++number)
+            fleet.suspect(number, fleet.chance(0.3));
+    };
+    for (const auto end = fleet.now + 5s; fleet.now < end; fleet.advance(50ms))
+        flicker();
+    flicker();
+    for (std::size_t number = 0; number < fleet.instances.size(); ++number)
+        fleet.release(number, 1);
+    const auto known = [&] { return fleet.instances.front().table.released(1); };
+    EXPECT_LE(fleet.timeUntil(known, 5s), 100ms);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, membership_fleet_sizes,
                          ::testing::Values(fleet_size{6, 4}, fleet_size{62, 3}, fleet_size{195, 6}),
                          [](const auto &info) {
