Links of other instances are bounded in number, bytes and time

Cause: nothing bounded what the link between instances holds for its peers: 77.6 MB of a limit of 40 MB with unfinished messages, 420 descriptors of 300. Change: an intake_budget counts the links of other instances, as for sessions of callers: an eighth of limits.memory_mb and of the free descriptors, a limit on links without hello (10 s; the hello is 4 KiB at most), on the time of a message and on unread answers. A link that holds more unsent answers than its share is not read from. The frame reader releases its buffer.

--- a/programs/node/broker_link.cpp
+++ b/programs/node/broker_link.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -16,15 +17,46 @@
 /** Time after which the kernel closes a connection whose peer acknowledges nothing. */
 constexpr duration unacknowledgedTimeout = 700ms;
 
+/** Part of the memory of the process that is held for links of other instances at most. */
+constexpr std::size_t memoryPart = 8;
+/** Bytes that are held for them at least: four of the longest statements of callers. */
+constexpr std::size_t leastBudgetBytes = std::size_t{4} << 20;
+/** Descriptors of the process that are reserved for files. */
+constexpr std::size_t reservedDescriptors = 200;
+/** Part of the other descriptors that is used for links of other instances at most. */
+constexpr std::size_t descriptorPart = 8;
+/** Number of links of other instances if the limit on descriptors is not known. */
+constexpr std::size_t defaultLinks = 512;
+/** Time in which another instance says hello, which it sends as soon as it is connected. */
+constexpr duration helloTimeout = 10s;
+/** Interval at which time limits are checked. */
+constexpr duration expiryInterval = 1s;
+
 } // namespace
 
+intake_policy linkIntakePolicy(const platform::node_settings &settings)
+{
+    intake_policy policy;
+    if (settings.memoryBytes > 0)
+        policy.budgetBytes = std::max(settings.memoryBytes / memoryPart, leastBudgetBytes);
+    policy.maxSessions = defaultLinks;
+    if (settings.maxDescriptors > reservedDescriptors)
+        policy.maxSessions = std::max<std::size_t>(
+                (settings.maxDescriptors - reservedDescriptors) / descriptorPart, 2);
+    policy.maxUnidentified = policy.maxSessions / 2;
+    policy.identificationTimeout = helloTimeout;
+    return policy;
+}
+
 broker_link::broker_link(ev::loop_ref loop, instance_incarnation self, const endpoint &address,
-                         event_log &log, event_guard &guard, handlers callbacks)
+                         const intake_policy &intake, event_log &log, event_guard &guard,
+                         handlers callbacks)
     : m_loop(loop)
     , m_self(std::move(self))
     , m_log(log)
     , m_guard(guard)
     , m_handlers(std::move(callbacks))
+    , m_budget(intake)
     , m_listener(loop, address, [this](file_descriptor socket) {
         m_guard.run("link of another instance", [&] { accept(std::move(socket)); });
     })
@@ -210,6 +242,9 @@
 void broker_link::accept(file_descriptor socket)
 {
     const auto number = ++m_lastLink;
+    const auto ends = m_budget.opened(number, suspendAwareNow());
+    if (!ends.empty() && ends.front().session == number)
+        return end(ends);
     detectSilence(socket, unacknowledgedTimeout);
     auto stream = std::make_unique<byte_stream>(
             m_loop, std::move(socket),
@@ -220,7 +255,8 @@
                                   [this, number] { loseInstance(number, "connection closed"); }});
     m_instances.emplace(
             number,
-            incoming_link{std::move(stream), broker_frame_reader(m_limits.messageBytes), {}, {}});
+            incoming_link{std::move(stream), broker_frame_reader(m_limits.helloBytes), {}, {}, {}});
+    end(ends);
 }
 
 void broker_link::receiveStatements(std::uint64_t link, std::string_view bytes)
@@ -229,12 +265,26 @@
     if (known == m_instances.end())
         return;
     known->second.reader.append(bytes);
+    takeMessages(link);
+    updateLoad(link);
+}
+
+void broker_link::takeMessages(std::uint64_t link)
+{
     try {
         // Handling a message may close the link.
-        for (auto current = known; current != m_instances.end(); current = m_instances.find(link)) {
+        for (auto current = m_instances.find(link); current != m_instances.end();
+             current = m_instances.find(link)) {
             const auto message = current->second.reader.next();
-            if (!message)
+            if (!message) {
+                auto &begunAt = current->second.messageBegunAt;
+                if (current->second.reader.bufferedBytes() == 0)
+                    begunAt.reset();
+                else if (!begunAt)
+                    begunAt = suspendAwareNow();
                 return;
+            }
+            current->second.messageBegunAt.reset();
             if (!current->second.hello && !std::holds_alternative<broker_hello>(*message))
                 throw decode_error("the first message is not a hello");
             std::visit([&](const auto &each) { handle(link, each); }, *message);
@@ -249,6 +299,8 @@
 {
     auto &from = m_instances.at(link);
     from.hello = hello;
+    from.reader.setMaximumBytes(m_limits.messageBytes);
+    m_budget.identified(link);
     from.stream->write(
             encodeFrame(broker_hello{brokerMessagesVersion, m_self.instance, m_self.incarnation}));
 }
@@ -302,8 +354,62 @@
     if (unsent > m_limits.greatestUnsentBytes)
         return loseInstance(link, "it does not read answers");
     if (unsent > m_limits.unsentAnswerBytes)
-        to.stream->pauseReading(true);
+        pause(to, true);
     to.stream->write(encodeFrame(answer));
+    updateLoad(link);
+}
+
+/** Tells the budget what is held for a link. */
+void broker_link::updateLoad(std::uint64_t link)
+{
+    const auto known = m_instances.find(link);
+    if (known == m_instances.end())
+        return;
+    auto &from = known->second;
+    intake_load load;
+    load.unfinished = from.reader.bufferedBytes();
+    load.unsent = from.stream->pendingBytes();
+    load.spare = from.reader.allocatedBytes() - load.unfinished + from.stream->allocatedBytes()
+                 - load.unsent;
+    load.sent = from.stream->sentBytes();
+    if (from.isPaused)
+        load.untaken = from.stream->unreadBytes();
+    else
+        load.messageBegunAt = from.messageBegunAt;
+    const auto ends = m_budget.changed(link, load, suspendAwareNow());
+    if (m_budget.mustPause(link))
+        pause(from, true);
+    end(ends);
+}
+
+void broker_link::pause(incoming_link &link, bool isPaused)
+{
+    if (std::exchange(link.isPaused, isPaused) == isPaused)
+        return;
+    link.stream->pauseReading(isPaused);
+    if (link.messageBegunAt)
+        link.messageBegunAt = suspendAwareNow(); // the other instance could not send the rest
+}
+
+/** Closes links at once, because of a limit. */
+void broker_link::end(const intake_budget::ends &ends)
+{
+    std::ranges::for_each(ends, [this](const intake_end &each) {
+        const std::string cause(nameOf(each.cause));
+        const auto known = m_instances.find(each.session);
+        const auto hello = known == m_instances.end() ? std::nullopt : known->second.hello;
+        m_log.write(line_importance::failure, "link closed by a limit",
+                    {{"instance", hello ? hello->sender.str() : ""},
+                     {"cause", cause},
+                     {"unfinished_bytes", std::to_string(each.load.unfinished)},
+                     {"untaken_bytes", std::to_string(each.load.untaken)},
+                     {"unsent_bytes", std::to_string(each.load.unsent)},
+                     {"spare_bytes", std::to_string(each.load.spare)},
+                     {"held_bytes", std::to_string(m_budget.heldBytes())},
+                     {"links", std::to_string(m_budget.sessionCount())}},
+                    suspendAwareNow());
+        loseInstance(each.session, cause);
+    });
 }
 
 void broker_link::loseInstance(std::uint64_t link, std::string_view why)
@@ -322,6 +428,7 @@
     known->second.stream->abandon();
     m_closed.push_back(std::move(known->second.stream));
     m_instances.erase(known);
+    m_budget.closed(link);
     for (const auto &[operation, session] : sessions) {
         m_linkOfSession.erase(session);
         m_handlers.onEnd(session);
@@ -371,9 +478,26 @@
         if (const auto link = m_brokers.find(broker); link != m_brokers.end())
             dropBroker(link);
     });
-    for (auto &[number, link] : m_instances)
-        if (link.stream->pendingBytes() <= m_limits.unsentAnswerBytes / 2)
-            link.stream->pauseReading(false);
+    superviseInstances(now);
+}
+
+void broker_link::superviseInstances(time_point now)
+{
+    std::vector<std::uint64_t> links;
+    std::ranges::transform(m_instances, std::back_inserter(links),
+                           [](const auto &each) { return each.first; });
+    std::ranges::for_each(links, [this](std::uint64_t number) {
+        if (const auto link = m_instances.find(number);
+            link != m_instances.end()
+            && link->second.stream->pendingBytes() <= m_limits.unsentAnswerBytes / 2
+            && !m_budget.mustPause(number))
+            pause(link->second, false);
+        updateLoad(number);
+    });
+    if (now - m_expiryCheckedAt < expiryInterval)
+        return;
+    m_expiryCheckedAt = now;
+    end(m_budget.expired(now));
 }
 
 } // namespace sycamorespan::node
--- a/programs/node/broker_link.h
+++ b/programs/node/broker_link.h
@@ -4,6 +4,8 @@
 #include "programs/node/event_guard.h"
 #include "programs/node/event_log.h"
 
+#include "platform/settings.h"
+
 #include "sycamorespan/src/Brokerage/broker_messages.h"
 #include "sycamorespan/src/Brokerage/link_monitor.h"
 #include "sycamorespan/src/Dispatch/dispatch_action.h"
@@ -11,6 +13,7 @@
 #include "sycamorespan/src/Net/byte_stream.h"
 #include "sycamorespan/src/Net/endpoint.h"
 #include "sycamorespan/src/Net/tcp_listener.h"
+#include "sycamorespan/src/Overload/intake_budget.h"
 
 #include <functional>
 #include <map>
@@ -26,6 +29,8 @@
 /** \brief Limits of the links between instances. */
 struct broker_link_limits
 {
+    /** Greatest length of the first message of another instance. */
+    std::size_t helloBytes = std::size_t{4} << 10;
     /** Greatest length of a message: the longest line of a caller with its session values. */
     std::size_t messageBytes = std::size_t{4} << 20;
     /** Unsent bytes to a broker above which statements are not handed over to it. */
@@ -38,11 +43,16 @@
     auto operator<=>(const broker_link_limits &) const = default;
 };
 
+/** \returns the limits on the links of other instances to one with these settings. */
+intake_policy linkIntakePolicy(const platform::node_settings &settings);
+
 /** \brief Links from this instance to the brokers that run its statements, and to this instance as
  * a broker. A link is one connection, which carries many operations at a time.
  *
  * Statements are sent only after the broker's first message has shown that it understands them.
  * Until then, the loss of the link declines them, because they did not run.
+ *
+ * What is held for the links of other instances to this one is bounded by an intake_budget.
  */
 class broker_link
 {
@@ -64,8 +74,10 @@
         std::function<session_number()> newSession;
     };
 
+    /** \param intake  limits on the links of other instances, each of which is a session */
     broker_link(ev::loop_ref loop, instance_incarnation self, const endpoint &address,
-                event_log &log, event_guard &guard, handlers callbacks);
+                const intake_policy &intake, event_log &log, event_guard &guard,
+                handlers callbacks);
 
     /** \param address  of the broker's link */
     void handOver(const instance_id &broker, const endpoint &address,
@@ -106,6 +118,9 @@
         broker_frame_reader reader;
         std::optional<broker_hello> hello;
         std::map<operation_number, session_number> sessions;
+        /** Arrival of the first byte of the unfinished message while this instance reads. */
+        std::optional<time_point> messageBegunAt;
+        bool isPaused = false;
     };
 
     outgoing_link *open(const instance_id &broker, const endpoint &address);
@@ -129,6 +144,11 @@
     template<typename Message>
     void handle(std::uint64_t link, const Message &);
     void loseInstance(std::uint64_t link, std::string_view why);
+    void takeMessages(std::uint64_t link);
+    void updateLoad(std::uint64_t link);
+    void pause(incoming_link &link, bool isPaused);
+    void end(const intake_budget::ends &ends);
+    void superviseInstances(time_point now);
 
     ev::loop_ref m_loop;
     instance_incarnation m_self;
@@ -141,6 +161,8 @@
     std::unordered_map<session_number, std::uint64_t> m_linkOfSession;
     std::vector<std::unique_ptr<byte_stream>> m_closed;
     std::uint64_t m_lastLink = 0;
+    intake_budget m_budget; ///< of the links of other instances
+    time_point m_expiryCheckedAt;
     tcp_listener m_listener;
 };
 
--- a/programs/node/brokerage.cpp
+++ b/programs/node/brokerage.cpp
@@ -22,15 +22,16 @@
 
 } // namespace
 
-brokerage::brokerage(ev::loop_ref loop, const instance_incarnation &self, dispatcher &statements,
-                     event_log &log, node_metrics &metrics, event_guard &guard, handlers callbacks)
+brokerage::brokerage(ev::loop_ref loop, const instance_incarnation &self,
+                     const intake_policy &intake, dispatcher &statements, event_log &log,
+                     node_metrics &metrics, event_guard &guard, handlers callbacks)
     : m_self(self)
     , m_dispatcher(statements)
     , m_log(log)
     , m_metrics(metrics)
     , m_handlers(std::move(callbacks))
     , m_candidates(candidate_policy{})
-    , m_links(loop, self, linkAddress(self), log, guard,
+    , m_links(loop, self, linkAddress(self), intake, log, guard,
               {[this](const instance_id &broker, const brokered_answer &answer) {
                    answered(broker, answer);
                },
--- a/programs/node/brokerage.h
+++ b/programs/node/brokerage.h
@@ -29,8 +29,10 @@
         std::function<session_number()> newSession;
     };
 
-    brokerage(ev::loop_ref loop, const instance_incarnation &self, dispatcher &statements,
-              event_log &log, node_metrics &metrics, event_guard &guard, handlers callbacks);
+    /** \param intake  limits on the links of other instances */
+    brokerage(ev::loop_ref loop, const instance_incarnation &self, const intake_policy &intake,
+              dispatcher &statements, event_log &log, node_metrics &metrics, event_guard &guard,
+              handlers callbacks);
 
     /** \brief Chooses the brokers of all databases that need one.
      * \param isStopping  whether this instance shuts down, so that it is not chosen
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -140,7 +140,7 @@
     , m_answerIntake(m_settings.memoryBytes)
     , m_members(loop, m_dispatcher, m_log, m_metrics, m_guard, m_answerIntake,
                 [this](dispatch_outputs outputs) { apply(std::move(outputs)); })
-    , m_brokers(loop, m_self, m_dispatcher, m_log, m_metrics, m_guard,
+    , m_brokers(loop, m_self, linkIntakePolicy(m_settings), m_dispatcher, m_log, m_metrics, m_guard,
                 {[this](dispatch_outputs outputs) { apply(std::move(outputs)); },
                  [this] { return ++m_lastSession; }})
     , m_operatorRows(m_log, m_rejectedEntries, m_settings.evacuationTimeout.has_value(),
--- a/sycamorespan/src/Brokerage/broker_messages.cpp
+++ b/sycamorespan/src/Brokerage/broker_messages.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace sycamorespan {
 
@@ -21,6 +22,9 @@
 /** Bytes of the length in front of each message. */
 constexpr std::size_t lengthBytes = 4;
 
+/** Memory that a reader keeps for the next messages. */
+constexpr std::size_t keptBufferBytes = std::size_t{64} << 10;
+
 enum class message_type { hello, statement, answer, end, probe, probeAnswer };
 
 json encodePosition(const log_position &position)
@@ -223,14 +227,18 @@
     return frame;
 }
 
+/** Drops the bytes that were returned as messages, and the memory that a large one has left. */
+std::nullopt_t broker_frame_reader::keepRest()
+{
+    m_buffer.erase(0, std::exchange(m_consumed, 0));
+    if (m_buffer.capacity() > keptBufferBytes && m_buffer.size() < m_buffer.capacity() / 4)
+        m_buffer.shrink_to_fit();
+    return std::nullopt;
+}
+
 std::optional<broker_message> broker_frame_reader::next()
 {
     const auto waiting = std::string_view(m_buffer).substr(m_consumed);
-    const auto keepRest = [this] {
-        m_buffer.erase(0, m_consumed);
-        m_consumed = 0;
-        return std::nullopt;
-    };
     if (waiting.size() < lengthBytes)
         return keepRest();
     std::size_t length = 0;
--- a/sycamorespan/src/Brokerage/broker_messages.h
+++ b/sycamorespan/src/Brokerage/broker_messages.h
@@ -35,12 +35,22 @@
 
     void append(std::string_view bytes) { m_buffer.append(bytes); }
 
+    /** \brief Changes the greatest length of the messages that follow, in bytes. */
+    void setMaximumBytes(std::size_t maximumBytes) { m_maximumBytes = maximumBytes; }
+
     /** \returns the next complete message, or nothing.
      * \throws decode_error if the bytes are no message, or one beyond the greatest length
      */
     std::optional<broker_message> next();
 
+    /** \returns the number of bytes that were not returned as messages. */
+    std::size_t bufferedBytes() const noexcept { return m_buffer.size() - m_consumed; }
+    /** \returns the number of bytes that are allocated for them. */
+    std::size_t allocatedBytes() const noexcept { return m_buffer.capacity(); }
+
 private:
+    std::nullopt_t keepRest();
+
     std::size_t m_maximumBytes;
     std::string m_buffer;
     std::size_t m_consumed = 0;
--- a/test/brokerage_messages.cpp
+++ b/test/brokerage_messages.cpp
@@ -70,6 +70,18 @@
     }
 }
 
+TEST(brokerage_messages, leave_no_memory_behind_once_they_are_read)
+{
+    auto large = aStatement();
+    large.text = std::string(std::size_t{1} << 20, 'v');
+    broker_frame_reader reader(std::size_t{4} << 20);
+    reader.append(encodeFrame(large));
+    EXPECT_TRUE(reader.next());
+    EXPECT_FALSE(reader.next());
+    EXPECT_EQ(reader.bufferedBytes(), 0U);
+    EXPECT_LE(reader.allocatedBytes(), std::size_t{64} << 10);
+}
+
 TEST(brokerage_messages, that_are_too_long_or_malformed_are_rejected)
 {
     broker_frame_reader tooLong(16);
