Links between instances: what was not sent is declined before the link is lost

Found by review, by reading: where a link could not be opened, its loss was reported before the statement was declined, so that a write that was never sent was answered as unknown and charged. A statement or answer beyond the greatest length of a message ended the link, and with it all operations on it: the statement is declined, and of the answer the outcome is told as unknown.

--- a/programs/node/broker_link.cpp
+++ b/programs/node/broker_link.cpp
@@ -64,8 +64,11 @@
 
 // Links to brokers.
 
-/** \returns the new link to a broker; nullptr if it can't be opened. */
-broker_link::outgoing_link *broker_link::open(const instance_id &broker, const endpoint &address)
+/** Opens a link to a broker. If that fails, the statement is declined before the link is reported
+ * as lost, because it was not sent. \returns the new link; nullptr if it can't be opened
+ */
+broker_link::outgoing_link *broker_link::open(const instance_id &broker, const endpoint &address,
+                                              const brokered_statement &statement)
 {
     try {
         auto socket = connectTo(address);
@@ -84,13 +87,9 @@
                            {},
                            {},
                            {}};
-        auto &opened = m_brokers.emplace(broker, std::move(link)).first->second;
-        opened.stream->write(encodeFrame(
-                broker_hello{brokerMessagesVersion, m_self.instance, m_self.incarnation}));
-        // A write that fails closes the link.
-        const auto known = m_brokers.find(broker);
-        return known == m_brokers.end() ? nullptr : &known->second;
+        return &m_brokers.emplace(broker, std::move(link)).first->second;
     } catch (const error &failure) {
+        decline(broker, statement, "the link to the broker can't be opened");
         loseBroker(broker, failure.what());
         return nullptr;
     }
@@ -103,9 +102,13 @@
     const bool isBegun = statement.transaction && statement.transaction->isBegun;
     if (known == m_brokers.end() && isBegun)
         return decline(broker, statement, "the link to the broker is closed");
-    auto *link = known == m_brokers.end() ? open(broker, address) : &known->second;
+    const auto frame = encodeFrame(statement);
+    if (frame.size() > m_limits.messageBytes)
+        return decline(broker, statement, "the statement is too long for the link");
+    const bool isNew = known == m_brokers.end();
+    auto *link = isNew ? open(broker, address, statement) : &known->second;
     if (!link)
-        return decline(broker, statement, "the link to the broker can't be opened");
+        return;
     const auto now = suspendAwareNow();
     if (link->stream->pendingBytes() > m_limits.unsentStatementBytes)
         return decline(broker, statement, "the broker does not read");
@@ -115,9 +118,13 @@
     link->unanswered[statement.operation] = statement.number;
     link->operations.insert(statement.operation);
     if (link->isAccepted)
-        link->stream->write(encodeFrame(statement));
+        link->stream->write(frame);
     else
         link->held.push_back(statement);
+    // A write that fails closes the link, which declines what is held.
+    if (isNew)
+        link->stream->write(encodeFrame(
+                broker_hello{brokerMessagesVersion, m_self.instance, m_self.incarnation}));
 }
 
 /** Answers a statement that was not sent. */
@@ -355,7 +362,16 @@
         return loseInstance(link, "it does not read answers");
     if (unsent > m_limits.unsentAnswerBytes)
         pause(to, true);
-    to.stream->write(encodeFrame(answer));
+    auto frame = encodeFrame(answer);
+    if (frame.size() > m_limits.messageBytes) {
+        // A message that the other instance refuses would end the link with all its operations.
+        auto shortened = answer;
+        shortened.answer.rows.clear();
+        shortened.answer.result = rejected{statement_error::inDoubt,
+                                           "the answer is too long for the link of instances"};
+        frame = encodeFrame(shortened);
+    }
+    to.stream->write(frame);
     updateLoad(link);
 }
 
--- a/programs/node/broker_link.h
+++ b/programs/node/broker_link.h
@@ -123,7 +123,8 @@
         bool isPaused = false;
     };
 
-    outgoing_link *open(const instance_id &broker, const endpoint &address);
+    outgoing_link *open(const instance_id &broker, const endpoint &address,
+                        const brokered_statement &statement);
     void decline(const instance_id &broker, const brokered_statement &statement,
                  std::string_view why);
     void receiveAnswers(const instance_id &broker, std::string_view bytes);
