Dispatch: a statement held back at a cold member has not run

A statement of an open transaction whose member warms up counted as sent: a held COMMIT ended as in doubt or timed out, one that could not be sent in its time kept its locks until the deadline and after it, and its turn in the warm-up rate was given to new transactions.

It is now in a stage of its own and takes its turn when it is held. If the turn comes too late, or its time passes, its transaction is rolled back on the member and the answer is aborted. A COMMIT that awaits being sent again after a busy answer is aborted, not in doubt, when its connection is lost.

--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -24,7 +24,9 @@
 /** \brief The statement of a session that is being processed, from its arrival to its answer. */
 struct statement_job
 {
-    enum class stage { awaitingAdmission, queued, running };
+    /** A statement that is held has a bound connection, and has not been sent: its member warms up.
+     */
+    enum class stage { awaitingAdmission, queued, held, running };
 
     caller_request request;
     stage currentStage = stage::queued;
@@ -47,6 +49,7 @@
     std::optional<log_position> floor; ///< required of the member in the current attempt
     time_point notBefore; ///< earliest time of the next attempt
     bool awaitsResend = false; ///< is sent again on the bound connection at notBefore
+    bool hasWarmUpTurn = false; ///< counts already for the warm-up rate of its member
     connection_id openingConnection = 0; ///< connection being opened for it; 0: none
     std::uint64_t handOver = 0; ///< number with which it was handed over last; 0: never
     instance_id broker; ///< to which it was handed over last
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -446,6 +446,7 @@
     std::optional<queue_refusal> reasonNotAllowed(const caller &from, const database_state &state,
                                                   std::size_t ahead, time_point now) const;
     bool isHeldBack(caller &from, member_pool &pool, member_connection &connection, time_point now);
+    void endHeldBack(caller &from, std::string why, time_point now);
     void endEvacuatedWork(time_point now);
     bool isPrimaryViewValid(const database_state &group, time_point now) const;
     bool isPrimaryUsable(const database_state &group, time_point now) const;
--- a/sycamorespan/src/Dispatch/dispatcher_access.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_access.cpp
@@ -2,6 +2,7 @@
 #include "sycamorespan/src/Dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sycamorespan {
 
@@ -142,8 +143,15 @@
     }
 }
 
+/** Rolls back the transaction of a statement that certainly did not run. */
+void dispatcher::endHeldBack(caller &from, std::string why, time_point now)
+{
+    releaseBound(from, now);
+    reject(from, statement_error::aborted, std::move(why), now);
+}
+
 /** \returns whether the statement of an open transaction waits, or has ended, because its member
- * may not get it now.
+ * may not get it now. One that may be sent is counted for the warm-up rate of the member.
  */
 bool dispatcher::isHeldBack(caller &from, member_pool &pool, member_connection &connection,
                             time_point now)
@@ -156,10 +164,24 @@
                "the data centre of the member is evacuated: rolled back", now);
         return true;
     }
-    if (m_access.maySend(server, now))
+    auto &job = *from.job;
+    const bool hasTurn = std::exchange(job.hasWarmUpTurn, false) && m_access.hasShare(server);
+    if (hasTurn || m_access.maySend(server, now)) {
+        if (!hasTurn)
+            m_access.onSent(server, 1, now);
         return false;
-    from.job->awaitsResend = true;
-    from.job->notBefore = m_access.dueAfter(server, 0, now);
+    }
+    const auto due = m_access.dueAfter(server, 0, now);
+    if (due + fromSeconds(meanStatementTime(from)) > job.deadline) {
+        endHeldBack(from, "member " + server.str() + " warms up: rolled back", now);
+        return true;
+    }
+    m_access.onSent(server, 1, now);
+    job.hasWarmUpTurn = m_access.hasShare(server);
+    if (std::exchange(job.currentStage, job_stage::held) != job_stage::held)
+        job.queuedSince = now;
+    job.awaitsResend = true;
+    job.notBefore = due;
     return true;
 }
 
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -108,7 +108,8 @@
     }
     if (isRetryable(from))
         return retryOrReject(from, server, {statement_error::aborted, std::string(why)}, true, now);
-    const bool hasNoEffect = inTransaction && (!job.isCommit || !from.hasWritten);
+    const bool hasNoEffect =
+            inTransaction && (!job.isCommit || !from.hasWritten || job.awaitsResend);
     if (hasNoEffect)
         return reject(from, statement_error::aborted, std::string(why) + ": rolled back", now);
     reject(from, statement_error::inDoubt, std::string(why) + ": the outcome is unknown", now);
@@ -522,6 +523,8 @@
 {
     if (!from.job)
         return;
+    if (from.job->currentStage == job_stage::held)
+        return endHeldBack(from, whyNotRun + ": rolled back", now);
     if (from.job->currentStage != job_stage::running)
         return reject(from, statement_error::busy, whyNotRun, now, refusal_cause::deadline);
     if (!from.broker.empty())
@@ -530,8 +533,9 @@
     if (auto *pool = poolOf(from.boundConnection))
         closeConnection(*pool, from.boundConnection, now);
     const bool inTransaction = from.state == session_state::inTransaction;
-    const bool hasNoEffect = inTransaction ? !from.job->isCommit || !from.hasWritten
-                                           : from.job->access == statement_access::read;
+    const bool hasNoEffect =
+            inTransaction ? !from.job->isCommit || !from.hasWritten || from.job->awaitsResend
+                          : from.job->access == statement_access::read;
     unbind(from);
     reject(from, hasNoEffect ? statement_error::aborted : statement_error::timeout, whyUnanswered,
            now);
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace sycamorespan {
 
@@ -473,7 +474,8 @@
     if (isHeldBack(from, *pool, *connection, now))
         return;
     auto &job = *from.job;
-    job.currentStage = job_stage::running;
+    if (std::exchange(job.currentStage, job_stage::running) == job_stage::held)
+        job.queueTime += now - job.queuedSince;
     ++job.attempts;
     if (connection->requiresPrimary && !isPrimaryViewValid(group(from), now)) {
         onConnectionLost(from, from.boundServer, "the primary is being changed", now);
@@ -481,7 +483,6 @@
         return;
     }
     connection->since = now;
-    m_access.onSent(pool->entry().id, 1, now);
     sendStatement(from, *connection, setupStatements(from, *connection, now), now);
 }
 
--- a/test/evacuation.cpp
+++ b/test/evacuation.cpp
@@ -283,6 +283,83 @@
     EXPECT_EQ(harness.sentCount(), 1U);
 }
 
+/** Opens a transaction that has written, on a primary that then becomes cold. */
+connection_id openColdTransaction(access_harness &harness, double rate)
+{
+    const auto connection = harness.openTransaction("WRITE x 1");
+    warmUp(harness, 1, rate);
+    return connection;
+}
+
+TEST(WarmUp, ACommitThatWasNeverSentIsRolledBackWhenItsConnectionIsLost)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 4); // the first is due after 500 ms
+    const auto sent = harness.sentCount();
+    harness.request(1, "COMMIT");
+    EXPECT_EQ(harness.sentCount(), sent);
+    harness.collect(harness.subject.closed(connection, std::nullopt, harness.now));
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+    EXPECT_EQ(harness.lastReply().state, session_state::idle);
+}
+
+TEST(WarmUp, ACommitIsRolledBackAtOnceIfTheMemberCannotTakeItInItsTime)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 1); // the first is due after 2 s
+    const auto replies = harness.replyCount();
+    harness.request(1, "COMMIT");
+    ASSERT_EQ(harness.replyCount(), replies + 1);
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+    EXPECT_EQ(harness.lastSent().connection, connection);
+    EXPECT_TRUE(std::holds_alternative<member_statement::rollback>(
+            harness.lastSent().statements.back()))
+            << "the locks of the transaction are released";
+}
+
+TEST(WarmUp, AnotherStatementIsRefusedAtOnceWithoutAShareAndItsTransactionEnds)
+{
+    access_harness harness(consistency::latest);
+    openColdTransaction(harness, 4);
+    harness.subject.setRegisteredInstances(instance_id("i1"), {instance_id("i2")}, harness.now);
+    const auto replies = harness.replyCount();
+    harness.request(1, "WRITE x 2");
+    ASSERT_EQ(harness.replyCount(), replies + 1);
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+    EXPECT_TRUE(std::holds_alternative<member_statement::rollback>(
+            harness.lastSent().statements.back()));
+}
+
+TEST(WarmUp, AHeldStatementKeepsItsTurn)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 4);
+    harness.request(1, "COMMIT");
+    const auto sent = harness.sentCount();
+    harness.now += 500ms;
+    harness.connect(2);
+    harness.request(2, "WRITE x 1");
+    EXPECT_EQ(harness.sentCount(), sent) << "the turn is that of the held statement";
+    harness.advance(20ms);
+    ASSERT_EQ(harness.sentCount(), sent + 1);
+    EXPECT_EQ(harness.lastSent().connection, connection);
+    harness.answer(connection);
+    EXPECT_TRUE(harness.lastReply().succeeded());
+}
+
+TEST(WarmUp, AHeldStatementWhoseTimePassesIsRolledBack)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 4);
+    harness.request(1, "COMMIT");
+    harness.now += 2s; // the instance was stopped meanwhile
+    harness.collect(harness.subject.tick(harness.now));
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+    EXPECT_EQ(harness.lastSent().connection, connection);
+    EXPECT_TRUE(std::holds_alternative<member_statement::rollback>(
+            harness.lastSent().statements.back()));
+}
+
 TEST(WarmUp, AnEvacuationDoesNotOverrunAColdMember)
 {
     access_harness harness(consistency::boundedStaleness);
