Evacuation: its time belongs to the data centre

The time for which members of an evacuated data centre still get statements began again for a new incarnation, a newly listed member and an instance that restarted, so that statements could be sent there without end.

The time is now kept for each data centre while its members come and go, and an evacuation that the first complete list holds counts as past it. Rows of evacuations are handled before the configuration of the same read, which lets the first statements in.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -430,6 +430,7 @@
 {
     m_serverEntries = m_operatorRows.evacuations().marked(m_roster.entries());
     m_views.setServers(m_serverEntries, now);
+    m_dispatcher.setEvacuations(m_operatorRows.evacuations(), now);
     apply(m_dispatcher.setServers(m_serverEntries, now));
 }
 
@@ -439,20 +440,19 @@
         return;
     const auto now = suspendAwareNow();
     useServers(now);
-    const auto &entries = m_serverEntries;
-    // Entries that expired during a store outage are served to other instances for as long as this
-    // instance keeps them.
+    // Other instances also get the entries that this one keeps after a store outage.
     std::erase_if(m_encodedServers, [&](const auto &text) {
-        return std::ranges::none_of(
-                entries, [&](const server_entry &entry) { return entry.id.str() == text.first; });
+        return std::ranges::none_of(m_serverEntries, [&](const server_entry &entry) {
+            return entry.id.str() == text.first;
+        });
     });
     std::string draining;
-    std::ranges::for_each(entries, [&](const server_entry &entry) {
+    std::ranges::for_each(m_serverEntries, [&](const server_entry &entry) {
         if (entry.state == server_state::draining)
             draining += (draining.empty() ? "" : ",") + entry.id.str();
     });
     m_log.write(line_importance::state, "server list changed",
-                {{"count", std::to_string(entries.size())}, {"draining", draining}}, now);
+                {{"count", std::to_string(m_serverEntries.size())}, {"draining", draining}}, now);
 }
 
 // Other instances.
--- a/programs/node/operator_rows.cpp
+++ b/programs/node/operator_rows.cpp
@@ -33,8 +33,6 @@
     std::set<data_centre_id> requested;
     bool changed = false;
     for (const auto &row : content.rows) {
-        if (row.key == platform::configurationKey && !row.deleted)
-            decodeConfiguration(row.value, row.revision);
         const auto name = platform::evacuatedDataCentre(row.key);
         if (!m_followsEvacuations || !name)
             continue;
@@ -49,6 +47,10 @@
         changed = m_evacuations.replace(requested, content.revision);
     if (changed)
         announceEvacuations();
+    // Statements that a first configuration lets in must not run where an evacuation forbids it.
+    for (const auto &row : content.rows)
+        if (row.key == platform::configurationKey && !row.deleted)
+            decodeConfiguration(row.value, row.revision);
 }
 
 void operator_rows::fetchWith(document_fetcher &fetcher, const std::function<void()> &readStore)
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -163,6 +163,8 @@
      * the first entries of members.
      */
     void setAccess(const access_policy &policy, std::map<data_centre_id, area_id> areas);
+    /** \brief Replaces the evacuations, which setServers() then applies to the members. */
+    void setEvacuations(const evacuation_list &evacuations, time_point now);
     /** \brief Sets the instances among which the warm-up rates of members are divided.
      * \param registered  all registered instances, \a self included; empty if they are not known
      */
--- a/sycamorespan/src/Dispatch/dispatcher_access.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_access.cpp
@@ -12,6 +12,11 @@
     m_access.setAreas(std::move(areas));
 }
 
+void dispatcher::setEvacuations(const evacuation_list &evacuations, time_point now)
+{
+    m_access.setEvacuations(evacuations, now);
+}
+
 void dispatcher::setRegisteredInstances(const instance_id &self,
                                         const std::vector<instance_id> &registered, time_point now)
 {
--- a/sycamorespan/src/Dispatch/member_access.cpp
+++ b/sycamorespan/src/Dispatch/member_access.cpp
@@ -21,13 +21,6 @@
             member.startedAt = now;
         if (entry.warmUpLeft && (!isSame || member.entry.warmUpLeft != entry.warmUpLeft))
             member.coldUntil = now + *entry.warmUpLeft;
-        if (entry.isEvacuated && !member.evacuatedSince) {
-            member.evacuatedSince = now;
-            member.returnedAt.reset();
-        } else if (!entry.isEvacuated && member.evacuatedSince) {
-            member.evacuatedSince.reset();
-            member.returnedAt = now;
-        }
         member.entry = entry;
     });
     m_members = std::move(members);
@@ -35,6 +28,25 @@
     updateRestrictions();
 }
 
+void member_access::setEvacuations(const evacuation_list &evacuations, time_point now)
+{
+    for (const auto &dataCentre : evacuations.dataCentres()) {
+        auto &state = m_evacuations[dataCentre];
+        if (state.since)
+            continue;
+        const bool hasPassed = evacuations.wasFoundAtStart(dataCentre);
+        state.since = hasPassed ? now - m_policy.evacuatedUsePeriod : now;
+        state.returnedAt.reset();
+    }
+    for (auto &[dataCentre, state] : m_evacuations) {
+        if (!state.since || evacuations.contains(dataCentre))
+            continue;
+        state.since.reset();
+        state.returnedAt = now;
+    }
+    updateRestrictions();
+}
+
 void member_access::setLimits(const std::map<database_id, database_limits> &limits)
 {
     m_limits = limits;
@@ -45,13 +57,14 @@
 {
     m_restrictedUntil = {};
     m_returnedUntil = {};
-    for (const auto &[id, member] : m_members) {
-        if (member.evacuatedSince)
-            m_restrictedUntil = time_point::max();
-        else if (warmUpRateOf(member) > 0)
+    for (const auto &[id, member] : m_members)
+        if (warmUpRateOf(member) > 0)
             m_restrictedUntil = std::max(m_restrictedUntil, coldUntil(member));
-        if (member.returnedAt)
-            m_returnedUntil = std::max(m_returnedUntil, *member.returnedAt + m_policy.returnPeriod);
+    for (const auto &[dataCentre, state] : m_evacuations) {
+        if (state.since)
+            m_restrictedUntil = time_point::max();
+        if (state.returnedAt)
+            m_returnedUntil = std::max(m_returnedUntil, *state.returnedAt + m_policy.returnPeriod);
     }
 }
 
@@ -61,6 +74,12 @@
     return known == m_members.end() ? nullptr : &known->second;
 }
 
+const member_access::evacuation_state *member_access::evacuationOf(const known_member &member) const
+{
+    const auto known = m_evacuations.find(member.entry.dataCentre);
+    return known == m_evacuations.end() ? nullptr : &known->second;
+}
+
 double member_access::warmUpRateOf(const known_member &member) const
 {
     const auto limits = m_limits.find(member.entry.database);
@@ -92,8 +111,9 @@
 bool member_access::isEvacuated(const server_id &server, time_point now) const
 {
     const auto *member = isUnrestricted(now) ? nullptr : find(server);
-    return member && member->evacuatedSince
-           && now - *member->evacuatedSince >= m_policy.evacuatedUsePeriod;
+    const auto *evacuation = member ? evacuationOf(*member) : nullptr;
+    return evacuation && evacuation->since
+           && now - *evacuation->since >= m_policy.evacuatedUsePeriod;
 }
 
 std::vector<server_id> member_access::evacuatedServers(time_point now) const
@@ -147,11 +167,12 @@
                                 time_point now) const
 {
     const auto *member = now < m_returnedUntil ? find(server) : nullptr;
-    if (!member || !member->returnedAt)
+    const auto *evacuation = member ? evacuationOf(*member) : nullptr;
+    if (!evacuation || !evacuation->returnedAt)
         return false;
     constexpr double range = 18446744073709551616.0; // 2^64
     const double draw = static_cast<double>(rendezvousWeight(server.str(), request)) / range;
-    return draw * toSeconds(m_policy.returnPeriod) > toSeconds(now - *member->returnedAt);
+    return draw * toSeconds(m_policy.returnPeriod) > toSeconds(now - *evacuation->returnedAt);
 }
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Dispatch/member_access.h
+++ b/sycamorespan/src/Dispatch/member_access.h
@@ -2,6 +2,7 @@
 #define SYCAMORESPAN_DISPATCH_MEMBER_ACCESS_H
 
 #include "sycamorespan/src/Configuration/service_directory.h"
+#include "sycamorespan/src/Membership/evacuation_list.h"
 #include "sycamorespan/src/Membership/server_entry.h"
 #include "sycamorespan/src/Quota/warm_up_rate.h"
 
@@ -47,6 +48,10 @@
     void setAreas(std::map<data_centre_id, area_id> areas) { m_areas = std::move(areas); }
     /** \brief Replaces the entries of all members. */
     void setServers(const std::vector<server_entry> &entries, time_point now);
+    /** \brief Replaces the evacuations. The time of each begins when it is heard of; it has passed
+     * if the evacuation was in force before this instance started.
+     */
+    void setEvacuations(const evacuation_list &evacuations, time_point now);
     void setLimits(const std::map<database_id, database_limits> &limits);
     /** \brief Sets the share of this instance in the warm-up rate of members.
      * \param intervalOf  interval between its statements to a member; nothing if it has no share
@@ -90,12 +95,18 @@
         server_entry entry;
         time_point coldUntil;
         std::optional<time_point> startedAt; ///< when a restart of the member was noticed
-        std::optional<time_point> evacuatedSince;
-        std::optional<time_point> returnedAt;
         warm_up_rate rate;
     };
 
+    /** Of a data centre, whose members come and go. */
+    struct evacuation_state
+    {
+        std::optional<time_point> since; ///< set while it is evacuated
+        std::optional<time_point> returnedAt; ///< when its last evacuation ended
+    };
+
     const known_member *find(const server_id &server) const;
+    const evacuation_state *evacuationOf(const known_member &member) const;
     double warmUpRateOf(const known_member &member) const;
     bool isCold(const known_member &member, time_point now) const;
     time_point coldUntil(const known_member &member) const;
@@ -105,6 +116,7 @@
     std::map<data_centre_id, area_id> m_areas;
     std::map<database_id, database_limits> m_limits;
     std::map<server_id, known_member> m_members;
+    std::map<data_centre_id, evacuation_state> m_evacuations;
     bool m_hasServers = false;
     time_point m_restrictedUntil; ///< until which a member may be evacuated or cold
     time_point m_returnedUntil; ///< until which a member may get only a part of its reads
--- a/sycamorespan/src/Membership/evacuation_list.cpp
+++ b/sycamorespan/src/Membership/evacuation_list.cpp
@@ -1,6 +1,7 @@
 #include "sycamorespan/src/Membership/evacuation_list.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sycamorespan {
 
@@ -20,7 +21,7 @@
 {
     if (knownThrough <= m_knownThrough)
         return false;
-    m_knownThrough = knownThrough;
+    const bool isFirst = std::exchange(m_knownThrough, knownThrough) == 0;
     m_revision = std::max(m_revision, revision);
     const auto before = dataCentres();
     for (auto &[dataCentre, last] : m_changes)
@@ -28,8 +29,8 @@
             last.requested = false;
     std::ranges::for_each(evacuated, [&](const data_centre_id &dataCentre) {
         auto &last = m_changes[dataCentre];
-        if (last.revision <= knownThrough)
-            last.requested = true;
+        if (last.revision <= knownThrough && !std::exchange(last.requested, true))
+            last.wasFoundAtStart = isFirst;
     });
     return dataCentres() != before;
 }
@@ -40,7 +41,7 @@
     if (revision <= std::max(last.revision, m_knownThrough))
         return false;
     const bool changed = last.requested != requested;
-    last = {requested, revision};
+    last = {requested, revision, last.requested && requested && last.wasFoundAtStart};
     m_revision = std::max(m_revision, revision);
     return changed;
 }
@@ -51,6 +52,12 @@
     return last != m_changes.end() && last->second.requested;
 }
 
+bool evacuation_list::wasFoundAtStart(const data_centre_id &dataCentre) const
+{
+    const auto last = m_changes.find(dataCentre);
+    return last != m_changes.end() && last->second.requested && last->second.wasFoundAtStart;
+}
+
 std::set<data_centre_id> evacuation_list::dataCentres() const
 {
     std::set<data_centre_id> result;
--- a/sycamorespan/src/Membership/evacuation_list.h
+++ b/sycamorespan/src/Membership/evacuation_list.h
@@ -35,6 +35,8 @@
     bool put(const data_centre_id &dataCentre, bool requested, std::uint64_t revision);
 
     bool contains(const data_centre_id &dataCentre) const;
+    /** \returns whether the request was in the first complete list: when it was made is unknown. */
+    bool wasFoundAtStart(const data_centre_id &dataCentre) const;
     std::set<data_centre_id> dataCentres() const;
     /** \returns the revision of the newest change; 0 if none is known. */
     std::uint64_t revision() const { return m_revision; }
@@ -49,6 +51,7 @@
     {
         bool requested = false;
         std::uint64_t revision = 0;
+        bool wasFoundAtStart = false; ///< the request was in the first complete list
 
         auto operator<=>(const change &) const = default;
     };
--- a/test/evacuation.cpp
+++ b/test/evacuation.cpp
@@ -3,11 +3,17 @@
 
 #include "dispatch_harness.h"
 
+#include "programs/node/operator_rows.h"
+
 #include "sycamorespan/src/Membership/evacuation_list.h"
 #include "sycamorespan/src/Membership/fleet_messages.h"
 
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
+#include <utility>
+
 namespace {
 
 using namespace sycamorespan;
@@ -55,7 +61,11 @@
         collect(subject.setDirectory(std::make_shared<service_directory>(directory), now));
     }
 
-    void useServers() { collect(subject.setServers(evacuations.marked(servers), now)); }
+    void useServers()
+    {
+        subject.setEvacuations(evacuations, now);
+        collect(subject.setServers(evacuations.marked(servers), now));
+    }
 
     void evacuate(const data_centre_id &dataCentre, bool requested)
     {
@@ -213,6 +223,72 @@
     EXPECT_EQ(harness.sentCount(), sent);
 }
 
+/** Requests a write, and expects it to be refused without a statement to a member. */
+void expectRefusedWrite(access_harness &harness)
+{
+    const auto sent = harness.sentCount();
+    const auto replies = harness.replyCount();
+    harness.connect(1);
+    harness.request(1, "WRITE x 1");
+    EXPECT_EQ(harness.sentCount(), sent);
+    ASSERT_EQ(harness.replyCount(), replies + 1);
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::busy);
+}
+
+TEST(Evacuation, ItsTimeDoesNotBeginAgainForMembersThatRestartOrJoin)
+{
+    access_harness harness(consistency::latest);
+    harness.evacuate(a, true);
+    harness.advance(timeout / 2);
+    harness.servers[0].startedAtMs = 5;
+    harness.useServers();
+    expectRefusedWrite(harness);
+    const auto restarted = std::exchange(harness.servers, {});
+    harness.useServers(); // no member of the data centre is listed for a while
+    harness.servers = restarted;
+    harness.useServers();
+    expectRefusedWrite(harness);
+}
+
+TEST(Evacuation, AnInstanceThatStartsDuringItSendsNothingThere)
+{
+    access_harness harness(consistency::latest);
+    harness.evacuations.replace({a}, 10);
+    harness.useServers();
+    expectRefusedWrite(harness);
+}
+
+TEST(Evacuation, AnInstanceThatHearsOfARequestLetsTheMembersServeForItsTime)
+{
+    access_harness harness(consistency::latest);
+    harness.evacuations.replace({}, 10);
+    harness.evacuations.replace({a}, 20);
+    harness.useServers();
+    harness.connect(1);
+    harness.request(1, "WRITE x 1");
+    EXPECT_EQ(harness.sentCount(), 1U);
+}
+
+TEST(Evacuation, ItIsInForceBeforeTheConfigurationOfTheSameRead)
+{
+    using node::operator_rows;
+    node::event_log log(line_budget_policy{}, STDERR_FILENO);
+    node::node_metrics metrics;
+    node::rejected_entries rejected(log, metrics);
+    std::vector<std::string> calls;
+    operator_rows rows(log, rejected, true,
+                       {[&](const auto &) { calls.emplace_back("configuration"); },
+                        [&] { calls.emplace_back("evacuations"); },
+                        [](const auto &, time_point) { return false; },
+                        [](const auto &) { return std::size_t{0}; }});
+    platform::store_rows content;
+    content.revision = 5;
+    content.rows = {{"op", std::string(platform::configurationKey), R"({"version":1})", 1, false},
+                    {"op", "evacuate/a", "{}", 2, false}};
+    rows.apply(content, true);
+    EXPECT_EQ(calls, (std::vector<std::string>{"evacuations", "configuration"}));
+}
+
 TEST(Homes, AStatementRunsOnlyInAreasThatRouteAndWorkspaceAllow)
 {
     access_harness harness(consistency::boundedStaleness);
