Warm-up: an instance has its share as soon as a member is cold

Shares were given out only when the registered instances were set, up to 100 ms after a member became cold or its database got a warm-up rate. Until then queued writes were refused, with the end of the warm-up as the time to return.

The instances are kept, and the shares follow from each new list of servers and each configuration before the queue is served.

Measured: the new test of test_evacuation fails without the change in dispatcher.cpp; all 25 pass.

--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -21,6 +21,7 @@
 {
     m_directory = std::move(directory);
     m_access.setLimits(m_directory->databases);
+    applyShares(now);
     const auto &workspaces = m_directory->workspaces;
     const auto sum = std::accumulate(
             workspaces.begin(), workspaces.end(), 0.0,
@@ -35,6 +36,7 @@
 {
     std::set<server_id> present;
     m_access.setServers(entries, now);
+    applyShares(now);
     std::ranges::for_each(entries, [&](const server_entry &entry) {
         present.insert(entry.id);
         const auto known = m_pools.find(entry.id);
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -448,6 +448,7 @@
     std::optional<queue_refusal> reasonNotAllowed(const caller &from, const database_state &state,
                                                   std::size_t ahead, time_point now) const;
     bool isHeldBack(caller &from, member_pool &pool, member_connection &connection, time_point now);
+    void applyShares(time_point now);
     void endHeldBack(caller &from, std::string why, time_point now);
     void endEvacuatedWork(time_point now);
     bool isPrimaryViewValid(const database_state &group, time_point now) const;
@@ -516,6 +517,8 @@
     std::map<database_id, instance_id> m_brokers;
     instance_id m_self;
     std::size_t m_brokersOfDatabase = 1; ///< brokers that share the connections of a member
+    instance_id m_sharingSelf; ///< this instance among m_sharingInstances
+    std::vector<instance_id> m_sharingInstances; ///< that share the warm-up rates of members
     std::unordered_map<operation_number, session_number> m_handedOver; ///< operations at brokers
     operation_number m_lastOperation = 0;
     std::uint64_t m_lastHandOver = 0;
--- a/sycamorespan/src/Dispatch/dispatcher_access.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_access.cpp
@@ -19,13 +19,22 @@
 
 void dispatcher::setRegisteredInstances(const instance_id &self,
                                         const std::vector<instance_id> &registered, time_point now)
+{
+    m_sharingSelf = self;
+    m_sharingInstances = registered;
+    applyShares(now);
+}
+
+/** Gives this instance its share in the warm-up rate of each member that is cold now. */
+void dispatcher::applyShares(time_point now)
 {
     m_access.setShares(
             [&](const server_entry &entry, double rate) -> std::optional<duration> {
                 if (!needsBroker(*m_directory, entry.database))
-                    return warm_up_shares::intervalFor(entry.id.str(), rate, self, registered);
+                    return warm_up_shares::intervalFor(entry.id.str(), rate, m_sharingSelf,
+                                                       m_sharingInstances);
                 const auto broker = m_brokers.find(entry.database);
-                if (broker == m_brokers.end() || broker->second != self)
+                if (broker == m_brokers.end() || broker->second != m_sharingSelf)
                     return std::nullopt; // the brokers alone send to its members
                 return warm_up_shares::intervalOf(rate, m_brokersOfDatabase);
             },
--- a/test/evacuation.cpp
+++ b/test/evacuation.cpp
@@ -436,6 +436,36 @@
             harness.lastSent().statements.back()));
 }
 
+TEST(WarmUp, TheShareIsKnownAsSoonAsAMemberIsCold)
+{
+    const instance_id self("i1");
+    access_harness harness(consistency::latest);
+    harness.configure([&](service_directory &directory) {
+        directory.databases[harness.database].warmUpRatePerSecond = 4;
+    });
+    harness.subject.setRegisteredInstances(self, {self}, harness.now);
+    harness.servers[0].warmUpLeft = 10s;
+    harness.useServers(); // the member becomes cold
+    harness.connect(1);
+    harness.request(1, "WRITE x 1");
+    EXPECT_EQ(harness.replyCount(), 0U) << "it waits for its turn";
+    harness.advance(520ms);
+    EXPECT_EQ(harness.sentCount(), 1U);
+
+    access_harness other(consistency::latest);
+    other.servers[0].warmUpLeft = 10s;
+    other.useServers();
+    other.subject.setRegisteredInstances(self, {self}, other.now);
+    other.configure([&](service_directory &directory) {
+        directory.databases[other.database].warmUpRatePerSecond = 4; // the rate appears
+    });
+    other.connect(1);
+    other.request(1, "WRITE x 1");
+    EXPECT_EQ(other.replyCount(), 0U);
+    other.advance(520ms);
+    EXPECT_EQ(other.sentCount(), 1U);
+}
+
 TEST(WarmUp, AnEvacuationDoesNotOverrunAColdMember)
 {
     access_harness harness(consistency::boundedStaleness);
