Failover: an old primary whose evacuation is withdrawn may return

A planned change never chose the old primary, so that an evacuation whose other members did not answer left the database without a primary after it was withdrawn. The old primary now returns under the condition of unplanned changes, a log that is certainly complete, if it is not leaving any more.

A primary that was chosen although its data centre is evacuated too is kept for the time of a catch-up before the next change begins; the changes followed each other without a pause.

Measured: both new tests of test_failover_synchronous fail without the change; all 40 pass.

--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -187,6 +187,9 @@
 {
     if (isRunning() || now < m_notBefore)
         return takeOutputs();
+    // A primary that was chosen although it is evacuated too serves before it is replaced.
+    if (reason == change_reason::evacuated && now - m_finishedAt < m_policy.catchUpTimeout)
+        return takeOutputs();
     m_reason = reason;
     m_beganAt = now;
     m_isPlanned = reason == change_reason::draining || reason == change_reason::evacuated;
@@ -647,7 +650,8 @@
         const auto longest = std::ranges::max_element(known, {}, &ranked::received)->received;
         return bestOf(longest);
     }
-    if (oldIsComplete && !m_isPlanned && entryOf(context, m_oldPrimary))
+    if (oldIsComplete && entryOf(context, m_oldPrimary)
+        && (!m_isPlanned || !isLeaving(m_oldPrimary, context)))
         return m_oldPrimary; // only its log is certainly complete; a draining one is replaced later
     return std::nullopt;
 }
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -985,6 +985,42 @@
     }
 }
 
+TEST(FailoverSynchronous, TheOldPrimaryReturnsWhenItsEvacuationIsWithdrawnAndNobodyElseAnswers)
+{
+    for (const bool supervisorIsLost : {false, true}) {
+        change_simulation simulation;
+        simulation.advance(1s);
+        EXPECT_TRUE(simulation.commit("s1"));
+        simulation.member("s2").isUp = false;
+        simulation.member("s3").isUp = false;
+        simulation.evacuate({"s1"});
+        simulation.advance(5s);
+        EXPECT_FALSE(simulation.isSteadyAt("s1"));
+        if (supervisorIsLost)
+            simulation.replaceSupervisor();
+        simulation.evacuate({});
+        simulation.advance(6s);
+        EXPECT_TRUE(simulation.isSteadyAt("s1"));
+        EXPECT_TRUE(simulation.promotedIncomplete.empty());
+    }
+}
+
+TEST(FailoverSynchronous, APrimaryThatIsEvacuatedTooServesForAWhileBeforeTheNextChange)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    EXPECT_TRUE(simulation.commit("s1"));
+    simulation.member("s3").isUp = false;
+    simulation.evacuate({"s1", "s2"});
+    simulation.advanceUntil([&] { return simulation.isSteadyAt("s2"); });
+    const auto intents = simulation.intentTimes.size();
+    simulation.advance(change_policy{}.catchUpTimeout - 40ms);
+    EXPECT_EQ(simulation.intentTimes.size(), intents);
+    simulation.member("s3").isUp = true;
+    simulation.advance(5s);
+    EXPECT_TRUE(simulation.isSteadyAt("s3"));
+}
+
 TEST(FailoverSynchronous, ASupervisorLostDuringAnEvacuationLeavesItToTheNext)
 {
     for (const auto lostAfter : {40ms, 100ms, 160ms, 300ms, 500ms, 700ms}) {
