Warm-up: set-up statements and rollbacks count

SET, DISCARD and PREPARE that come before a statement, and ROLLBACK, were sent to a cold member without counting for its rate.

Measured: both new tests of test_evacuation fail without the change; all 27 pass.

--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -363,6 +363,7 @@
     }
     connection.state = member_connection::phase::rollingBack;
     connection.pending.push_back({expected_answer::rollback, now});
+    m_access.onSent(pool.entry().id, 1, now);
     m_outputs.push_back(send_to_member{connection.id, {member_statement::rollback{}}});
 }
 
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -451,10 +451,11 @@
     from.boundConnection = connection.id;
     from.boundServer = pool.entry().id;
     charge(from);
-    m_access.onSent(pool.entry().id, job.startsTransaction ? 2 : 1, now); // BEGIN counts
-    if (!job.startsTransaction)
-        return sendStatement(from, connection, setupStatements(from, connection, now), now);
     auto statements = setupStatements(from, connection, now);
+    const std::size_t own = job.startsTransaction ? 2 : 1; // BEGIN counts
+    m_access.onSent(pool.entry().id, statements.size() + own, now);
+    if (!job.startsTransaction)
+        return sendStatement(from, connection, std::move(statements), now);
     // BEGIN is sent without the statement, which would run outside of a transaction if BEGIN were
     // refused.
     statements.emplace_back(member_statement::begin{from.readOnly, floor});
@@ -483,7 +484,9 @@
         return;
     }
     connection->since = now;
-    sendStatement(from, *connection, setupStatements(from, *connection, now), now);
+    auto setup = setupStatements(from, *connection, now);
+    m_access.onSent(pool->entry().id, setup.size(), now);
+    sendStatement(from, *connection, std::move(setup), now);
 }
 
 /** \returns the statements that set the session's values on the connection and prepare what the
--- a/test/evacuation.cpp
+++ b/test/evacuation.cpp
@@ -466,6 +466,42 @@
     EXPECT_EQ(other.sentCount(), 1U);
 }
 
+TEST(WarmUp, WhatPreparesASessionCounts)
+{
+    access_harness harness(consistency::latest);
+    warmUp(harness, 1, 4);
+    harness.connect(1);
+    harness.request(1, "SET tz utc");
+    harness.request(1, "WRITE x 1");
+    harness.advance(600ms);
+    ASSERT_EQ(harness.sentCount(), 1U);
+    ASSERT_EQ(harness.lastSent().statements.size(), 2U);
+    harness.answer(harness.lastSent().connection);
+    harness.answer(harness.lastSent().connection);
+    harness.connect(2);
+    harness.request(2, "WRITE x 1");
+    harness.advance(800ms);
+    EXPECT_EQ(harness.sentCount(), 1U) << "the two used the turns at 500 ms and 1000 ms";
+    harness.advance(120ms);
+    EXPECT_EQ(harness.sentCount(), 2U);
+}
+
+TEST(WarmUp, ARollbackCounts)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 4);
+    harness.request(1, "ROLLBACK");
+    harness.answer(connection);
+    const auto sent = harness.sentCount();
+    harness.advance(100ms);
+    harness.connect(2);
+    harness.request(2, "WRITE x 1");
+    harness.advance(840ms);
+    EXPECT_EQ(harness.sentCount(), sent) << "the turn at 500 ms is that of the rollback";
+    harness.advance(80ms);
+    EXPECT_EQ(harness.sentCount(), sent + 1);
+}
+
 TEST(WarmUp, AnEvacuationDoesNotOverrunAColdMember)
 {
     access_harness harness(consistency::boundedStaleness);
