Documents: an odd warm-up costs only the warm-up

An odd warmup_left_ms took a server out of the list, and an odd warmup_s or cold_per_s took all limits of its database. The field is now left out and noted as rejected, and the rest is used.

The log line of a changed server list is no longer written when only the time left of a warm-up has changed.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -377,15 +377,15 @@
     m_sessions.startServing();
 }
 
-/** \returns the entry of a row; nothing if the row was deleted or can't be decoded, which names no
- * server to use.
- */
+/** \returns the entry of a row; nothing if it was deleted or can't be decoded. */
 std::optional<server_entry> node::decodeServerRow(const platform::store_row &row, time_point now)
 {
     if (row.deleted)
         return std::nullopt;
     try {
-        return platform::decodeServerEntry(row.key, row.value);
+        const auto decoded = platform::decodeServerEntry(row.key, row.value);
+        m_rejectedEntries.note(decoded.rejected, row.revision, now);
+        return decoded.entry;
     } catch (const decode_error &failure) {
         m_rejectedEntries.note("servers", row.key, row.revision, failure.what(), now);
         return std::nullopt;
@@ -446,13 +446,12 @@
             return entry.id.str() == text.first;
         });
     });
-    std::string draining;
-    std::ranges::for_each(m_serverEntries, [&](const server_entry &entry) {
-        if (entry.state == server_state::draining)
-            draining += (draining.empty() ? "" : ",") + entry.id.str();
-    });
-    m_log.write(line_importance::state, "server list changed",
-                {{"count", std::to_string(m_serverEntries.size())}, {"draining", draining}}, now);
+    if (!m_roster.takeListChanged())
+        return; // only the time that is left of a warm-up
+    m_log.write(
+            line_importance::state, "server list changed",
+            {{"count", std::to_string(m_serverEntries.size())}, {"draining", m_roster.draining()}},
+            now);
 }
 
 // Other instances.
--- a/programs/node/operator_rows.cpp
+++ b/programs/node/operator_rows.cpp
@@ -90,9 +90,7 @@
             return;
         m_directory = std::make_shared<service_directory>(std::move(decoded.directory));
         m_configuration = document;
-        std::ranges::for_each(decoded.rejected, [&](const platform::rejected_entry &each) {
-            m_rejected.note(each.list, each.name, version, each.cause, now);
-        });
+        m_rejected.note(decoded.rejected, version, now);
     } catch (const decode_error &failure) {
         m_log.write(line_importance::state, "configuration could not be decoded",
                     {{"error", failure.what()}, {"revision", std::to_string(revision)}}, now);
--- a/programs/node/rejected_entries.cpp
+++ b/programs/node/rejected_entries.cpp
@@ -1,5 +1,7 @@
 #include "programs/node/rejected_entries.h"
 
+#include <algorithm>
+
 namespace sycamorespan::node {
 
 namespace {
@@ -26,4 +28,12 @@
                 now);
 }
 
+void rejected_entries::note(const std::vector<platform::rejected_entry> &entries,
+                            std::uint64_t revision, time_point now)
+{
+    std::ranges::for_each(entries, [&](const platform::rejected_entry &each) {
+        note(each.list, each.name, revision, each.cause, now);
+    });
+}
+
 } // namespace sycamorespan::node
--- a/programs/node/rejected_entries.h
+++ b/programs/node/rejected_entries.h
@@ -1,6 +1,8 @@
 #ifndef SYCAMORESPAN_PROGRAMS_NODE_REJECTED_ENTRIES_H
 #define SYCAMORESPAN_PROGRAMS_NODE_REJECTED_ENTRIES_H
 
+#include "platform/documents.h"
+
 #include "programs/node/event_log.h"
 #include "programs/node/node_metrics.h"
 
@@ -9,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace sycamorespan::node {
 
@@ -28,6 +31,9 @@
      */
     void note(const std::string &list, const std::string &entry, std::uint64_t revision,
               std::string_view cause, time_point now);
+    /** \brief Notes the entries of a document, or the fields of an entry. */
+    void note(const std::vector<platform::rejected_entry> &entries, std::uint64_t revision,
+              time_point now);
 
 private:
     event_log &m_log;
--- a/sycamorespan/src/Membership/server_roster.cpp
+++ b/sycamorespan/src/Membership/server_roster.cpp
@@ -32,6 +32,11 @@
         found->second.missingSince.reset();
         return;
     }
+    auto sameWarmUp = entry;
+    if (found != m_entries.end())
+        sameWarmUp.warmUpLeft = found->second.entry.warmUpLeft;
+    if (found == m_entries.end() || found->second.entry != sameWarmUp)
+        m_listChanged = true;
     m_entries[entry.id] = {entry, std::nullopt};
     m_changed = true;
 }
@@ -48,6 +53,7 @@
     }
     m_entries.erase(found);
     m_changed = true;
+    m_listChanged = true;
 }
 
 void server_roster::replace(const std::vector<server_entry> &entries, time_point now)
@@ -75,9 +81,19 @@
     };
     const bool dropped = std::erase_if(m_entries, isExpired) > 0;
     m_changed = m_changed || dropped;
+    m_listChanged = m_listChanged || dropped;
     return dropped;
 }
 
+std::string server_roster::draining() const
+{
+    std::string ids;
+    for (const auto &[id, each] : m_entries)
+        if (each.entry.state == server_state::draining)
+            ids += (ids.empty() ? "" : ",") + id.str();
+    return ids;
+}
+
 std::vector<server_entry> server_roster::entries() const
 {
     std::vector<server_entry> result;
--- a/sycamorespan/src/Membership/server_roster.h
+++ b/sycamorespan/src/Membership/server_roster.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -54,7 +55,14 @@
     /** \returns whether entries() has changed since the last call. */
     bool takeEntriesChanged() { return std::exchange(m_changed, false); }
 
+    /** \returns whether entries() has changed since the last call in more than the time that is
+     * left of a warm-up.
+     */
+    bool takeListChanged() { return std::exchange(m_listChanged, false); }
+
     std::vector<server_entry> entries() const;
+    /** \returns the ids of the servers that are draining, separated by commas. */
+    std::string draining() const;
     /** \returns whether the list has been read at least once. */
     bool isLoaded() const { return m_isLoaded; }
 
@@ -73,6 +81,7 @@
     std::optional<time_point> m_storeRecovered; ///< time of the first answer after that
     bool m_isLoaded = false;
     bool m_changed = false;
+    bool m_listChanged = false;
 };
 
 } // namespace sycamorespan
--- a/test/evacuation.cpp
+++ b/test/evacuation.cpp
@@ -7,6 +7,7 @@
 
 #include "sycamorespan/src/Membership/evacuation_list.h"
 #include "sycamorespan/src/Membership/fleet_messages.h"
+#include "sycamorespan/src/Membership/server_roster.h"
 
 #include <gtest/gtest.h>
 
@@ -502,6 +503,25 @@
     EXPECT_EQ(harness.sentCount(), sent + 1);
 }
 
+TEST(WarmUp, ItsProgressIsNoChangeOfTheServerList)
+{
+    server_roster roster{roster_policy{}};
+    server_entry entry;
+    entry.id = server_id("s1");
+    entry.warmUpLeft = 10s;
+    roster.put(entry);
+    EXPECT_TRUE(roster.takeListChanged());
+    entry.warmUpLeft = 9s;
+    roster.put(entry);
+    EXPECT_TRUE(roster.takeEntriesChanged());
+    EXPECT_FALSE(roster.takeListChanged());
+    entry.state = server_state::draining;
+    entry.warmUpLeft = 8s;
+    roster.put(entry);
+    EXPECT_TRUE(roster.takeListChanged());
+    EXPECT_EQ(roster.draining(), "s1");
+}
+
 TEST(WarmUp, AnEvacuationDoesNotOverrunAColdMember)
 {
     access_harness harness(consistency::boundedStaleness);
--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -262,12 +262,37 @@
     EXPECT_EQ(decoded.rejected.size(), 2U);
 }
 
+// Guards against a warm-up that nobody understands and that takes a member out of use.
+TEST(PlatformDocuments, AnOddWarmUpCostsOnlyTheWarmUp)
+{
+    const std::string server =
+            R"({"backend":"db1","address":"10.0.0.1:1","zone":"a","capacity":5,"state":"ready",)"
+            R"("warmup_left_ms":0,"db_role":"replica","born":17})";
+    for (const auto *odd : {"-1", "\"soon\"", "null", "1e300", "[]"}) {
+        const auto decoded =
+                decodeServerEntry("i-1", replaced(server, "_ms\":0", "_ms\":" + std::string(odd)));
+        EXPECT_EQ(decoded.entry.startedAtMs, 17) << odd;
+        EXPECT_EQ(decoded.entry.warmUpLeft, std::nullopt) << odd;
+        ASSERT_EQ(decoded.rejected.size(), 1U) << odd;
+        EXPECT_EQ(decoded.rejected[0].name, "i-1");
+        EXPECT_NE(decoded.rejected[0].cause.find("warmup_left_ms"), std::string::npos);
+        for (const auto *field : {"warmup_s", "cold_per_s"}) {
+            const auto lists =
+                    decodeConfiguration(R"({"version":1,"services":[{"name":"d","max_conns":9,")"
+                                        + std::string(field) + "\":" + odd + "}]}");
+            EXPECT_EQ(lists.directory.databases.at(database_id("d")).maxConnections, 9U) << odd;
+            ASSERT_EQ(lists.rejected.size(), 1U) << odd;
+            EXPECT_NE(lists.rejected[0].cause.find(field), std::string::npos);
+        }
+    }
+}
+
 TEST(PlatformDocuments, InvalidServerEntryIsSkipped)
 {
     const std::string whole =
             R"({"backend":"db1","address":"10.0.0.1:1","zone":"a","capacity":5,"state":"ready",)"
             R"("warmup_left_ms":0,"db_role":"replica","seq":4,"born":17})";
-    EXPECT_EQ(decodeServerEntry("i-1", whole).startedAtMs, 17);
+    EXPECT_EQ(decodeServerEntry("i-1", whole).entry.startedAtMs, 17);
     for (const auto &[from, to] :
          std::vector<std::pair<std::string, std::string>>{{"\"ready\"", "\"resting\""},
                                                           {"\"replica\"", "7"},
@@ -286,7 +311,8 @@
             R"({"backend":"db1","address":"10.0.0.1:1","zone":"a","capacity":5,"state":"ready",)"
             R"("db_role":"replica","born":17})";
     const std::string deep = std::string(30'000, '[') + std::string(30'000, ']');
-    EXPECT_EQ(decodeServerEntry("i-1", replaced(whole, "17", "17,\"x\":" + deep)).startedAtMs, 17)
+    EXPECT_EQ(decodeServerEntry("i-1", replaced(whole, "17", "17,\"x\":" + deep)).entry.startedAtMs,
+              17)
             << "an unknown field is ignored";
     for (const auto &[from, to] :
          std::vector<std::pair<std::string, std::string>>{{"10.0.0.1:1", "10.0.0.1:70000"},
