--- a/test/evacuation.cpp
+++ b/test/evacuation.cpp
@@ -3,11 +3,18 @@
 
 #include "dispatch_harness.h"
 
+#include "programs/node/operator_rows.h"
+
 #include "sycamorespan/src/Membership/evacuation_list.h"
 #include "sycamorespan/src/Membership/fleet_messages.h"
+#include "sycamorespan/src/Membership/server_roster.h"
 
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
+#include <utility>
+
 namespace {
 
 using namespace sycamorespan;
@@ -55,7 +62,11 @@
         collect(subject.setDirectory(std::make_shared<service_directory>(directory), now));
     }
 
-    void useServers() { collect(subject.setServers(evacuations.marked(servers), now)); }
+    void useServers()
+    {
+        subject.setEvacuations(evacuations, now);
+        collect(subject.setServers(evacuations.marked(servers), now));
+    }
 
     void evacuate(const data_centre_id &dataCentre, bool requested)
     {
@@ -213,6 +224,72 @@
     EXPECT_EQ(harness.sentCount(), sent);
 }
 
+/** Requests a write, and expects it to be refused without a statement to a member. */
+void expectRefusedWrite(access_harness &harness)
+{
+    const auto sent = harness.sentCount();
+    const auto replies = harness.replyCount();
+    harness.connect(1);
+    harness.request(1, "WRITE x 1");
+    EXPECT_EQ(harness.sentCount(), sent);
+    ASSERT_EQ(harness.replyCount(), replies + 1);
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::busy);
+}
+
+TEST(Evacuation, ItsTimeDoesNotBeginAgainForMembersThatRestartOrJoin)
+{
+    access_harness harness(consistency::latest);
+    harness.evacuate(a, true);
+    harness.advance(timeout / 2);
+    harness.servers[0].startedAtMs = 5;
+    harness.useServers();
+    expectRefusedWrite(harness);
+    const auto restarted = std::exchange(harness.servers, {});
+    harness.useServers(); // no member of the data centre is listed for a while
+    harness.servers = restarted;
+    harness.useServers();
+    expectRefusedWrite(harness);
+}
+
+TEST(Evacuation, AnInstanceThatStartsDuringItSendsNothingThere)
+{
+    access_harness harness(consistency::latest);
+    harness.evacuations.replace({a}, 10);
+    harness.useServers();
+    expectRefusedWrite(harness);
+}
+
+TEST(Evacuation, AnInstanceThatHearsOfARequestLetsTheMembersServeForItsTime)
+{
+    access_harness harness(consistency::latest);
+    harness.evacuations.replace({}, 10);
+    harness.evacuations.replace({a}, 20);
+    harness.useServers();
+    harness.connect(1);
+    harness.request(1, "WRITE x 1");
+    EXPECT_EQ(harness.sentCount(), 1U);
+}
+
+TEST(Evacuation, ItIsInForceBeforeTheConfigurationOfTheSameRead)
+{
+    using node::operator_rows;
+    node::event_log log(line_budget_policy{}, STDERR_FILENO);
+    node::node_metrics metrics;
+    node::rejected_entries rejected(log, metrics);
+    std::vector<std::string> calls;
+    operator_rows rows(log, rejected, true,
+                       {[&](const auto &) { calls.emplace_back("configuration"); },
+                        [&] { calls.emplace_back("evacuations"); },
+                        [](const auto &, time_point) { return false; },
+                        [](const auto &) { return std::size_t{0}; }});
+    platform::store_rows content;
+    content.revision = 5;
+    content.rows = {{"op", std::string(platform::configurationKey), R"({"version":1})", 1, false},
+                    {"op", "evacuate/a", "{}", 2, false}};
+    rows.apply(content, true);
+    EXPECT_EQ(calls, (std::vector<std::string>{"evacuations", "configuration"}));
+}
+
 TEST(Homes, AStatementRunsOnlyInAreasThatRouteAndWorkspaceAllow)
 {
     access_harness harness(consistency::boundedStaleness);
@@ -283,6 +360,168 @@
     EXPECT_EQ(harness.sentCount(), 1U);
 }
 
+/** Opens a transaction that has written, on a primary that then becomes cold. */
+connection_id openColdTransaction(access_harness &harness, double rate)
+{
+    const auto connection = harness.openTransaction("WRITE x 1");
+    warmUp(harness, 1, rate);
+    return connection;
+}
+
+TEST(WarmUp, ACommitThatWasNeverSentIsRolledBackWhenItsConnectionIsLost)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 4); // the first is due after 500 ms
+    const auto sent = harness.sentCount();
+    harness.request(1, "COMMIT");
+    EXPECT_EQ(harness.sentCount(), sent);
+    harness.collect(harness.subject.closed(connection, std::nullopt, harness.now));
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+    EXPECT_EQ(harness.lastReply().state, session_state::idle);
+}
+
+TEST(WarmUp, ACommitIsRolledBackAtOnceIfTheMemberCannotTakeItInItsTime)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 1); // the first is due after 2 s
+    const auto replies = harness.replyCount();
+    harness.request(1, "COMMIT");
+    ASSERT_EQ(harness.replyCount(), replies + 1);
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+    EXPECT_EQ(harness.lastSent().connection, connection);
+    EXPECT_TRUE(std::holds_alternative<member_statement::rollback>(
+            harness.lastSent().statements.back()))
+            << "the locks of the transaction are released";
+}
+
+TEST(WarmUp, AnotherStatementIsRefusedAtOnceWithoutAShareAndItsTransactionEnds)
+{
+    access_harness harness(consistency::latest);
+    openColdTransaction(harness, 4);
+    harness.subject.setRegisteredInstances(instance_id("i1"), {instance_id("i2")}, harness.now);
+    const auto replies = harness.replyCount();
+    harness.request(1, "WRITE x 2");
+    ASSERT_EQ(harness.replyCount(), replies + 1);
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+    EXPECT_TRUE(std::holds_alternative<member_statement::rollback>(
+            harness.lastSent().statements.back()));
+}
+
+TEST(WarmUp, AHeldStatementKeepsItsTurn)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 4);
+    harness.request(1, "COMMIT");
+    const auto sent = harness.sentCount();
+    harness.now += 500ms;
+    harness.connect(2);
+    harness.request(2, "WRITE x 1");
+    EXPECT_EQ(harness.sentCount(), sent) << "the turn is that of the held statement";
+    harness.advance(20ms);
+    ASSERT_EQ(harness.sentCount(), sent + 1);
+    EXPECT_EQ(harness.lastSent().connection, connection);
+    harness.answer(connection);
+    EXPECT_TRUE(harness.lastReply().succeeded());
+}
+
+TEST(WarmUp, AHeldStatementWhoseTimePassesIsRolledBack)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 4);
+    harness.request(1, "COMMIT");
+    harness.now += 2s; // the instance was stopped meanwhile
+    harness.collect(harness.subject.tick(harness.now));
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+    EXPECT_EQ(harness.lastSent().connection, connection);
+    EXPECT_TRUE(std::holds_alternative<member_statement::rollback>(
+            harness.lastSent().statements.back()));
+}
+
+TEST(WarmUp, TheShareIsKnownAsSoonAsAMemberIsCold)
+{
+    const instance_id self("i1");
+    access_harness harness(consistency::latest);
+    harness.configure([&](service_directory &directory) {
+        directory.databases[harness.database].warmUpRatePerSecond = 4;
+    });
+    harness.subject.setRegisteredInstances(self, {self}, harness.now);
+    harness.servers[0].warmUpLeft = 10s;
+    harness.useServers(); // the member becomes cold
+    harness.connect(1);
+    harness.request(1, "WRITE x 1");
+    EXPECT_EQ(harness.replyCount(), 0U) << "it waits for its turn";
+    harness.advance(520ms);
+    EXPECT_EQ(harness.sentCount(), 1U);
+
+    access_harness other(consistency::latest);
+    other.servers[0].warmUpLeft = 10s;
+    other.useServers();
+    other.subject.setRegisteredInstances(self, {self}, other.now);
+    other.configure([&](service_directory &directory) {
+        directory.databases[other.database].warmUpRatePerSecond = 4; // the rate appears
+    });
+    other.connect(1);
+    other.request(1, "WRITE x 1");
+    EXPECT_EQ(other.replyCount(), 0U);
+    other.advance(520ms);
+    EXPECT_EQ(other.sentCount(), 1U);
+}
+
+TEST(WarmUp, WhatPreparesASessionCounts)
+{
+    access_harness harness(consistency::latest);
+    warmUp(harness, 1, 4);
+    harness.connect(1);
+    harness.request(1, "SET tz utc");
+    harness.request(1, "WRITE x 1");
+    harness.advance(600ms);
+    ASSERT_EQ(harness.sentCount(), 1U);
+    ASSERT_EQ(harness.lastSent().statements.size(), 2U);
+    harness.answer(harness.lastSent().connection);
+    harness.answer(harness.lastSent().connection);
+    harness.connect(2);
+    harness.request(2, "WRITE x 1");
+    harness.advance(800ms);
+    EXPECT_EQ(harness.sentCount(), 1U) << "the two used the turns at 500 ms and 1000 ms";
+    harness.advance(120ms);
+    EXPECT_EQ(harness.sentCount(), 2U);
+}
+
+TEST(WarmUp, ARollbackCounts)
+{
+    access_harness harness(consistency::latest);
+    const auto connection = openColdTransaction(harness, 4);
+    harness.request(1, "ROLLBACK");
+    harness.answer(connection);
+    const auto sent = harness.sentCount();
+    harness.advance(100ms);
+    harness.connect(2);
+    harness.request(2, "WRITE x 1");
+    harness.advance(840ms);
+    EXPECT_EQ(harness.sentCount(), sent) << "the turn at 500 ms is that of the rollback";
+    harness.advance(80ms);
+    EXPECT_EQ(harness.sentCount(), sent + 1);
+}
+
+TEST(WarmUp, ItsProgressIsNoChangeOfTheServerList)
+{
+    server_roster roster{roster_policy{}};
+    server_entry entry;
+    entry.id = server_id("s1");
+    entry.warmUpLeft = 10s;
+    roster.put(entry);
+    EXPECT_TRUE(roster.takeListChanged());
+    entry.warmUpLeft = 9s;
+    roster.put(entry);
+    EXPECT_TRUE(roster.takeEntriesChanged());
+    EXPECT_FALSE(roster.takeListChanged());
+    entry.state = server_state::draining;
+    entry.warmUpLeft = 8s;
+    roster.put(entry);
+    EXPECT_TRUE(roster.takeListChanged());
+    EXPECT_EQ(roster.draining(), "s1");
+}
+
 TEST(WarmUp, AnEvacuationDoesNotOverrunAColdMember)
 {
     access_harness harness(consistency::boundedStaleness);
