Fleet reports: an instance's own release does not wait for its budget either

Cause: an instance that releases a view asked for reports with the cause requested, whose budget its own suspicions use up, so that the first hop waited. Change: the view keeper names the cause of an update; a release is reported with the cause released. The simulated instances do the same.

--- a/programs/node/fleet_link.cpp
+++ b/programs/node/fleet_link.cpp
@@ -96,9 +96,9 @@
     schedule(now);
 }
 
-void fleet_link::requestReports()
+void fleet_link::requestReports(report_cause cause)
 {
-    m_table.requestReports();
+    m_table.requestReports(cause);
     schedule(suspendAwareNow());
 }
 
--- a/programs/node/fleet_link.h
+++ b/programs/node/fleet_link.h
@@ -39,7 +39,7 @@
     const fleet_table &table() const { return m_table; }
 
     /** \brief Sends reports as soon as possible. */
-    void requestReports();
+    void requestReports(report_cause cause = report_cause::requested);
     /** \brief Sends a message to an instance, or drops it if its address is unknown. */
     void send(const instance_id &to, const quota_message &message);
 
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -122,7 +122,7 @@
     , m_views(loop, m_self, m_store, m_settings.promotionService, m_dispatcher, m_fleet.table(),
               m_log, m_guard, m_random,
               {[this](dispatch_outputs outputs) { apply(std::move(outputs)); },
-               [this] { m_fleet.requestReports(); },
+               [this](report_cause cause) { m_fleet.requestReports(cause); },
                [this](const platform::store_row &row) {
                    m_rejectedEntries.note("coordination rows", row.key, row.revision,
                                           "not a valid row", suspendAwareNow());
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -304,7 +304,7 @@
     performAll(m_supervision.onRowsRead(claim, views, answer.content.clock, now), now);
     applyViews(now);
     if (isSupervisor())
-        m_handlers.onUpdate(); // the other instances need the confirmation
+        m_handlers.onUpdate(report_cause::requested); // the other instances need the confirmation
 }
 
 /** \returns a claim of no instance in place of one that could not be decoded, so that the next
@@ -394,7 +394,7 @@
     if (answer.succeeded()) {
         performAll(m_supervision.onClaimWritten(answer.content.revision, answer.content.clock, now),
                    now);
-        m_handlers.onUpdate();
+        m_handlers.onUpdate(report_cause::requested);
     } else if (answer.status == platform::store_status::conflict) {
         m_supervision.onClaimConflict(now);
     } else {
@@ -477,7 +477,7 @@
     const bool hasNewSuspicion = !std::ranges::includes(m_suspectedDatabases, suspected);
     m_suspectedDatabases = std::move(suspected);
     if (hasNewSuspicion)
-        m_handlers.onUpdate();
+        m_handlers.onUpdate(report_cause::requested);
 }
 
 void view_keeper::supervise(time_point now)
@@ -525,7 +525,7 @@
                     written.revision = answer.content.revision;
                     m_ledger.applyWritten(written, answer.content.clock);
                     applyViews(now);
-                    m_handlers.onUpdate();
+                    m_handlers.onUpdate(report_cause::requested);
                     performAll(m_supervision.onViewWritten(written, answer.content.clock,
                                                            supervisionContext(now), now),
                                now);
@@ -628,7 +628,7 @@
                  {"term", std::to_string(action.floor.position.term)},
                  {"position", std::to_string(action.floor.position.offset)}},
                 now);
-    m_handlers.onUpdate();
+    m_handlers.onUpdate(report_cause::requested);
 }
 
 void view_keeper::query(const server_id &server, const outgoing_statement &statement,
@@ -834,7 +834,7 @@
         state.isUsable = false;
         state.usableUntil.reset();
         state.released = state.seen;
-        m_handlers.onUpdate();
+        m_handlers.onUpdate(report_cause::released);
     };
     if (!state.isUsable)
         return finish();
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -30,7 +30,7 @@
         /** Called with the actions that the dispatcher has returned. */
         std::function<void(dispatch_outputs)> onDispatch;
         /** Called when something has changed that other instances need to know at once. */
-        std::function<void()> onUpdate;
+        std::function<void(report_cause)> onUpdate;
         /** Called with a row that could not be decoded. */
         std::function<void(const platform::store_row &)> onRejectedRow;
     };
--- a/sycamorespan/src/Membership/fleet_table.h
+++ b/sycamorespan/src/Membership/fleet_table.h
@@ -117,7 +117,7 @@
      */
     time_point nextReportsAt() const;
     /** \brief Has the next reports sent as soon as possible. */
-    void requestReports() { urge(report_cause::requested); }
+    void requestReports(report_cause cause = report_cause::requested) { urge(cause); }
     /** \returns why the last reports were made. */
     report_cause lastReportCause() const { return m_lastReportCause; }
 
--- a/test/fleet_simulation.h
+++ b/test/fleet_simulation.h
@@ -101,7 +101,7 @@
     void release(std::size_t number, std::uint64_t revision)
     {
         instances[number].releasedThrough = std::max(instances[number].releasedThrough, revision);
-        urge(number);
+        urge(number, report_cause::released);
     }
 
     void suspect(std::size_t number, bool suspects)
@@ -110,10 +110,10 @@
             urge(number);
     }
 
-    void urge(std::size_t number)
+    void urge(std::size_t number, report_cause cause = report_cause::requested)
     {
         auto &each = instances[number];
-        each.table.requestReports();
+        each.table.requestReports(cause);
         each.nextReports = std::max(now, each.table.nextReportsAt());
     }
 
--- a/test/membership_fleet.cpp
+++ b/test/membership_fleet.cpp
@@ -461,6 +461,28 @@
     EXPECT_LE(fleet.timeUntil(known, 5s), 100ms);
 }
 
+/** The same, where each instance that releases has used up its own urgent reports too. */
+TEST_P(membership_fleet_sizes, AReleaseDoesNotWaitForOwnSuspicions)
+{
+    fleet_simulation fleet(GetParam().instances, GetParam().dataCentres, 12);
+    fleet.loss = 0;
+    fleet.advance(1s);
+    const auto flicker = [&](bool suspects) {
+        for (std::size_t number = 0; number < fleet.instances.size(); ++number)
+            fleet.suspect(number, suspects);
+    };
+    for (const auto end = fleet.now + 5s; fleet.now < end; fleet.advance(30ms)) {
+        flicker(true);
+        fleet.advance(20ms);
+        flicker(false);
+    }
+    flicker(true);
+    for (std::size_t number = 0; number < fleet.instances.size(); ++number)
+        fleet.release(number, 1);
+    const auto known = [&] { return fleet.instances.front().table.released(1); };
+    EXPECT_LE(fleet.timeUntil(known, 5s), 100ms);
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, membership_fleet_sizes,
                          ::testing::Values(fleet_size{6, 4}, fleet_size{62, 3}, fleet_size{195, 6}),
                          [](const auto &info) {
