Place statements by expected finishing time under learnt member limits

Fixed penalties ignored how slow a member is, what an opening costs it and which share of its work it fails. Each instance now finds a limit, slowness and failure share of every member, hears those that others found unusual, and keeps statements in its own queue while all members that could run them are at their limit. Not measured yet.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -119,6 +119,7 @@
     , m_guard(m_log, m_metrics)
     , m_rejectedEntries(m_log, m_metrics)
     , m_dispatcher(dispatchPolicy(m_settings), m_settings.dataCentre, m_startedAt)
+    , m_memberWatch(m_log, m_metrics)
     , m_roster(roster_policy{})
     , m_store(loop, m_settings.store, m_guard)
     , m_fleet(loop, m_self, m_store.clock(), m_log, m_metrics, m_guard,
@@ -664,12 +665,7 @@
     report.flags = ownFlags(now);
     report.news.configurationVersion = m_directory ? m_directory->version : 0;
     report.news.serversRevision = m_serversRevision;
-    std::ranges::transform(m_dispatcher.memberLoads(), std::back_inserter(report.loads),
-                           [](const member_load &load) {
-                               return server_load_report{
-                                       load.server,
-                                       static_cast<std::uint32_t>(load.busyConnections)};
-                           });
+    report.loads = reportOf(m_dispatcher.memberLoads(now));
     return report;
 }
 
@@ -819,9 +815,7 @@
             [](const instance_incarnation &each) { return holder_id(each.instance.str()); });
     m_quota.setInstances(holders, live, now);
     m_dispatcher.setInstanceCount(table.instanceCount());
-    std::ranges::for_each(m_serverEntries, [&](const server_entry &entry) {
-        m_dispatcher.setBusyConnectionsOfOthers(entry.id, table.statementsOfOthers(entry.id));
-    });
+    m_memberWatch.update(m_serverEntries, table, m_dispatcher, now);
     updateBrokers(now);
     const bool following = isFollower(now);
     m_configuration.setFollowing(following);
@@ -1005,6 +999,7 @@
             {"member_connections", m_dispatcher.connectionCount()},
             {"supervisor", m_views.claim().holder.str()},
             {"fence", m_views.claim().fencingToken},
+            {"members", describe(m_dispatcher.memberCapacities(suspendAwareNow()))},
             {"views", views},
             {"live_instances", instances}};
 }
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -8,6 +8,7 @@
 #include "programs/node/caller_channel.h"
 #include "programs/node/document_fetcher.h"
 #include "programs/node/fleet_link.h"
+#include "programs/node/member_watch.h"
 #include "programs/node/node_metrics.h"
 #include "programs/node/quota_gate.h"
 #include "programs/node/rejected_entries.h"
@@ -127,6 +128,7 @@
     event_guard m_guard;
     rejected_entries m_rejectedEntries;
     dispatcher m_dispatcher;
+    member_watch m_memberWatch;
     server_roster m_roster;
     std::vector<server_entry> m_serverEntries; ///< entries of the roster, as applied
     store_client m_store;
--- a/programs/node/node_metrics.cpp
+++ b/programs/node/node_metrics.cpp
@@ -30,6 +30,10 @@
                       .Name("sycamorespan_node")
                       .Help("State of the instance, by item")
                       .Register(*m_registry))
+    , m_memberState(prometheus::BuildGauge()
+                            .Name("sycamorespan_member")
+                            .Help("Limit on statements in flight and slowness, by member and item")
+                            .Register(*m_registry))
     , m_malformed(prometheus::BuildCounter()
                           .Name("sycamorespan_malformed_messages_total")
                           .Help("Messages of callers and instances that could not be decoded")
@@ -66,6 +70,26 @@
     m_steps.Add({{"step", step.step}}).Increment();
 }
 
+void node_metrics::setMembers(const std::map<server_id, member_capacity> &capacities)
+{
+    std::erase_if(m_members, [&](const auto &entry) {
+        if (capacities.contains(entry.first))
+            return false;
+        m_memberState.Remove(entry.second.limit);
+        m_memberState.Remove(entry.second.slowness);
+        return true;
+    });
+    for (const auto &[id, capacity] : capacities) {
+        auto &gauges = m_members[id];
+        if (!gauges.limit) {
+            gauges.limit = &m_memberState.Add({{"server", id.str()}, {"item", "limit"}});
+            gauges.slowness = &m_memberState.Add({{"server", id.str()}, {"item", "slowness"}});
+        }
+        gauges.limit->Set(capacity.limit);
+        gauges.slowness->Set(capacity.slowness);
+    }
+}
+
 void node_metrics::set(const node_gauges &gauges)
 {
     const auto write = [this](const char *item, double value) {
--- a/programs/node/node_metrics.h
+++ b/programs/node/node_metrics.h
@@ -2,6 +2,7 @@
 #define SYCAMORESPAN_PROGRAMS_NODE_NODE_METRICS_H
 
 #include "sycamorespan/src/Dispatch/dispatch_action.h"
+#include "sycamorespan/src/Pooling/member_sample.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -49,6 +50,8 @@
     }
     void countUnexpectedError() { m_unexpectedErrors.Increment(); }
     void set(const node_gauges &gauges);
+    /** \brief Sets the limit and slowness of each member; others are removed. */
+    void setMembers(const std::map<server_id, member_capacity> &capacities);
 
     std::shared_ptr<prometheus::Registry> registry() const { return m_registry; }
 
@@ -58,11 +61,20 @@
     prometheus::Family<prometheus::Counter> &m_steps;
     prometheus::Family<prometheus::Histogram> &m_latency;
     prometheus::Family<prometheus::Gauge> &m_state;
+    prometheus::Family<prometheus::Gauge> &m_memberState;
     prometheus::Counter &m_malformed;
     prometheus::Family<prometheus::Counter> &m_rejectedEntries;
     prometheus::Counter &m_unexpectedErrors;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_outcomes;
     std::map<std::string, prometheus::Histogram *> m_latencies;
+
+    /** \brief Gauges of one member. */
+    struct member_gauges
+    {
+        prometheus::Gauge *limit = nullptr;
+        prometheus::Gauge *slowness = nullptr;
+    };
+    std::map<server_id, member_gauges> m_members;
 };
 
 } // namespace sycamorespan::node
--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -38,6 +38,7 @@
     time_point freshnessCutoff; ///< commits acknowledged before this time must be visible
     time_point queuedSince; ///< start of the current wait in the queue
     time_point sentAt; ///< when the current attempt was sent to the member
+    std::size_t inFlight = 0; ///< statements at the member then, this one included
     duration queueTime{}; ///< time spent in the queue, over all attempts
     int attempts = 0;
     int overdueAttempts = 0; ///< attempts that ended without an answer in the usual time
--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -69,11 +69,14 @@
     m_pools.erase(server);
 }
 
-void dispatcher::setBusyConnectionsOfOthers(const server_id &server, std::size_t working)
+void dispatcher::setLoadOfOthers(const server_id &server, std::size_t slots,
+                                 std::optional<member_capacity> capacity)
 {
     const auto pool = m_pools.find(server);
-    if (pool != m_pools.end())
-        pool->second.setBusyConnectionsOfOthers(working);
+    if (pool == m_pools.end())
+        return;
+    pool->second.setSlotsOccupiedByOthers(slots);
+    pool->second.limit().hear(capacity);
 }
 
 dispatch_outputs dispatcher::setPrimary(const database_id &database,
@@ -153,12 +156,25 @@
     return takeOutputs();
 }
 
-std::vector<member_load> dispatcher::memberLoads() const
+std::vector<member_load> dispatcher::memberLoads(time_point now) const
 {
     std::vector<member_load> result;
+    for (const auto &[id, pool] : m_pools) {
+        member_load load{id, pool.occupiedSlots(), std::nullopt};
+        if (const auto found = pool.limit().found(now);
+            found.samples > 0 && pool.limit().isUnusual())
+            load.capacity = found;
+        if (load.occupiedSlots > 0 || load.capacity)
+            result.push_back(std::move(load));
+    }
+    return result;
+}
+
+std::map<server_id, member_capacity> dispatcher::memberCapacities(time_point now) const
+{
+    std::map<server_id, member_capacity> result;
     for (const auto &[id, pool] : m_pools)
-        if (const auto working = pool.busyConnections(); working > 0)
-            result.push_back({id, working});
+        result.emplace(id, pool.limit().capacity(now));
     return result;
 }
 
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -52,14 +52,6 @@
      * 7 s that a draining server gives.
      */
     duration drainingPrimaryUsePeriod = 5250ms;
-    /** Statements added to the primary's load when a read is placed, because writes can run only on
-     * the primary.
-     */
-    double primaryReadPenalty = 2;
-    /** Cost of opening a connection, as a multiple of the mean statement time. An opening takes a
-     * slot for a third of a read.
-     */
-    double openingPenalty = 1;
     /** Cost of a member in another data centre, the duration of a round trip to it. */
     duration otherDataCentrePenalty = 1ms;
     /** Connections that an instance may hold to a member where its fair share is below
@@ -106,11 +98,12 @@
     auto operator<=>(const usable_primary &) const = default;
 };
 
-/** \brief Number of busy connections of this instance to one member. */
+/** \brief What this instance sends to one member, and how the member takes it. */
 struct member_load
 {
     server_id server;
-    std::size_t busyConnections = 0;
+    std::size_t occupiedSlots = 0; ///< of the member, by this instance
+    std::optional<member_capacity> capacity; ///< found here; nothing if it is usual or not known
 
     auto operator<=>(const member_load &) const = default;
 };
@@ -142,8 +135,11 @@
     dispatch_outputs setServers(const std::vector<server_entry> &entries, time_point now);
     /** \param count  instances that share the members' connections, this one included */
     void setInstanceCount(std::size_t count) { m_instances = std::max<std::size_t>(count, 1); }
-    /** \param working  busy connections of all other instances to \a server */
-    void setBusyConnectionsOfOthers(const server_id &server, std::size_t working);
+    /** \param slots     slots of \a server that all other instances occupy
+     *  \param capacity  what instances have found of it; nothing if it is usual or not known
+     */
+    void setLoadOfOthers(const server_id &server, std::size_t slots,
+                         std::optional<member_capacity> capacity);
     /** \brief Sets the primary and the time until which it may be used; nothing means that no
      * primary may be used.
      */
@@ -243,8 +239,10 @@
 
     // State for reports and for failure detection.
 
-    /** \returns the members with at least one busy connection. */
-    std::vector<member_load> memberLoads() const;
+    /** \returns the members that have statements of this instance, or that are found unusual. */
+    std::vector<member_load> memberLoads(time_point now) const;
+    /** \returns what is known of each member's capacity here. */
+    std::map<server_id, member_capacity> memberCapacities(time_point now) const;
     /** \returns the newest floor of \a database; nothing if there is none. */
     std::optional<freshness_floor> newestFloor(const database_id &database) const;
     /** \returns how many replicas hold a commit before it is acknowledged; 0 if not known */
@@ -293,6 +291,8 @@
         double completionsPerSecond = 0; ///< measured while statements wait; 0 if none do
         std::size_t completions = 0; ///< since completionsCountedSince
         time_point completionsCountedSince;
+        double primaryOnlyWork =
+                0; ///< mean number of statements here that only the primary can run
     };
 
     /** \brief When a missing primary is expected, and until when statements wait for it. */
@@ -306,6 +306,9 @@
     struct route_times
     {
         double meanSeconds = 0.03;
+        /** Logarithm of the usual time in seconds of a read at a member that isn't slow or full. */
+        std::optional<double> usualReadTime;
+        std::size_t usualReads = 0;
     };
 
     dispatch_outputs takeOutputs() { return std::exchange(m_outputs, {}); }
@@ -365,7 +368,12 @@
         std::optional<log_position> floor;
     };
     std::vector<candidate> candidates(const caller &from, database_state &group, time_point now);
-    double scoreOf(const member_pool &pool, const caller &from, bool isPrimary) const;
+    double scoreOf(const member_pool &pool, const caller &from, double usualFailureShare,
+                   bool needsOpening, time_point now) const;
+    double usualFailureShare(const database_state &group) const;
+    std::size_t sharersOf(const member_pool &pool) const;
+    bool hasRoom(const member_pool &pool, const caller &from, time_point now) const;
+    void updatePrimaryOnlyWork(database_state &group) const;
     bool sendOnIdleConnection(caller &from, const candidate &chosen, time_point now);
     bool openConnectionFor(caller &from, const candidate &chosen, time_point now);
     std::string preparedNameFor(const caller &from) const;
@@ -401,6 +409,9 @@
                    const statement_answer &answer, time_point now);
     void onBeginRejected(caller &from, member_pool &pool, member_connection &connection,
                          const rejected &why, time_point now);
+    void recordTime(const caller &from, member_pool &pool, time_point now);
+    void recordFailure(const caller &from, member_pool &pool, member_outcome outcome,
+                       time_point now);
     void recordRefusal(const caller &from, member_pool &pool, statement_error code, time_point now);
     void retryOrReject(caller &from, const server_id &server, const rejected &why, bool ran,
                        time_point now);
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -1,6 +1,7 @@
 #include "sycamorespan/src/Dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sycamorespan {
 
@@ -11,6 +12,12 @@
 /** Weight of one statement in the moving average of a route's statement times. */
 constexpr double meanTimeSmoothing = 0.02;
 
+/** Weight of one read in the usual time of its route, after the first reads. */
+constexpr double usualTimeSmoothing = 0.02;
+
+/** Slowness, as a multiple of the fastest member's, up to which a member's times are usual. */
+constexpr double usualSlowness = 1.3;
+
 /** \returns whether no effect of a statement that failed with \a code is kept. */
 bool didNotRun(statement_error code)
 {
@@ -50,6 +57,7 @@
     pool->recordMessage(now);
     if (position)
         pool->observePosition(*position, now);
+    pool->observeOpening(now - ready->since);
     ready->state = member_connection::phase::idle;
     ready->since = now;
     dispatchQueue(m_databases[pool->entry().database], now);
@@ -79,8 +87,10 @@
     pool->erase(connection);
     m_connectionServers.erase(connection);
     if (wasBound) {
-        if (auto *from = findCaller(session); from && from->boundConnection == connection)
+        if (auto *from = findCaller(session); from && from->boundConnection == connection) {
+            recordFailure(*from, *pool, member_outcome::failed, now);
             onConnectionLost(*from, server, "the connection to the member broke", now);
+        }
     }
     dispatchQueue(m_databases[database], now);
     return takeOutputs();
@@ -210,6 +220,10 @@
 void dispatcher::recordRefusal(const caller &from, member_pool &pool, statement_error code,
                                time_point now)
 {
+    if (code == statement_error::busy)
+        recordFailure(from, pool, member_outcome::refused, now);
+    if (code == statement_error::failed || code == statement_error::timeout)
+        recordFailure(from, pool, member_outcome::failed, now);
     if (code == statement_error::lagging)
         pool.setLaggingUntil(now + m_policy.laggingReplicaPause);
     auto &state = group(from);
@@ -247,11 +261,50 @@
         return;
     ++state.completions;
     const double seconds = toSeconds(now - job.sentAt);
+    recordTime(from, pool, now);
     auto &times = m_times[from.databaseName];
-    pool.observeSlowness(seconds / times.meanSeconds);
     times.meanSeconds += meanTimeSmoothing * (seconds - times.meanSeconds);
 }
 
+/** Records the time of a statement that succeeded, relative to the usual time of its route. The
+ * time of a write also depends on locks and on the replicas.
+ */
+void dispatcher::recordTime(const caller &from, member_pool &pool, time_point now)
+{
+    const auto &job = *from.job;
+    member_sample sample{member_outcome::answered, std::nullopt, job.inFlight};
+    if (job.access == statement_access::read) {
+        auto &times = m_times[from.databaseName];
+        const double seconds = std::max(toSeconds(now - job.sentAt), 1e-6);
+        sample.relativeTime = seconds / std::exp(times.usualReadTime.value_or(std::log(seconds)));
+        const auto slownessOf = [&](const server_id &id) {
+            return m_pools.at(id).limit().found(now).slowness;
+        };
+        const auto &members = group(from).members;
+        const auto fastest = std::ranges::min_element(members, {}, slownessOf);
+        const bool isSlow = fastest != members.end()
+                            && slownessOf(pool.entry().id) > usualSlowness * slownessOf(*fastest);
+        if (!isSlow && job.inFlight <= pool.entry().slots) {
+            auto &usual = times.usualReadTime;
+            const auto weight =
+                    std::max(1.0 / static_cast<double>(++times.usualReads), usualTimeSmoothing);
+            usual = usual.value_or(std::log(seconds));
+            *usual += weight * (std::log(seconds) - *usual);
+        }
+    }
+    pool.limit().add(sample, now);
+}
+
+/** Records a statement in progress that the member refused or failed. */
+void dispatcher::recordFailure(const caller &from, member_pool &pool, member_outcome outcome,
+                               time_point now)
+{
+    if (!from.job || from.job->currentStage != job_stage::running)
+        return;
+    pool.limit().add({outcome, std::nullopt, from.job->inFlight}, now);
+    pool.limit().addFailure(now - from.job->sentAt);
+}
+
 void dispatcher::onSuccess(caller &from, member_pool &pool, member_connection &connection,
                            const statement_answer &answer, time_point now)
 {
@@ -407,6 +460,7 @@
             state.completions = 0;
             state.completionsCountedSince = now;
         }
+        updatePrimaryOnlyWork(state);
         dispatchQueue(state, now);
     }
     return takeOutputs();
@@ -525,8 +579,10 @@
     if (from.job->currentStage != job_stage::running)
         return reject(from, statement_error::busy, whyNotRun, now);
     endHandOver(from);
-    if (auto *pool = poolOf(from.boundConnection))
+    if (auto *pool = poolOf(from.boundConnection)) {
+        recordFailure(from, *pool, member_outcome::failed, now);
         closeConnection(*pool, from.boundConnection, now);
+    }
     const bool inTransaction = from.state == session_state::inTransaction;
     const bool hasNoEffect = inTransaction ? !from.job->isCommit || !from.hasWritten
                                            : from.job->access == statement_access::read;
@@ -541,8 +597,10 @@
     if (!from.job || from.job->currentStage != job_stage::running)
         return;
     const auto server = from.boundServer;
-    if (auto *pool = poolOf(from.boundConnection))
+    if (auto *pool = poolOf(from.boundConnection)) {
+        recordFailure(from, *pool, member_outcome::failed, now);
         closeConnection(*pool, from.boundConnection, now);
+    }
     unbind(from);
     ++from.job->overdueAttempts;
     retryOrReject(from, server, {statement_error::aborted, "no answer in the usual time"}, true,
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -2,6 +2,7 @@
 #include "sycamorespan/src/Dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace sycamorespan {
@@ -26,6 +27,24 @@
     return std::get_if<caller_statement::execute>(&job.request.parsed);
 }
 
+/** Weight of one tick in the mean number of statements that only the primary can run. */
+constexpr double primaryOnlyWorkSmoothing = 0.02;
+
+double slotsOf(const member_pool &pool)
+{
+    return static_cast<double>(std::max<std::size_t>(pool.entry().slots, 1));
+}
+
+/** \returns the expected wait for a slot of a member, in statement times: that of M/M/c by
+ * Sakasegawa's approximation below the number of slots, above it that for the statements ahead.
+ */
+double expectedWait(double ahead, double slots)
+{
+    if (ahead >= slots)
+        return (ahead + 1 - slots) / slots;
+    return std::pow(ahead / slots, std::sqrt(2 * (slots + 1)) - 1) / slots;
+}
+
 } // namespace
 
 bool dispatcher::isPrimaryViewValid(const database_state &group, time_point now) const
@@ -214,20 +233,82 @@
     return floor;
 }
 
-/** \returns the expected time of the statement at a member in seconds, from the statements ahead of
- * it and the member's slowness, with penalties.
+/** \returns the number of instances that send statements to the member. */
+std::size_t dispatcher::sharersOf(const member_pool &pool) const
+{
+    const auto broker = m_brokers.find(pool.entry().database);
+    return broker != m_brokers.end() && broker->second == m_self ? m_brokersOfDatabase
+                                                                 : m_instances;
+}
+
+/** \returns whether the member is below its limit. As the others' load is known late, an instance
+ * may always use its share of the limit. A read may use only the primary's free slots, so that what
+ * only the primary can run doesn't wait in its queue behind reads.
+ */
+bool dispatcher::hasRoom(const member_pool &pool, const caller &from, time_point now) const
+{
+    double limit = pool.limit().capacity(now).limit;
+    const auto state = m_databases.find(pool.entry().database);
+    if (!from.job->needsPrimary && state != m_databases.end()
+        && isPrimary(state->second, pool.entry().id))
+        limit = std::min(limit, slotsOf(pool));
+    const auto others = static_cast<double>(pool.slotsOccupiedByOthers());
+    const double share = limit / static_cast<double>(sharersOf(pool));
+    return static_cast<double>(pool.occupiedSlots() + 1) <= std::max({limit - others, share, 1.0});
+}
+
+/** Updates the mean number of statements that only the primary can run. */
+void dispatcher::updatePrimaryOnlyWork(database_state &group) const
+{
+    if (!group.primary)
+        return;
+    const auto pool = m_pools.find(group.primary->server);
+    if (pool == m_pools.end())
+        return;
+    double count = 0;
+    for (const auto &[id, each] : pool->second.connections())
+        count += each.requiresPrimary && !each.pending.empty() ? 1 : 0;
+    group.primaryOnlyWork += primaryOnlyWorkSmoothing * (count - group.primaryOnlyWork);
+}
+
+/** \returns the smallest share of statements that a member of the database fails. */
+double dispatcher::usualFailureShare(const database_state &group) const
+{
+    double least = 1;
+    for (const auto &id : group.members)
+        least = std::min(least, m_pools.at(id).limit().failureShare());
+    return least;
+}
+
+/** \returns the expected time until the statement is answered by the member, in seconds.
+ * \param usualFailures  failure share of the best member of the database
  */
-double dispatcher::scoreOf(const member_pool &pool, const caller &from, bool isPrimary) const
-{
-    const auto slots = static_cast<double>(std::max<std::size_t>(pool.entry().slots, 1));
-    double ahead = static_cast<double>(pool.busyConnections() + pool.busyConnectionsOfOthers());
-    if (isPrimary && !from.job->needsPrimary)
-        ahead += m_policy.primaryReadPenalty;
-    const double mean = meanStatementTime(from);
-    const double queueing = std::max(ahead + 1 - slots, 0.0) / slots + 0.1 * ahead / slots;
-    double score = mean * pool.slowness() * (1 + queueing);
+double dispatcher::scoreOf(const member_pool &pool, const caller &from, double usualFailures,
+                           bool needsOpening, time_point now) const
+{
+    const auto &limit = pool.limit();
+    const auto capacity = limit.capacity(now);
+    const double slots = std::min(slotsOf(pool), capacity.limit);
+    double ahead = static_cast<double>(pool.occupiedSlots() + pool.slotsOccupiedByOthers());
+    const auto state = m_databases.find(pool.entry().database);
+    // Statements that only the primary can run and that arrive while the read runs there.
+    if (!from.job->needsPrimary && state != m_databases.end()
+        && isPrimary(state->second, pool.entry().id))
+        ahead += state->second.primaryOnlyWork * static_cast<double>(sharersOf(pool));
+    const bool isProbe = !from.job->needsPrimary && from.job->attempts == 0
+                         && limit.isProbeDue(sharersOf(pool), now)
+                         && now + 2 * readTimeout(from) < from.job->deadline;
+    const double slowness = isProbe ? 1 : capacity.slowness;
+    double score = meanStatementTime(from) * slowness * (1 + expectedWait(ahead, slots));
+    if (needsOpening)
+        score += pool.openingSeconds() * (1 + ahead / slots);
     if (pool.entry().dataCentre != m_own)
         score += toSeconds(m_policy.otherDataCentrePenalty);
+    if (!isProbe) {
+        const double failures = std::min(
+                (limit.failureShare() - usualFailures) / std::max(1 - usualFailures, 0.1), 0.9);
+        score = (score + failures * limit.failureSeconds()) / (1 - failures);
+    }
     // In a large fleet the load reported by other instances is outdated. Without random variation
     // all instances would choose the same member at the same time.
     const auto draw = rendezvousWeight(from.job->request.id, pool.entry().id.str());
@@ -240,10 +321,13 @@
 {
     std::vector<candidate> found;
     const bool usable = isPrimaryUsable(group, now);
-    const auto add = [&](member_pool &pool, std::optional<log_position> floor, bool primary) {
-        double score = scoreOf(pool, from, primary);
-        if (!pool.findIdleConnection(from.workspace, from.values, preparedNameFor(from)))
-            score += m_policy.openingPenalty * meanStatementTime(from);
+    const double usualFailures = usualFailureShare(group);
+    const auto add = [&](member_pool &pool, std::optional<log_position> floor) {
+        if (!hasRoom(pool, from, now))
+            return;
+        const bool isIdle =
+                pool.findIdleConnection(from.workspace, from.values, preparedNameFor(from));
+        double score = scoreOf(pool, from, usualFailures, !isIdle, now);
         if (from.job->excluded.contains(pool.entry().id))
             score += toSeconds(1s);
         found.push_back({&pool, score, floor});
@@ -256,7 +340,7 @@
     if (usable) {
         auto &pool = m_pools.at(group.primary->server);
         if (isMemberUsable(pool, now) && !isPastDrainPeriod(pool, now))
-            add(pool, floor, true);
+            add(pool, floor);
     }
     if (floor) {
         for (const auto &id : group.members) {
@@ -271,31 +355,35 @@
             const bool known = now - pool.positionObservedAt() < validity;
             if (known && pool.position() < *floor)
                 continue;
-            add(pool, floor, false);
+            add(pool, floor);
         }
     }
     std::ranges::sort(found, {}, &candidate::score);
     return found;
 }
 
-/** Sends the statement on an idle connection, or opens a connection for it. Each statement opens at
- * most one at a time, because an opening takes a slot of the member.
- * \returns whether the statement was sent; otherwise it remains queued
+/** Sends the statement to the member that is expected to answer it first: on an idle connection, or
+ * on one that is opened for it. Each statement opens at most one at a time, because an opening
+ * takes a slot of the member. While it takes longer than usual, idle connections elsewhere are
+ * used. \returns whether the statement was sent; otherwise it remains queued
  */
 bool dispatcher::placeStatement(caller &from, database_state &group, time_point now)
 {
-    const auto choices = candidates(from, group, now);
-    if (std::ranges::any_of(choices, [&](const candidate &each) {
-            return sendOnIdleConnection(from, each, now);
-        }))
-        return true;
-    const auto *pool =
-            from.job->openingConnection != 0 ? poolOf(from.job->openingConnection) : nullptr;
-    if (pool && pool->isOpening(from.job->openingConnection))
-        return false;
-    from.job->openingConnection = 0;
-    std::ranges::any_of(choices,
-                        [&](const candidate &each) { return openConnectionFor(from, each, now); });
+    auto &opening = from.job->openingConnection;
+    const auto *opener = opening != 0 ? poolOf(opening) : nullptr;
+    if (opener && !opener->isOpening(opening))
+        opener = nullptr;
+    if (!opener)
+        opening = 0;
+    const bool isOverdue = opener
+                           && toSeconds(now - opener->connections().at(opening).since)
+                                      > 2 * opener->openingSeconds();
+    for (const auto &each : candidates(from, group, now)) {
+        if (sendOnIdleConnection(from, each, now))
+            return true;
+        if (opener ? opener == each.pool && !isOverdue : openConnectionFor(from, each, now))
+            return false;
+    }
     return false;
 }
 
@@ -363,6 +451,7 @@
     connection.requiresPrimary = job.needsPrimary || !floor;
     from.boundConnection = connection.id;
     from.boundServer = pool.entry().id;
+    pool.limit().recordSent(now);
     charge(from);
     if (!job.startsTransaction)
         return sendStatement(from, connection, setupStatements(from, connection, now), now);
@@ -443,6 +532,8 @@
         connection.pending.push_back({expected_answer::setup, now});
     connection.pending.push_back({expected_answer::statement, now});
     job.sentAt = now;
+    if (const auto *pool = poolOf(connection.id))
+        job.inFlight = pool->occupiedSlots() + pool->slotsOccupiedByOthers();
     if (job.access == statement_access::write)
         from.hasWritten = true;
     m_outputs.push_back(send_to_member{connection.id, std::move(before)});
--- a/sycamorespan/src/Dispatch/member_pool.cpp
+++ b/sycamorespan/src/Dispatch/member_pool.cpp
@@ -16,11 +16,8 @@
 constexpr duration maximumReopenDelay = 400ms;
 constexpr int maximumDoublings = 3;
 
-/** Weight of one statement in the moving average of a member's slowness, and the largest ratio that
- * one statement may contribute.
- */
-constexpr double slownessSmoothing = 0.1;
-constexpr double maximumSlownessRatio = 20;
+/** Weight of one opening in the moving average of their times. */
+constexpr double openingSmoothing = 0.1;
 
 bool needsDiscard(const session_values &held, const session_values &wanted)
 {
@@ -47,8 +44,15 @@
 
 member_pool::member_pool(server_entry entry)
     : m_entry(std::move(entry))
+    , m_limit(m_entry.slots)
 { }
 
+void member_pool::setEntry(server_entry entry)
+{
+    m_entry = std::move(entry);
+    m_limit.setSlots(m_entry.slots);
+}
+
 member_connection *member_pool::findIdleConnection(const workspace_id &workspace,
                                                    const session_values &values,
                                                    const std::string &preparedName)
@@ -101,12 +105,12 @@
     return found != m_connections.end() && found->second.state == member_connection::phase::opening;
 }
 
-std::size_t member_pool::busyConnections() const
+std::size_t member_pool::occupiedSlots() const
 {
-    const auto isWorking = [](const member_connection &each) {
-        return each.state == member_connection::phase::bound;
+    const auto occupiesSlot = [](const member_connection &each) {
+        return each.state == member_connection::phase::opening || !each.pending.empty();
     };
-    return static_cast<std::size_t>(std::ranges::count_if(m_connections, isWorking, mappedOf));
+    return static_cast<std::size_t>(std::ranges::count_if(m_connections, occupiesSlot, mappedOf));
 }
 
 void member_pool::recordMessage(time_point now)
@@ -145,9 +149,9 @@
     return std::max(*oldest, m_lastMessageAt.value_or(*oldest));
 }
 
-void member_pool::observeSlowness(double ratio)
+void member_pool::observeOpening(duration took)
 {
-    m_slowness += slownessSmoothing * (std::min(ratio, maximumSlownessRatio) - m_slowness);
+    m_openingSeconds += openingSmoothing * (toSeconds(took) - m_openingSeconds);
 }
 
 void member_pool::observePosition(log_position position, time_point now)
--- a/sycamorespan/src/Dispatch/member_pool.h
+++ b/sycamorespan/src/Dispatch/member_pool.h
@@ -3,6 +3,7 @@
 
 #include "sycamorespan/src/Dispatch/dispatch_action.h"
 #include "sycamorespan/src/Membership/server_entry.h"
+#include "sycamorespan/src/Pooling/member_limit.h"
 
 #include <deque>
 #include <map>
@@ -50,7 +51,7 @@
     explicit member_pool(server_entry entry);
 
     const server_entry &entry() const { return m_entry; }
-    void setEntry(server_entry entry) { m_entry = std::move(entry); }
+    void setEntry(server_entry entry);
 
     /** \returns the idle connection of \a workspace that needs the fewest statements to hold
      * \a values and \a preparedName; nullptr if none is idle.
@@ -73,8 +74,10 @@
 
     bool isOpening(connection_id id) const;
 
-    /** \returns the number of connections that carry a statement or an open transaction. */
-    std::size_t busyConnections() const;
+    /** \returns the number of statements and openings that the member has not answered, each of
+     * which takes one of its slots.
+     */
+    std::size_t occupiedSlots() const;
 
     // Health of the member.
 
@@ -101,9 +104,14 @@
     bool isReachable() const { return m_failures == 0; }
     int failures() const { return m_failures; }
 
-    /** \brief Adds a statement's time, relative to the mean of its route, to the moving average. */
-    void observeSlowness(double ratio);
-    double slowness() const { return m_slowness; }
+    /** \brief How many statements the member takes well, and how slow it is. */
+    member_limit &limit() { return m_limit; }
+    const member_limit &limit() const { return m_limit; }
+
+    /** \brief Adds the time of an opening to the moving average. */
+    void observeOpening(duration took);
+    /** \returns the mean time of an opening. */
+    double openingSeconds() const { return m_openingSeconds; }
 
     /** \brief Records the log position that the member reported. */
     void observePosition(log_position position, time_point now);
@@ -117,11 +125,8 @@
     void setAvoidedUntil(time_point until) { m_avoidedUntil = until; }
     bool isAvoided(time_point now) const { return now < m_avoidedUntil; }
 
-    void setBusyConnectionsOfOthers(std::size_t statements)
-    {
-        m_busyConnectionsOfOthers = statements;
-    }
-    std::size_t busyConnectionsOfOthers() const { return m_busyConnectionsOfOthers; }
+    void setSlotsOccupiedByOthers(std::size_t slots) { m_slotsOccupiedByOthers = slots; }
+    std::size_t slotsOccupiedByOthers() const { return m_slotsOccupiedByOthers; }
 
     std::optional<time_point> drainingSince() const { return m_drainingSince; }
     void setDrainingSince(time_point now) { m_drainingSince = now; }
@@ -132,12 +137,13 @@
     std::optional<time_point> m_lastMessageAt;
     time_point m_openAfter;
     int m_failures = 0;
-    double m_slowness = 1;
+    member_limit m_limit;
+    double m_openingSeconds = 0.01; ///< until the first opening
     log_position m_position;
     time_point m_positionObservedAt;
     time_point m_laggingUntil;
     time_point m_avoidedUntil;
-    std::size_t m_busyConnectionsOfOthers = 0;
+    std::size_t m_slotsOccupiedByOthers = 0;
     std::optional<time_point> m_drainingSince;
 };
 
--- a/sycamorespan/src/Membership/fleet_messages.cpp
+++ b/sycamorespan/src/Membership/fleet_messages.cpp
@@ -5,6 +5,7 @@
 #include "sycamorespan/src/Core/json_integer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 
 #include <nlohmann/json.hpp>
@@ -20,7 +21,7 @@
 constexpr std::size_t maximumDepth = 8;
 
 /** Version of the layout of the reports; a report of another version is rejected. */
-constexpr int layoutVersion = 4;
+constexpr int layoutVersion = 5;
 
 json encodeOptionalTime(const std::optional<reference_time> &time)
 {
@@ -117,14 +118,34 @@
             reference_time(toInteger<std::int64_t>(fields.at(3)))};
 }
 
+constexpr double limitUnits = 10; ///< in a statement
+constexpr double slownessUnits = 100; ///< in a slowness of 1
+
 json encodeLoad(const server_load_report &load)
 {
-    return json::array({load.server.str(), load.runningStatements});
+    auto fields = json::array({load.server.str(), load.runningStatements});
+    if (load.capacity) {
+        const auto toUnits = [](double value, double units) {
+            return std::max(std::llround(value * units), 1LL);
+        };
+        fields.push_back(toUnits(load.capacity->limit, limitUnits));
+        fields.push_back(toUnits(load.capacity->slowness, slownessUnits));
+        fields.push_back(load.capacity->samples);
+    }
+    return fields;
 }
 
 server_load_report decodeLoad(const json &fields)
 {
-    return {server_id(fields.at(0).get<std::string>()), toInteger<std::uint32_t>(fields.at(1))};
+    server_load_report load{server_id(fields.at(0).get<std::string>()),
+                            toInteger<std::uint32_t>(fields.at(1)), std::nullopt};
+    if (fields.size() > 2)
+        load.capacity = member_capacity{toInteger<std::uint32_t>(fields.at(2)) / limitUnits,
+                                        toInteger<std::uint32_t>(fields.at(3)) / slownessUnits,
+                                        toInteger<std::uint32_t>(fields.at(4))};
+    if (load.capacity && (load.capacity->limit <= 0 || load.capacity->slowness <= 0))
+        throw decode_error("report: capacity of a server that is not above 0");
+    return load;
 }
 
 json encodeNews(const fleet_news &news)
@@ -245,6 +266,16 @@
 
 } // namespace
 
+member_capacity merge(const member_capacity &one, const member_capacity &other)
+{
+    const auto samples = one.samples + other.samples;
+    if (samples == 0)
+        return one;
+    const double share = static_cast<double>(other.samples) / static_cast<double>(samples);
+    return {one.limit + share * (other.limit - one.limit),
+            one.slowness + share * (other.slowness - one.slowness), samples};
+}
+
 std::string encode(const instance_report &report)
 {
     return toBytes(json::array({layoutVersion, encodeIncarnation(report.sender),
--- a/sycamorespan/src/Membership/fleet_messages.h
+++ b/sycamorespan/src/Membership/fleet_messages.h
@@ -4,6 +4,7 @@
 #include "sycamorespan/src/Core/reference_clock.h"
 #include "sycamorespan/src/Failover/primary_view.h"
 #include "sycamorespan/src/Membership/instance_incarnation.h"
+#include "sycamorespan/src/Pooling/member_sample.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,11 +36,15 @@
     auto operator<=>(const floor_report &) const = default;
 };
 
-/** \brief Load that one or more instances put on one backend server. */
+/** \brief Load that one or more instances put on one backend server, and how it takes it. */
 struct server_load_report
 {
     server_id server;
     std::uint32_t runningStatements = 0;
+    /** What they have found of the server, if it is unusual. Sent in tenths of a statement and
+     * hundredths of a slowness.
+     */
+    std::optional<member_capacity> capacity = std::nullopt;
 
     auto operator<=>(const server_load_report &) const = default;
 };
@@ -127,6 +132,9 @@
     bool operator==(const relay_report &) const = default;
 };
 
+/** \returns the mean of two capacities, weighted by their samples. */
+member_capacity merge(const member_capacity &one, const member_capacity &other);
+
 /** \returns the report as CBOR, a positional array of its fields. */
 std::string encode(const instance_report &report);
 std::string encode(const relay_report &report);
--- a/sycamorespan/src/Membership/fleet_table.cpp
+++ b/sycamorespan/src/Membership/fleet_table.cpp
@@ -31,6 +31,15 @@
     sum.answered += each.answered;
 }
 
+void add(std::map<server_id, server_load_report> &sums, const server_load_report &each)
+{
+    auto &sum = sums[each.server];
+    sum.server = each.server;
+    sum.runningStatements += each.runningStatements;
+    if (each.capacity)
+        sum.capacity = sum.capacity ? merge(*sum.capacity, *each.capacity) : each.capacity;
+}
+
 template<typename Sums>
 auto valuesOf(const Sums &sums)
 {
@@ -189,9 +198,8 @@
             known.coveredAt = std::max(known.coveredAt.value_or(at->second), at->second);
     m_loads.clear();
     std::ranges::for_each(bestStates(), [&](const known_state *best) {
-        std::ranges::for_each(best->state.loads, [&](const server_load_report &load) {
-            m_loads[load.server] += load.runningStatements;
-        });
+        std::ranges::for_each(best->state.loads,
+                              [&](const server_load_report &load) { add(m_loads, load); });
     });
 }
 
@@ -373,11 +381,8 @@
         state.instances.push_back({report.sender.incarnation, flags});
         std::ranges::for_each(report.observations,
                               [&](const primary_observation &each) { add(observations, each); });
-        std::ranges::for_each(report.loads, [&](const server_load_report &load) {
-            auto &sum = loads[load.server];
-            sum.server = load.server;
-            sum.runningStatements += load.runningStatements;
-        });
+        std::ranges::for_each(report.loads,
+                              [&](const server_load_report &load) { add(loads, load); });
     };
     include(own);
     for (const auto &[id, received] : m_reports)
@@ -631,7 +636,14 @@
         return 0;
     const auto own = std::ranges::find(m_ownLoads, server, &server_load_report::server);
     const auto ownStatements = own == m_ownLoads.end() ? 0U : own->runningStatements;
-    return total->second - std::min(total->second, ownStatements);
+    const auto running = total->second.runningStatements;
+    return running - std::min(running, ownStatements);
+}
+
+std::optional<member_capacity> fleet_table::reportedCapacity(const server_id &server) const
+{
+    const auto known = m_loads.find(server);
+    return known == m_loads.end() ? std::nullopt : known->second.capacity;
 }
 
 std::optional<bool> fleet_table::hearsOtherDataCentres(time_point now) const
--- a/sycamorespan/src/Membership/fleet_table.h
+++ b/sycamorespan/src/Membership/fleet_table.h
@@ -159,6 +159,8 @@
     fleet_observation observationOf(const database_id &database, std::uint64_t viewRevision) const;
     /** \returns the statements that all instances but this one run on \a server. */
     std::size_t statementsOfOthers(const server_id &server) const;
+    /** \returns what the instances have found of \a server; nothing if none found it unusual. */
+    std::optional<member_capacity> reportedCapacity(const server_id &server) const;
     /** \returns whether another data centre was heard recently; nothing if none is known. */
     std::optional<bool> hearsOtherDataCentres(time_point now) const;
     /** \returns whether another relay of the own data centre was heard recently. */
@@ -244,7 +246,7 @@
     std::map<std::uint64_t, coverage> m_covered; ///< by incarnation
     /** The last result of candidates(), until reports or the list of instances change. */
     mutable std::optional<candidate_list> m_candidates;
-    std::map<server_id, std::uint32_t> m_loads; ///< sums of all data centres
+    std::map<server_id, server_load_report> m_loads; ///< sums of all data centres
     std::vector<server_load_report> m_ownLoads; ///< as reported last
     /** Since when no relay of a data centre is known. */
     std::map<data_centre_id, time_point> m_noRelaySince;
--- /dev/null
+++ b/sycamorespan/src/Pooling/member_limit.cpp
@@ -0,0 +1,143 @@
+#include "sycamorespan/src/Pooling/member_limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamorespan {
+
+namespace {
+
+constexpr double slownessSmoothing = 0.1;
+constexpr double lightTimeSmoothing = 0.05;
+constexpr double failureSmoothing = 0.1;
+/** Relative times outside of these bounds count as the bound. */
+constexpr double smallestRelativeTime = 0.05;
+constexpr double largestRelativeTime = 20;
+/** Slowness from which a member is unusual, and failure share and share of the slots. */
+constexpr double unusualSlowness = 1.5;
+constexpr double unusualFailureShare = 0.1;
+
+void approach(double &mean, double value, double smoothing)
+{
+    mean += smoothing * (value - mean);
+}
+
+} // namespace
+
+member_limit::member_limit(std::size_t slots, const member_limit_policy &policy)
+    : m_policy(policy)
+    , m_slots(static_cast<double>(std::max<std::size_t>(slots, 1)))
+    , m_limit(largest())
+{ }
+
+double member_limit::largest() const
+{
+    return m_slots * m_policy.largestLimitPerSlot;
+}
+
+void member_limit::setLimit(double limit)
+{
+    m_limit = std::clamp(limit, 1.0, largest());
+}
+
+void member_limit::setSlots(std::size_t slots)
+{
+    const auto changed = static_cast<double>(std::max<std::size_t>(slots, 1));
+    if (changed == m_slots)
+        return;
+    const auto share = m_limit / m_slots;
+    m_slots = changed;
+    setLimit(share * m_slots);
+}
+
+void member_limit::add(const member_sample &sample, time_point now)
+{
+    m_weight = weight(now) + 1;
+    m_lastSampleAt = now;
+    m_lastSentAt = std::max(m_lastSentAt, now);
+    const bool answered = sample.outcome == member_outcome::answered;
+    approach(m_failureShare, answered ? 0 : 1, failureSmoothing);
+    const auto inFlight = static_cast<double>(sample.inFlight);
+    if (answered && sample.relativeTime) {
+        addTime(*sample.relativeTime, inFlight);
+    } else if (sample.outcome == member_outcome::refused && inFlight > m_limit / 2
+               && now - m_lastDecreaseAt >= m_policy.refusalPause) {
+        m_lastDecreaseAt = now;
+        m_windowCount = 0;
+        setLimit(m_limit * m_policy.refusalFactor);
+    }
+}
+
+void member_limit::addFailure(duration lost)
+{
+    approach(m_failureSeconds, toSeconds(lost), failureSmoothing);
+}
+
+void member_limit::addTime(double relativeTime, double inFlight)
+{
+    const double time =
+            std::log(std::clamp(relativeTime, smallestRelativeTime, largestRelativeTime));
+    // Waiting for a slot of the member is part of the time, but not the member's slowness.
+    const double waiting = std::max(inFlight - m_slots, 0.0) / m_slots;
+    approach(m_slowness, time - std::log1p(waiting), slownessSmoothing);
+    if (inFlight <= std::max(m_slots / 2, 1.0))
+        approach(m_lightTime, time, lightTimeSmoothing);
+    if (m_windowCount == 0) {
+        m_windowTimes = 0;
+        m_windowInFlight = 0;
+    }
+    ++m_windowCount;
+    m_windowTimes += time;
+    m_windowInFlight = std::max(m_windowInFlight, inFlight);
+    if (m_windowCount >= m_policy.windowSamples)
+        closeWindow();
+}
+
+void member_limit::closeWindow()
+{
+    const double mean = m_windowTimes / static_cast<double>(m_windowCount);
+    const double gradient = std::clamp(m_policy.tolerance * std::exp(m_lightTime - mean), 0.5, 1.0);
+    m_windowCount = 0;
+    if (gradient < 1)
+        setLimit(std::min(m_limit, m_windowInFlight) * gradient);
+    else if (m_windowInFlight >= m_limit / 2)
+        setLimit(m_limit + 1);
+}
+
+double member_limit::weight(time_point now) const
+{
+    const auto age = std::max(toSeconds(now - m_lastSampleAt), 0.0);
+    return m_weight * std::exp2(-age / toSeconds(m_policy.sampleHalfLife));
+}
+
+member_capacity member_limit::found(time_point now) const
+{
+    return {m_limit, std::exp(m_slowness), static_cast<std::uint64_t>(weight(now))};
+}
+
+member_capacity member_limit::capacity(time_point now) const
+{
+    const auto own = found(now);
+    if (!m_heard || m_heard->samples == 0)
+        return own;
+    const auto ownWeight = static_cast<double>(own.samples);
+    const auto heardWeight = static_cast<double>(m_heard->samples);
+    const double share = heardWeight / (ownWeight + heardWeight);
+    return {std::clamp(own.limit + share * (m_heard->limit - own.limit), 1.0, largest()),
+            own.slowness + share * (m_heard->slowness - own.slowness),
+            own.samples + m_heard->samples};
+}
+
+bool member_limit::isUnusual() const
+{
+    return m_slowness > std::log(unusualSlowness) || m_limit < m_slots
+           || m_failureShare > unusualFailureShare;
+}
+
+bool member_limit::isProbeDue(std::size_t probers, time_point now) const
+{
+    return isUnusual()
+           && now - m_lastSentAt >= m_policy.probeInterval * static_cast<std::int64_t>(probers);
+}
+
+} // namespace sycamorespan
--- a/sycamorespan/src/Pooling/member_sample.h
+++ b/sycamorespan/src/Pooling/member_sample.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace sycamorespan {
 
@@ -20,8 +21,10 @@
 struct member_sample
 {
     member_outcome outcome = member_outcome::answered;
-    /** Time from sending to the answer, divided by the usual time of its kind of statement. */
-    double relativeTime = 1;
+    /** Time from sending to the answer, divided by the usual time of its kind of statement; nothing
+     * if it depends on more than the member.
+     */
+    std::optional<double> relativeTime = 1;
     std::size_t inFlight = 0; ///< statements at the member when it was sent, itself included
 
     auto operator<=>(const member_sample &) const = default;
