--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -120,7 +120,7 @@
     };
     const auto keyOf = [&](session_number number) {
         const auto &from = m_callers.at(number);
-        const auto finish = now + fromSeconds(meanStatementTime(from));
+        const auto finish = now + fromSeconds(2 * meanStatementTime(from));
         const bool late = finish > from.job->latencyDeadline;
         return sort_key{late, late ? 0 : from.route.priority,
                         late ? from.job->deadline : from.job->latencyDeadline, number};
--- a/sycamorespan/src/Pooling/member_limit.cpp
+++ b/sycamorespan/src/Pooling/member_limit.cpp
@@ -13,6 +13,10 @@
 /** Relative times outside of these bounds count as the bound. */
 constexpr double smallestRelativeTime = 0.05;
 constexpr double largestRelativeTime = 20;
+/** Smallest factor of the limit in one window. */
+constexpr double leastGradient = 0.7;
+/** Increase in one window close to a limit that was too high before. */
+constexpr double carefulIncrease = 0.2;
 /** Slowness from which a member is unusual, and failure share and share of the slots. */
 constexpr double unusualSlowness = 1.5;
 constexpr double unusualFailureShare = 0.1;
@@ -79,7 +83,9 @@
             std::log(std::clamp(relativeTime, smallestRelativeTime, largestRelativeTime));
     // Waiting for a slot of the member is part of the time, but not the member's slowness.
     const double waiting = std::max(inFlight - m_slots, 0.0) / m_slots;
-    approach(m_slowness, time - std::log1p(waiting), slownessSmoothing);
+    const double slowness = time - std::log1p(waiting);
+    m_wasBetter = slowness < m_slowness - std::log(unusualSlowness);
+    approach(m_slowness, slowness, slownessSmoothing);
     if (inFlight <= std::max(m_slots / 2, 1.0))
         approach(m_lightTime, time, lightTimeSmoothing);
     if (m_windowCount == 0) {
@@ -96,12 +102,16 @@
 void member_limit::closeWindow()
 {
     const double mean = m_windowTimes / static_cast<double>(m_windowCount);
-    const double gradient = std::clamp(m_policy.tolerance * std::exp(m_lightTime - mean), 0.5, 1.0);
+    const double gradient =
+            std::clamp(m_policy.tolerance * std::exp(m_lightTime - mean), leastGradient, 1.0);
     m_windowCount = 0;
-    if (gradient < 1)
-        setLimit(std::min(m_limit, m_windowInFlight) * gradient);
-    else if (m_windowInFlight >= m_limit / 2)
-        setLimit(m_limit + 1);
+    if (gradient < 1) {
+        m_exceededAt = std::min(m_limit, m_windowInFlight);
+        setLimit(m_exceededAt * gradient);
+    } else if (m_windowInFlight >= m_limit / 2) {
+        const bool isNear = m_limit < m_exceededAt && m_limit + 1 > m_exceededAt;
+        setLimit(m_limit + (isNear ? carefulIncrease : 1));
+    }
 }
 
 double member_limit::weight(time_point now) const
@@ -136,8 +146,8 @@
 
 bool member_limit::isProbeDue(std::size_t probers, time_point now) const
 {
-    return isUnusual()
-           && now - m_lastSentAt >= m_policy.probeInterval * static_cast<std::int64_t>(probers);
+    const auto pause = m_policy.probeInterval * static_cast<std::int64_t>(probers);
+    return isUnusual() && (m_wasBetter || now - m_lastSentAt >= pause);
 }
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Pooling/member_limit.h
+++ b/sycamorespan/src/Pooling/member_limit.h
@@ -54,12 +54,17 @@
     double failureSeconds() const { return m_failureSeconds; }
     /** \returns whether the estimate differs enough from a usual member's to be reported. */
     bool isUnusual() const;
-    /** \returns whether the member is to be tried because it got no work for some time.
+    /** \returns whether the member is to be tried because it got no work for some time, or because
+     * its last answer suggests that it has recovered.
      * \param probers  instances that may do so
      */
     bool isProbeDue(std::size_t probers, time_point now) const;
     /** \brief Records that a statement was sent, after which the next probe is due later. */
-    void recordSent(time_point now) { m_lastSentAt = now; }
+    void recordSent(time_point now)
+    {
+        m_lastSentAt = now;
+        m_wasBetter = false;
+    }
 
 private:
     double largest() const;
@@ -79,6 +84,8 @@
     time_point m_lastSampleAt;
     time_point m_lastSentAt;
     time_point m_lastDecreaseAt;
+    bool m_wasBetter = false; ///< the last answer came sooner than the slowness suggests
+    double m_exceededAt = 0; ///< limit that was too high when it last fell
     std::size_t m_windowCount = 0;
     double m_windowTimes = 0; ///< sum of logarithms
     double m_windowInFlight = 0; ///< largest
--- a/test/dispatch_load.cpp
+++ b/test/dispatch_load.cpp
@@ -23,10 +23,20 @@
 constexpr std::size_t memberQueueLimit = 40;
 constexpr std::uint32_t seed = 20261204;
 
+/** What is unusual of the last replica. */
+struct member_behaviour
+{
+    double slowness = 1; ///< factor by which statements take longer
+    double slownessAboveHalfLoad = 1; ///< the same while it runs more than half of its slots
+    double failureShare = 0; ///< share of statements that it fails at once
+    duration from{}; ///< after the start of the load
+    duration until = duration::max();
+};
+
 struct load_pattern
 {
     double readsPerSecond = 200;
-    double slowMemberFactor = 1; ///< factor by which statements take longer at the last replica
+    member_behaviour lastReplica = {};
     duration length = 6s;
 };
 
@@ -36,6 +46,8 @@
     std::size_t inObjective = 0;
     std::size_t rejected = 0;
     duration longestTimeToRejection{}; ///< measured from the arrival of the read
+    std::size_t atLastReplica = 0; ///< reads sent to it while it was unusual
+    std::size_t atLastReplicaAfter = 0; ///< in the last two seconds of the load
 };
 
 /** A member that runs a limited number of statements at a time, queues a limited number and refuses
@@ -45,7 +57,7 @@
 {
     std::size_t running = 0;
     std::deque<connection_id> waiting;
-    double slowness = 1;
+    bool isLastReplica = false;
 };
 
 /** Replays reads, each a session of one operation, with one dispatcher and three members. */
@@ -78,7 +90,8 @@
             servers.push_back(entry);
             m_members[entry.id];
         }
-        m_members[server_id("s3")].slowness = pattern.slowMemberFactor;
+        m_members[server_id("s3")].isLastReplica = true;
+        m_start = now();
         apply(m_dispatcher.setDirectory(directory, now()));
         apply(m_dispatcher.setServers(servers, now()));
         apply(m_dispatcher.setPrimary(m_database, usable_primary{server_id("s1"), 1, now() + 1h},
@@ -155,9 +168,36 @@
         apply(m_dispatcher.callerDisconnected(each.session, now()));
     }
 
+    bool isUnusual(const member_model &member) const
+    {
+        const auto &behaviour = m_pattern.lastReplica;
+        return member.isLastReplica && now() - m_start >= behaviour.from
+               && now() - m_start < behaviour.until;
+    }
+
+    double slownessOf(const member_model &member) const
+    {
+        const auto &behaviour = m_pattern.lastReplica;
+        if (!isUnusual(member))
+            return 1;
+        return behaviour.slowness
+               * (2 * member.running > slots ? behaviour.slownessAboveHalfLoad : 1);
+    }
+
     void deliver(connection_id connection)
     {
         auto &member = m_members[m_servers.at(connection)];
+        m_result.atLastReplica += isUnusual(member) ? 1 : 0;
+        const bool isAtEnd = now() - m_start >= m_pattern.length - 2s;
+        m_result.atLastReplicaAfter += member.isLastReplica && isAtEnd ? 1 : 0;
+        std::bernoulli_distribution fails(m_pattern.lastReplica.failureShare);
+        if (isUnusual(member) && fails(m_random))
+            return apply(m_dispatcher.answered(connection,
+                                               {{},
+                                                rejected{statement_error::failed, ""},
+                                                session_state::idle,
+                                                log_position{1, 1}},
+                                               now()));
         if (member.running < slots)
             return start(member, connection);
         if (member.waiting.size() < memberQueueLimit) {
@@ -174,8 +214,8 @@
     {
         ++member.running;
         std::lognormal_distribution<double> work(-3.6, 0.6); // mean 33 ms
-        schedule(now() + fromSeconds(work(m_random) * member.slowness), [this, &member,
-                                                                         connection] {
+        schedule(now() + fromSeconds(work(m_random) * slownessOf(member)), [this, &member,
+                                                                            connection] {
             --member.running;
             apply(m_dispatcher.answered(
                     connection,
@@ -192,6 +232,7 @@
     load_pattern m_pattern;
     database_id m_database{"db"};
     dispatcher m_dispatcher;
+    time_point m_start;
     std::mt19937 m_random{seed};
     test::event_queue m_events;
     session_number m_lastSession = 0;
@@ -209,6 +250,8 @@
 load_result replay(const load_pattern &pattern, const dispatch_policy &policy = {})
 {
     return load_replay(pattern, policy).run();
+    printf("arrived %zu good %.4f rej %zu last %zu after %zu\n", x.arrived,
+           double(x.inObjective) / x.arrived, x.rejected, x.atLastReplica,
 }
 
 /** \returns the share of reads within the objective with round-robin dispatch, first in, first out
@@ -230,7 +273,7 @@
         const auto index = arrived++ % members.size();
         auto &member = members.at(index);
         const double begins = std::max(at, member.top());
-        const double ends = begins + work(random) * (index == 2 ? pattern.slowMemberFactor : 1);
+        const double ends = begins + work(random) * (index == 2 ? pattern.lastReplica.slowness : 1);
         member.pop();
         member.push(ends);
         inObjective += ends - at <= 0.4 ? 1 : 0;
@@ -249,12 +292,46 @@
  */
 TEST(DispatchLoad, ASlowMemberGetsFewerReadsThanWithRoundRobin)
 {
-    const load_pattern slow{.readsPerSecond = 230, .slowMemberFactor = 5};
+    const load_pattern slow{.readsPerSecond = 230, .lastReplica = {.slowness = 5}};
     const auto chosen = shareInObjective(replay(slow));
     EXPECT_GT(chosen, 0.95);
     EXPECT_GT(chosen, roundRobinShare(slow) + 0.05);
 }
 
+/** The last replica takes six times longer for more than half of its slots. */
+TEST(DispatchLoad, AMemberThatSlowsAtHalfLoadIsKeptBelowIt)
+{
+    const load_pattern slowing{
+            .readsPerSecond = 320, .lastReplica = {.slownessAboveHalfLoad = 6}, .length = 12s};
+    EXPECT_GT(shareInObjective(replay(slowing)), 0.97);
+}
+
+/** A third of the load's time the last replica is eight times slower. */
+TEST(DispatchLoad, AMemberThatTurnsSlowGetsLittleWorkAndItsShareAfterwards)
+{
+    const load_pattern turning{.readsPerSecond = 220,
+                               .lastReplica = {.slowness = 8, .from = 2s, .until = 6s},
+                               .length = 12s};
+    const auto result = replay(turning);
+    EXPECT_GT(shareInObjective(result), 0.97);
+    EXPECT_LT(result.atLastReplica, 0.06 * 4 * 220);
+    EXPECT_GT(result.atLastReplica, 0U);
+    EXPECT_GT(result.atLastReplicaAfter, 0.2 * 2 * 220);
+}
+
+/** The last replica fails half of its work at once, so that its slots are always free. */
+TEST(DispatchLoad, AMemberThatFailsFastGetsLittleWorkAndItsShareAfterwards)
+{
+    const load_pattern failing{.readsPerSecond = 220,
+                               .lastReplica = {.failureShare = 0.5, .from = 2s, .until = 6s},
+                               .length = 12s};
+    const auto result = replay(failing);
+    EXPECT_GT(shareInObjective(result), 0.97);
+    EXPECT_LT(result.atLastReplica, 0.2 * 4 * 220);
+    EXPECT_GT(result.atLastReplica, 0U);
+    EXPECT_GT(result.atLastReplicaAfter, 0.2 * 2 * 220);
+}
+
 /** At twice the members' capacity, reads that cannot be served are rejected early and the rest is
  * served in time. A queue without rejections would serve nearly all reads late.
  */
