--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -301,8 +301,14 @@
 {
     if (!from.job || from.job->currentStage != job_stage::running)
         return;
-    pool.limit().add({outcome, std::nullopt, from.job->inFlight}, now);
-    pool.limit().addFailure(now - from.job->sentAt);
+    const auto lost = now - from.job->sentAt;
+    const auto times = m_times.find(from.databaseName);
+    member_sample sample{outcome, std::nullopt, from.job->inFlight};
+    if (outcome == member_outcome::failed && from.job->access == statement_access::read
+        && times != m_times.end() && times->second.usualReadTime)
+        sample.relativeTime = toSeconds(lost) / std::exp(*times->second.usualReadTime);
+    pool.limit().add(sample, now);
+    pool.limit().addFailure(lost);
 }
 
 void dispatcher::onSuccess(caller &from, member_pool &pool, member_connection &connection,
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -242,16 +242,19 @@
 }
 
 /** \returns whether the member is below its limit. As the others' load is known late, an instance
- * may always use its share of the limit. A read may use only the primary's free slots, so that what
- * only the primary can run doesn't wait in its queue behind reads.
+ * may always use its share of the limit. Reads leave room at the primary for what only it can run,
+ * which would wait in its queue behind them, but they may use all of its free slots.
  */
 bool dispatcher::hasRoom(const member_pool &pool, const caller &from, time_point now) const
 {
     double limit = pool.limit().capacity(now).limit;
     const auto state = m_databases.find(pool.entry().database);
     if (!from.job->needsPrimary && state != m_databases.end()
-        && isPrimary(state->second, pool.entry().id))
-        limit = std::min(limit, slotsOf(pool));
+        && isPrimary(state->second, pool.entry().id)) {
+        const double reserved =
+                state->second.primaryOnlyWork * static_cast<double>(sharersOf(pool));
+        limit = std::max(limit - reserved, std::min(limit, slotsOf(pool)));
+    }
     const auto others = static_cast<double>(pool.slotsOccupiedByOthers());
     const double share = limit / static_cast<double>(sharersOf(pool));
     return static_cast<double>(pool.occupiedSlots() + 1) <= std::max({limit - others, share, 1.0});
--- a/sycamorespan/src/Pooling/member_limit.cpp
+++ b/sycamorespan/src/Pooling/member_limit.cpp
@@ -13,13 +13,20 @@
 /** Relative times outside of these bounds count as the bound. */
 constexpr double smallestRelativeTime = 0.05;
 constexpr double largestRelativeTime = 20;
+/** Samples of a window for each statement of the limit. */
+constexpr double windowForEach = 4;
 /** Smallest factor of the limit in one window. */
 constexpr double leastGradient = 0.7;
-/** Increase in one window close to a limit that was too high before. */
-constexpr double carefulIncrease = 0.2;
+/** Increase in the first window after the limit fell, which doubles from window to window. */
+constexpr double leastIncrease = 0.1;
+/** Ratio of times under load to times under little load that needs only a quarter of a window. */
+constexpr double clearRatio = 3;
 /** Slowness from which a member is unusual, and failure share and share of the slots. */
 constexpr double unusualSlowness = 1.5;
 constexpr double unusualFailureShare = 0.1;
+/** Slowness and failure share up to which a member gets enough work to find that it recovers. */
+constexpr double favouredSlowness = 1.2;
+constexpr double favouredFailureShare = 0.02;
 
 void approach(double &mean, double value, double smoothing)
 {
@@ -62,7 +69,11 @@
     const bool answered = sample.outcome == member_outcome::answered;
     approach(m_failureShare, answered ? 0 : 1, failureSmoothing);
     const auto inFlight = static_cast<double>(sample.inFlight);
-    if (answered && sample.relativeTime) {
+    m_wasBetter = answered && m_failureShare > favouredFailureShare;
+    // A statement that was given up would have taken longer; a fast failure says nothing of times.
+    const bool isBound =
+            sample.relativeTime && *sample.relativeTime > std::max(std::exp(m_slowness), 1.0);
+    if (sample.relativeTime && (answered || isBound)) {
         addTime(*sample.relativeTime, inFlight);
     } else if (sample.outcome == member_outcome::refused && inFlight > m_limit / 2
                && now - m_lastDecreaseAt >= m_policy.refusalPause) {
@@ -84,9 +95,13 @@
     // Waiting for a slot of the member is part of the time, but not the member's slowness.
     const double waiting = std::max(inFlight - m_slots, 0.0) / m_slots;
     const double slowness = time - std::log1p(waiting);
-    m_wasBetter = slowness < m_slowness - std::log(unusualSlowness);
+    m_wasBetter = m_wasBetter || slowness < m_slowness - std::log(unusualSlowness);
     approach(m_slowness, slowness, slownessSmoothing);
-    if (inFlight <= std::max(m_slots / 2, 1.0))
+    const bool isLight = inFlight <= std::max(m_slots / 2, 1.0);
+    // The limit may have fallen because of a slowness at any load that has ended.
+    if (isLight && m_lightTime > std::log(unusualSlowness) && time < m_lightTime / 2)
+        m_increase = 1;
+    if (isLight)
         approach(m_lightTime, time, lightTimeSmoothing);
     if (m_windowCount == 0) {
         m_windowTimes = 0;
@@ -95,7 +110,13 @@
     ++m_windowCount;
     m_windowTimes += time;
     m_windowInFlight = std::max(m_windowInFlight, inFlight);
-    if (m_windowCount >= m_policy.windowSamples)
+    // At a small limit statements are few, and an error of the limit is small.
+    const auto size =
+            std::min(windowForEach * m_limit, static_cast<double>(m_policy.windowSamples));
+    const auto count = static_cast<double>(m_windowCount);
+    const bool isClear =
+            4 * count >= size && m_windowTimes / count - m_lightTime > std::log(clearRatio);
+    if (count >= size || isClear)
         closeWindow();
 }
 
@@ -106,11 +127,11 @@
             std::clamp(m_policy.tolerance * std::exp(m_lightTime - mean), leastGradient, 1.0);
     m_windowCount = 0;
     if (gradient < 1) {
-        m_exceededAt = std::min(m_limit, m_windowInFlight);
-        setLimit(m_exceededAt * gradient);
+        setLimit(std::min(m_limit, m_windowInFlight) * gradient);
+        m_increase = leastIncrease;
     } else if (m_windowInFlight >= m_limit / 2) {
-        const bool isNear = m_limit < m_exceededAt && m_limit + 1 > m_exceededAt;
-        setLimit(m_limit + (isNear ? carefulIncrease : 1));
+        setLimit(m_limit + m_increase);
+        m_increase = std::min(2 * m_increase, 1.0);
     }
 }
 
@@ -147,7 +168,9 @@
 bool member_limit::isProbeDue(std::size_t probers, time_point now) const
 {
     const auto pause = m_policy.probeInterval * static_cast<std::int64_t>(probers);
-    return isUnusual() && (m_wasBetter || now - m_lastSentAt >= pause);
+    const bool isFavoured = m_slowness < std::log(favouredSlowness) && m_limit >= m_slots
+                            && m_failureShare <= favouredFailureShare;
+    return !isFavoured && (m_wasBetter || now - m_lastSentAt >= pause);
 }
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Pooling/member_limit.h
+++ b/sycamorespan/src/Pooling/member_limit.h
@@ -28,7 +28,8 @@
  * which share of its work it fails.
  *
  * The limit falls with the ratio of times under load to times under little load, and with refusals
- * under load. It rises by one statement for each window in which it was used and times didn't rise.
+ * under load. It rises by up to one statement in each window in which it was used and times didn't
+ * rise.
  * Without samples nothing changes, except for the weight of the estimate beside those of others.
  */
 class member_limit
@@ -85,7 +86,7 @@
     time_point m_lastSentAt;
     time_point m_lastDecreaseAt;
     bool m_wasBetter = false; ///< the last answer came sooner than the slowness suggests
-    double m_exceededAt = 0; ///< limit that was too high when it last fell
+    double m_increase = 1; ///< of the limit in the next good window
     std::size_t m_windowCount = 0;
     double m_windowTimes = 0; ///< sum of logarithms
     double m_windowInFlight = 0; ///< largest
--- a/test/decoders_mutations.cpp
+++ b/test/decoders_mutations.cpp
@@ -100,7 +100,7 @@
     report.sender = anInstance();
     report.news = someNews();
     report.observations = {{database_id("db1"), 12, 1, 0, 2}};
-    report.loads = {{server_id("i-1"), 3}};
+    report.loads = {{server_id("i-1"), 3, member_capacity{2.5, 4.25, 40}}};
     return report;
 }
 
--- a/test/dispatch_load.cpp
+++ b/test/dispatch_load.cpp
@@ -250,8 +250,6 @@
 load_result replay(const load_pattern &pattern, const dispatch_policy &policy = {})
 {
     return load_replay(pattern, policy).run();
-    printf("arrived %zu good %.4f rej %zu last %zu after %zu\n", x.arrived,
-           double(x.inObjective) / x.arrived, x.rejected, x.atLastReplica,
 }
 
 /** \returns the share of reads within the objective with round-robin dispatch, first in, first out
@@ -302,7 +300,7 @@
 TEST(DispatchLoad, AMemberThatSlowsAtHalfLoadIsKeptBelowIt)
 {
     const load_pattern slowing{
-            .readsPerSecond = 320, .lastReplica = {.slownessAboveHalfLoad = 6}, .length = 12s};
+            .readsPerSecond = 340, .lastReplica = {.slownessAboveHalfLoad = 6}, .length = 12s};
     EXPECT_GT(shareInObjective(replay(slowing)), 0.97);
 }
 
--- a/test/membership_fleet.cpp
+++ b/test/membership_fleet.cpp
@@ -77,7 +77,7 @@
                    9,
                    {{database_id("db"), {2, 7}, 15s}}};
     report.observations = {{database_id("db"), 4, 1, 0, 1}};
-    report.loads = {{server_id("s"), 3}};
+    report.loads = {{server_id("s"), 3}, {server_id("t"), 0, member_capacity{2.5, 4.25, 40}}};
     EXPECT_EQ(decodeInstanceReport(encode(report)), report);
     auto state = stateOf("a", {1, 2}, 12);
     state.age = 40ms;
