--- a/programs/node/member_watch.cpp
+++ b/programs/node/member_watch.cpp
@@ -69,8 +69,8 @@
 {
     auto members = nlohmann::json::object();
     for (const auto &[id, capacity] : capacities)
-        members[id.str()] = {{"limit", std::llround(capacity.limit * 100) / 100.0},
-                             {"slowness", std::llround(capacity.slowness * 100) / 100.0}};
+        members[id.str()] = {{"limit", std::round(capacity.limit * 100) / 100},
+                             {"slowness", std::round(capacity.slowness * 100) / 100}};
     return members;
 }
 
