--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -3,6 +3,7 @@
 #include "sycamorespan/src/Dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace sycamorespan {
@@ -54,6 +55,24 @@
     return std::get_if<caller_statement::execute>(&job.request.parsed);
 }
 
+/** Weight of one tick in the mean number of statements that only the primary can run. */
+constexpr double primaryOnlyWorkSmoothing = 0.02;
+
+double slotsOf(const member_pool &pool)
+{
+    return static_cast<double>(std::max<std::size_t>(pool.entry().slots, 1));
+}
+
+/** \returns the expected wait for a slot of a member, in statement times: that of M/M/c by
+ * Sakasegawa's approximation below the number of slots, above it that for the statements ahead.
+ */
+double expectedWait(double ahead, double slots)
+{
+    if (ahead >= slots)
+        return (ahead + 1 - slots) / slots;
+    return std::pow(ahead / slots, std::sqrt(2 * (slots + 1)) - 1) / slots;
+}
+
 } // namespace
 
 bool dispatcher::isPrimaryViewValid(const database_state &group, time_point now) const
@@ -246,20 +265,83 @@
     return floor;
 }
 
-/** \returns the expected time of the statement at a member in seconds, from the statements ahead of
- * it and the member's slowness, with penalties.
+/** \returns the number of instances that send statements to the member. */
+std::size_t dispatcher::sharersOf(const member_pool &pool) const
+{
+    return isBrokerOf(pool.entry().database) ? m_brokersOfDatabase : m_instances;
+}
+
+/** \returns whether the member is below its limit. As the others' load is known late, an instance
+ * may always use its share of the limit. Reads leave room at the primary for what only it can run,
+ * which would wait in its queue behind them, but they may use all of its free slots.
+ */
+bool dispatcher::hasRoom(const member_pool &pool, const caller &from, time_point now) const
+{
+    double limit = pool.limit().capacity(now).limit;
+    const auto state = m_databases.find(pool.entry().database);
+    if (!from.job->needsPrimary && state != m_databases.end()
+        && isPrimary(state->second, pool.entry().id)) {
+        const double reserved =
+                state->second.primaryOnlyWork * static_cast<double>(sharersOf(pool));
+        limit = std::max(limit - reserved, std::min(limit, slotsOf(pool)));
+    }
+    const auto others = static_cast<double>(pool.slotsOccupiedByOthers());
+    const double share = limit / static_cast<double>(sharersOf(pool));
+    return static_cast<double>(pool.occupiedSlots() + 1) <= std::max({limit - others, share, 1.0});
+}
+
+/** Updates the mean number of statements that only the primary can run. */
+void dispatcher::updatePrimaryOnlyWork(database_state &group) const
+{
+    if (!group.primary)
+        return;
+    const auto pool = m_pools.find(group.primary->server);
+    if (pool == m_pools.end())
+        return;
+    double count = 0;
+    for (const auto &[id, each] : pool->second.connections())
+        count += each.requiresPrimary && !each.pending.empty() ? 1 : 0;
+    group.primaryOnlyWork += primaryOnlyWorkSmoothing * (count - group.primaryOnlyWork);
+}
+
+/** \returns the smallest share of statements that a member of the database fails. */
+double dispatcher::usualFailureShare(const database_state &group) const
+{
+    double least = 1;
+    for (const auto &id : group.members)
+        least = std::min(least, m_pools.at(id).limit().failureShare());
+    return least;
+}
+
+/** \returns the expected time until the statement is answered by the member, in seconds.
+ * \param usualFailures  failure share of the best member of the database
  */
-double dispatcher::scoreOf(const member_pool &pool, const caller &from, bool isPrimary) const
-{
-    const auto slots = static_cast<double>(std::max<std::size_t>(pool.entry().slots, 1));
-    double ahead = static_cast<double>(pool.busyConnections() + pool.busyConnectionsOfOthers());
-    if (isPrimary && !from.job->needsPrimary)
-        ahead += m_policy.primaryReadPenalty;
-    const double mean = meanStatementTime(from);
-    const double queueing = std::max(ahead + 1 - slots, 0.0) / slots + 0.1 * ahead / slots;
-    double score = mean * pool.slowness() * (1 + queueing);
+double dispatcher::scoreOf(const member_pool &pool, const caller &from, double usualFailures,
+                           bool needsOpening, time_point now) const
+{
+    const auto &limit = pool.limit();
+    const auto capacity = limit.capacity(now);
+    const double slots = std::min(slotsOf(pool), capacity.limit);
+    double ahead = static_cast<double>(pool.occupiedSlots() + pool.slotsOccupiedByOthers());
+    const auto state = m_databases.find(pool.entry().database);
+    // Statements that only the primary can run and that arrive while the read runs there.
+    if (!from.job->needsPrimary && state != m_databases.end()
+        && isPrimary(state->second, pool.entry().id))
+        ahead += state->second.primaryOnlyWork * static_cast<double>(sharersOf(pool));
+    const bool isProbe = !from.job->needsPrimary && from.job->attempts == 0
+                         && limit.isProbeDue(sharersOf(pool), now)
+                         && now + 2 * readTimeout(from) < from.job->deadline;
+    const double slowness = isProbe ? 1 : capacity.slowness;
+    double score = meanStatementTime(from) * slowness * (1 + expectedWait(ahead, slots));
+    if (needsOpening)
+        score += pool.openingSeconds() * (1 + ahead / slots);
     if (pool.entry().dataCentre != m_own)
         score += toSeconds(m_policy.otherDataCentrePenalty);
+    if (!isProbe) {
+        const double failures = std::min(
+                (limit.failureShare() - usualFailures) / std::max(1 - usualFailures, 0.1), 0.9);
+        score = (score + failures * limit.failureSeconds()) / (1 - failures);
+    }
     // In a large fleet the load reported by other instances is outdated. Without random variation
     // all instances would choose the same member at the same time.
     // At a broker, statements of a workspace prefer the same member, which has its connections.
@@ -276,12 +358,13 @@
     std::vector<candidate> found;
     std::vector<candidate> returning;
     const bool usable = isPrimaryUsable(group, now);
-    const auto add = [&](member_pool &pool, std::optional<log_position> floor, bool primary) {
-        if (!mayRunOn(from, pool, now))
+    const double usualFailures = usualFailureShare(group);
+    const auto add = [&](member_pool &pool, std::optional<log_position> floor) {
+        if (!mayRunOn(from, pool, now) || !hasRoom(pool, from, now))
             return;
-        double score = scoreOf(pool, from, primary);
-        if (!pool.findIdleConnection(from.workspace, from.values, preparedNameFor(from)))
-            score += m_policy.openingPenalty * meanStatementTime(from);
+        const bool isIdle =
+                pool.findIdleConnection(from.workspace, from.values, preparedNameFor(from));
+        double score = scoreOf(pool, from, usualFailures, !isIdle, now);
         if (from.job->excluded.contains(pool.entry().id))
             score += toSeconds(1s);
         const bool isReturning =
@@ -297,7 +380,7 @@
     if (usable) {
         auto &pool = m_pools.at(group.primary->server);
         if (isMemberUsable(pool, now) && !isPastDrainPeriod(pool, now))
-            add(pool, floor, true);
+            add(pool, floor);
     }
     if (floor) {
         for (const auto &id : group.members) {
@@ -312,7 +395,7 @@
             const bool known = now - pool.positionObservedAt() < validity;
             if (known && pool.position() < *floor)
                 continue;
-            add(pool, floor, false);
+            add(pool, floor);
         }
     }
     if (found.empty())
@@ -321,24 +404,30 @@
     return found;
 }
 
-/** Sends the statement on an idle connection, or opens a connection for it. Each statement opens at
- * most one at a time, because an opening takes a slot of the member.
- * \returns whether the statement was sent; otherwise it remains queued
+/** Sends the statement to the member that is expected to answer it first: on an idle connection, or
+ * on one that is opened for it. Each statement opens at most one at a time, because an opening
+ * takes a slot of the member. While it takes longer than usual, idle connections elsewhere are
+ * used. \returns whether the statement was sent; otherwise it remains queued
  */
 bool dispatcher::placeStatement(caller &from, database_state &group, time_point now)
 {
+    const auto *opener = isOpeningFor(from) ? poolOf(from.job->openingConnection) : nullptr;
+    if (!opener)
+        from.job->openingConnection = 0;
+    const bool isOverdue =
+            opener
+            && toSeconds(now - opener->connections().at(from.job->openingConnection).since)
+                       > 2 * opener->openingSeconds();
     const auto choices = candidates(from, group, now);
-    if (std::ranges::any_of(choices, [&](const candidate &each) {
-            return sendOnIdleConnection(from, each, now);
-        }))
-        return true;
-    if (isOpeningFor(from))
-        return false;
-    from.job->openingConnection = 0;
-    if (awaitsOwnConnection(from, choices, now))
-        return false;
-    std::ranges::any_of(choices,
-                        [&](const candidate &each) { return openConnectionFor(from, each, now); });
+    const bool awaitsOwn = !opener && awaitsOwnConnection(from, choices, now);
+    for (const auto &each : choices) {
+        if (sendOnIdleConnection(from, each, now))
+            return true;
+        if (awaitsOwn)
+            continue;
+        if (opener ? opener == each.pool && !isOverdue : openConnectionFor(from, each, now))
+            return false;
+    }
     return false;
 }
 
@@ -449,6 +538,7 @@
     connection.requiresPrimary = job.needsPrimary || !floor;
     from.boundConnection = connection.id;
     from.boundServer = pool.entry().id;
+    pool.limit().recordSent(now);
     charge(from);
     m_access.onSent(pool.entry().id, job.startsTransaction ? 2 : 1, now); // BEGIN counts
     if (!job.startsTransaction)
@@ -533,6 +623,8 @@
         connection.pending.push_back({expected_answer::setup, now});
     connection.pending.push_back({expected_answer::statement, now});
     job.sentAt = now;
+    if (const auto *pool = poolOf(connection.id))
+        job.inFlight = pool->occupiedSlots() + pool->slotsOccupiedByOthers();
     if (job.access == statement_access::write)
         from.hasWritten = true;
     m_outputs.push_back(send_to_member{connection.id, std::move(before)});
