--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -180,7 +180,7 @@
     for (const auto &[id, pool] : m_pools) {
         member_load load{id, pool.occupiedSlots(), std::nullopt};
         if (const auto found = pool.limit().found(now);
-            found.samples > 0 && pool.limit().isUnusual())
+            found.samples > 0 && (pool.limit().isUnusual() || pool.limit().isHeardUnusual()))
             load.capacity = found;
         if (load.occupiedSlots > 0 || load.capacity)
             result.push_back(std::move(load));
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -124,7 +124,8 @@
 {
     server_id server;
     std::size_t occupiedSlots = 0; ///< of the member, by this instance
-    std::optional<member_capacity> capacity; ///< found here; nothing if it is usual or not known
+    /** Found here; nothing if it is not known, or usual and heard to be so. */
+    std::optional<member_capacity> capacity;
 
     auto operator<=>(const member_load &) const = default;
 };
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace sycamorespan {
 
@@ -284,7 +285,9 @@
         const double seconds = std::max(toSeconds(now - job.sentAt), 1e-6);
         sample.relativeTime = seconds / std::exp(times.usualReadTime.value_or(std::log(seconds)));
         const auto slownessOf = [&](const server_id &id) {
-            return m_pools.at(id).limit().found(now).slowness;
+            const auto &limit = m_pools.at(id).limit();
+            return limit.hasSamples() ? limit.found(now).slowness
+                                      : std::numeric_limits<double>::infinity();
         };
         const auto &members = group(from).members;
         const auto fastest = std::ranges::min_element(members, {}, slownessOf);
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -63,6 +63,16 @@
     return static_cast<double>(std::max<std::size_t>(pool.entry().slots, 1));
 }
 
+/** \returns how many statements run at the primary that only it can run. */
+double primaryOnlyStatements(const member_pool &primary)
+{
+    const auto isPrimaryOnly = [](const member_connection &each) {
+        return each.requiresPrimary && !each.pending.empty();
+    };
+    return static_cast<double>(
+            std::ranges::count_if(primary.connections(), isPrimaryOnly, mappedOf));
+}
+
 /** \returns the expected wait for a slot of a member, in statement times: that of M/M/c by
  * Sakasegawa's approximation below the number of slots, above it that for the statements ahead.
  */
@@ -277,12 +287,16 @@
  */
 bool dispatcher::hasRoom(const member_pool &pool, const caller &from, time_point now) const
 {
+    if (pool.entry().slots == 0)
+        return true; // not known
     double limit = pool.limit().capacity(now).limit;
     const auto state = m_databases.find(pool.entry().database);
     if (!from.job->needsPrimary && state != m_databases.end()
         && isPrimary(state->second, pool.entry().id)) {
+        // Those that run there now are among the occupied slots.
         const double reserved =
-                state->second.primaryOnlyWork * static_cast<double>(sharersOf(pool));
+                std::max(state->second.primaryOnlyWork - primaryOnlyStatements(pool), 0.0)
+                * static_cast<double>(sharersOf(pool));
         limit = std::max(limit - reserved, std::min(limit, slotsOf(pool)));
     }
     const auto others = static_cast<double>(pool.slotsOccupiedByOthers());
@@ -298,10 +312,8 @@
     const auto pool = m_pools.find(group.primary->server);
     if (pool == m_pools.end())
         return;
-    double count = 0;
-    for (const auto &[id, each] : pool->second.connections())
-        count += each.requiresPrimary && !each.pending.empty() ? 1 : 0;
-    group.primaryOnlyWork += primaryOnlyWorkSmoothing * (count - group.primaryOnlyWork);
+    group.primaryOnlyWork += primaryOnlyWorkSmoothing
+                             * (primaryOnlyStatements(pool->second) - group.primaryOnlyWork);
 }
 
 /** \returns the smallest share of statements that a member of the database fails. */
@@ -357,19 +369,23 @@
 {
     std::vector<candidate> found;
     std::vector<candidate> returning;
+    bool hasUsual = false; // a member that isn't evacuated or returning, even if it is full
     const bool usable = isPrimaryUsable(group, now);
     const double usualFailures = usualFailureShare(group);
     const auto add = [&](member_pool &pool, std::optional<log_position> floor) {
-        if (!mayRunOn(from, pool, now) || !hasRoom(pool, from, now))
+        if (!mayRunOn(from, pool, now))
+            return;
+        const bool isReturning =
+                pool.entry().isEvacuated
+                || m_access.isReturning(pool.entry().id, from.job->request.id, now);
+        hasUsual = hasUsual || !isReturning;
+        if (!hasRoom(pool, from, now))
             return;
         const bool isIdle =
                 pool.findIdleConnection(from.workspace, from.values, preparedNameFor(from));
         double score = scoreOf(pool, from, usualFailures, !isIdle, now);
         if (from.job->excluded.contains(pool.entry().id))
             score += toSeconds(1s);
-        const bool isReturning =
-                pool.entry().isEvacuated
-                || m_access.isReturning(pool.entry().id, from.job->request.id, now);
         (isReturning ? returning : found).push_back({&pool, score, floor});
     };
     std::optional<log_position> floor;
@@ -398,7 +414,7 @@
             add(pool, floor);
         }
     }
-    if (found.empty())
+    if (!hasUsual)
         found = std::move(returning);
     std::ranges::sort(found, {}, &candidate::score);
     return found;
@@ -407,7 +423,8 @@
 /** Sends the statement to the member that is expected to answer it first: on an idle connection, or
  * on one that is opened for it. Each statement opens at most one at a time, because an opening
  * takes a slot of the member. While it takes longer than usual, idle connections elsewhere are
- * used. \returns whether the statement was sent; otherwise it remains queued
+ * used.
+ * \returns whether the statement was sent; otherwise it remains queued
  */
 bool dispatcher::placeStatement(caller &from, database_state &group, time_point now)
 {
@@ -508,6 +525,8 @@
             return false;
         closeConnection(pool, evicted->id, now);
     }
+    // Until the connection is open, other statements aren't sent as probes.
+    pool.limit().recordSent(now);
     from.job->openingConnection = openConnection(pool, from.route.database, from.workspace, now);
     return true;
 }
@@ -551,6 +570,7 @@
     for (std::size_t index = 1; index < statements.size(); ++index)
         connection.pending.push_back({expected_answer::setup, now});
     connection.pending.push_back({expected_answer::begin, now});
+    job.inFlight = pool.occupiedSlots() + pool.slotsOccupiedByOthers();
     m_outputs.push_back(send_to_member{connection.id, std::move(statements)});
 }
 
--- a/sycamorespan/src/Membership/fleet_messages.cpp
+++ b/sycamorespan/src/Membership/fleet_messages.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t maximumDepth = 8;
 
 /** Version of the layout of the reports; a report of another version is rejected. */
-constexpr int layoutVersion = 5;
+constexpr int layoutVersion = 4;
 
 json encodeOptionalTime(const std::optional<reference_time> &time)
 {
@@ -121,6 +121,7 @@
 constexpr double limitUnits = 10; ///< in a statement
 constexpr double slownessUnits = 100; ///< in a slowness of 1
 
+/** The capacity follows the fields that every instance reads; earlier releases ignore it. */
 json encodeLoad(const server_load_report &load)
 {
     auto fields = json::array({load.server.str(), load.runningStatements});
--- a/sycamorespan/src/Membership/fleet_messages.h
+++ b/sycamorespan/src/Membership/fleet_messages.h
@@ -41,8 +41,8 @@
 {
     server_id server;
     std::uint32_t runningStatements = 0;
-    /** What they have found of the server, if it is unusual. Sent in tenths of a statement and
-     * hundredths of a slowness.
+    /** What they have found of the server, if it or what they heard of it is unusual. Sent in
+     * tenths of a statement and hundredths of a slowness.
      */
     std::optional<member_capacity> capacity = std::nullopt;
 
--- a/sycamorespan/src/Pooling/member_limit.cpp
+++ b/sycamorespan/src/Pooling/member_limit.cpp
@@ -9,6 +9,8 @@
 
 constexpr double slownessSmoothing = 0.1;
 constexpr double lightTimeSmoothing = 0.05;
+/** For times under the load of other instances, while the own limit leaves no load to reduce. */
+constexpr double loadedLightTimeSmoothing = 0.01;
 constexpr double failureSmoothing = 0.1;
 /** Relative times outside of these bounds count as the bound. */
 constexpr double smallestRelativeTime = 0.05;
@@ -79,7 +81,10 @@
                && now - m_lastDecreaseAt >= m_policy.refusalPause) {
         m_lastDecreaseAt = now;
         m_windowCount = 0;
+        m_untimedCount = 0;
         setLimit(m_limit * m_policy.refusalFactor);
+    } else if (answered) {
+        addUntimed(inFlight);
     }
 }
 
@@ -103,6 +108,8 @@
         m_increase = 1;
     if (isLight)
         approach(m_lightTime, time, lightTimeSmoothing);
+    else if (m_limit <= std::max(m_slots / 2, 1.0))
+        approach(m_lightTime, time, loadedLightTimeSmoothing);
     if (m_windowCount == 0) {
         m_windowTimes = 0;
         m_windowInFlight = 0;
@@ -110,9 +117,8 @@
     ++m_windowCount;
     m_windowTimes += time;
     m_windowInFlight = std::max(m_windowInFlight, inFlight);
-    // At a small limit statements are few, and an error of the limit is small.
-    const auto size =
-            std::min(windowForEach * m_limit, static_cast<double>(m_policy.windowSamples));
+    m_untimedCount = 0;
+    const auto size = windowSize();
     const auto count = static_cast<double>(m_windowCount);
     const bool isClear =
             4 * count >= size && m_windowTimes / count - m_lightTime > std::log(clearRatio);
@@ -130,11 +136,36 @@
         setLimit(std::min(m_limit, m_windowInFlight) * gradient);
         m_increase = leastIncrease;
     } else if (m_windowInFlight >= m_limit / 2) {
-        setLimit(m_limit + m_increase);
-        m_increase = std::min(2 * m_increase, 1.0);
+        increase();
     }
 }
 
+/** Writes tell only by refusals that the member is full. */
+void member_limit::addUntimed(double inFlight)
+{
+    if (inFlight < m_limit / 2)
+        return;
+    ++m_untimedCount;
+    if (static_cast<double>(m_untimedCount) < windowSize())
+        return;
+    m_untimedCount = 0;
+    increase();
+}
+
+/** \returns the samples of a window. At a small limit statements are few, and an error of the limit
+ * is small.
+ */
+double member_limit::windowSize() const
+{
+    return std::min(windowForEach * m_limit, static_cast<double>(m_policy.windowSamples));
+}
+
+void member_limit::increase()
+{
+    setLimit(m_limit + m_increase);
+    m_increase = std::min(2 * m_increase, 1.0);
+}
+
 double member_limit::weight(time_point now) const
 {
     const auto age = std::max(toSeconds(now - m_lastSampleAt), 0.0);
@@ -165,6 +196,11 @@
            || m_failureShare > unusualFailureShare;
 }
 
+bool member_limit::isHeardUnusual() const
+{
+    return m_heard && (m_heard->slowness > unusualSlowness || m_heard->limit < m_slots);
+}
+
 bool member_limit::isProbeDue(std::size_t probers, time_point now) const
 {
     const auto pause = m_policy.probeInterval * static_cast<std::int64_t>(probers);
--- a/sycamorespan/src/Pooling/member_limit.h
+++ b/sycamorespan/src/Pooling/member_limit.h
@@ -29,7 +29,7 @@
  *
  * The limit falls with the ratio of times under load to times under little load, and with refusals
  * under load. It rises by up to one statement in each window in which it was used and times didn't
- * rise.
+ * rise, or in which all answers under load came without times.
  * Without samples nothing changes, except for the weight of the estimate beside those of others.
  */
 class member_limit
@@ -49,12 +49,16 @@
     member_capacity found(time_point now) const;
     /** \returns what this instance and others have found, weighted by their samples. */
     member_capacity capacity(time_point now) const;
+    /** \returns whether a statement has ended at the member, however long ago. */
+    bool hasSamples() const { return m_weight > 0; }
     /** \returns the share of statements that the member refused or failed. */
     double failureShare() const { return m_failureShare; }
     /** \returns the mean time that a failed statement lost. */
     double failureSeconds() const { return m_failureSeconds; }
     /** \returns whether the estimate differs enough from a usual member's to be reported. */
     bool isUnusual() const;
+    /** \returns whether others report so, which an own estimate then has to correct. */
+    bool isHeardUnusual() const;
     /** \returns whether the member is to be tried because it got no work for some time, or because
      * its last answer suggests that it has recovered.
      * \param probers  instances that may do so
@@ -71,6 +75,9 @@
     double largest() const;
     void setLimit(double limit);
     void addTime(double relativeTime, double inFlight);
+    void addUntimed(double inFlight);
+    double windowSize() const;
+    void increase();
     void closeWindow();
     double weight(time_point now) const;
 
@@ -88,6 +95,7 @@
     bool m_wasBetter = false; ///< the last answer came sooner than the slowness suggests
     double m_increase = 1; ///< of the limit in the next good window
     std::size_t m_windowCount = 0;
+    std::size_t m_untimedCount = 0; ///< answers under load since the last time, rise or refusal
     double m_windowTimes = 0; ///< sum of logarithms
     double m_windowInFlight = 0; ///< largest
     std::optional<member_capacity> m_heard;
--- a/test/dispatch_load.cpp
+++ b/test/dispatch_load.cpp
@@ -123,7 +123,8 @@
         route.priority = 0;
         directory->routes.emplace("order", route);
         if (m_pattern.streams.empty())
-            m_pattern.streams.push_back({.perSecond = pattern.readsPerSecond});
+            m_pattern.streams.push_back(
+                    {.perSecond = pattern.readsPerSecond, .until = pattern.length});
         for (const auto &each : m_pattern.streams) {
             directory->keyOwners.emplace(each.workspace, workspace_id(each.workspace));
             directory->workspaces[workspace_id(each.workspace)] = {100, 100};
--- a/test/pooling_member_limit.cpp
+++ b/test/pooling_member_limit.cpp
@@ -139,6 +139,47 @@
     EXPECT_GE(replay.limit(), slots);
 }
 
+/** Only writes run at a primary, and they give no times. */
+TEST(MemberLimit, ALimitThatRefusalsLoweredRisesWithAnswersThatGiveNoTimes)
+{
+    limit_replay replay;
+    for (int index = 0; index < 30; ++index) {
+        replay.subject.add({member_outcome::refused, std::nullopt, 2 * slots}, replay.now());
+        replay.pass(100ms);
+    }
+    EXPECT_LT(replay.limit(), 2);
+    replay.run(
+            [](std::size_t inFlight, double) {
+                return member_sample{member_outcome::answered, std::nullopt, inFlight};
+            },
+            1000);
+    EXPECT_GE(replay.limit(), slots);
+}
+
+/** Others' statements keep the member above half of its slots, and its times rose for good. */
+TEST(MemberLimit, ALimitThatFellUnderTheLoadOfOthersRisesWhenTimesStayAsTheyAre)
+{
+    limit_replay replay;
+    replay.run(usual, 500);
+    const auto loaded = [](std::size_t, double noise) {
+        return member_sample{member_outcome::answered, 4 * noise, slots};
+    };
+    replay.run(loaded, 200);
+    EXPECT_LT(replay.limit(), slots / 2);
+    replay.run(loaded, 2000);
+    EXPECT_GE(replay.limit(), slots);
+}
+
+TEST(MemberLimit, AnInstanceThatHearsAnUnusualMemberKnowsIt)
+{
+    limit_replay replay;
+    EXPECT_FALSE(replay.subject.isHeardUnusual());
+    replay.subject.hear(member_capacity{2 * slots, 5, 100});
+    EXPECT_TRUE(replay.subject.isHeardUnusual());
+    replay.subject.hear(member_capacity{2 * slots, 1, 100});
+    EXPECT_FALSE(replay.subject.isHeardUnusual()) << "otherwise reports would sustain themselves";
+}
+
 TEST(MemberLimit, AnIdleMemberIsNotForgottenAndIsProbed)
 {
     limit_replay replay;
