--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -109,6 +109,7 @@
     , m_guard(m_log, m_metrics)
     , m_rejectedEntries(m_log, m_metrics)
     , m_dispatcher(dispatchPolicy(m_settings), m_settings.dataCentre, m_startedAt)
+    , m_memberWatch(m_log, m_metrics)
     , m_roster(roster_policy{})
     , m_store(loop, m_settings.store, m_guard)
     , m_fleet(loop, m_self, m_store.clock(), m_log, m_metrics, m_guard,
@@ -478,12 +479,7 @@
     report.flags = ownFlags(now);
     m_operatorRows.addTo(report.news);
     report.news.serversRevision = m_serversRevision;
-    std::ranges::transform(m_dispatcher.memberLoads(), std::back_inserter(report.loads),
-                           [](const member_load &load) {
-                               return server_load_report{
-                                       load.server,
-                                       static_cast<std::uint32_t>(load.busyConnections)};
-                           });
+    report.loads = reportOf(m_dispatcher.memberLoads(now));
     return report;
 }
 
@@ -629,9 +625,7 @@
     if (m_views.hasReadRows())
         std::ranges::transform(holders, std::back_inserter(registered),
                                [](const auto &each) { return instance_id(each.holder.str()); });
-    std::ranges::for_each(m_serverEntries, [&](const server_entry &entry) {
-        m_dispatcher.setBusyConnectionsOfOthers(entry.id, table.statementsOfOthers(entry.id));
-    });
+    m_memberWatch.update(m_serverEntries, table, m_dispatcher, now);
     m_brokers.update(m_directory, table, m_stopRequestedAt.has_value(), now);
     m_dispatcher.setRegisteredInstances(m_self.instance, registered, now); // after the brokers
     const bool following = isFollower(now);
@@ -820,6 +814,7 @@
             {"member_connections", m_dispatcher.connectionCount()},
             {"supervisor", m_views.claim().holder.str()},
             {"fence", m_views.claim().fencingToken},
+            {"members", describe(m_dispatcher.memberCapacities(suspendAwareNow()))},
             {"views", views},
             {"live_instances", instances}};
 }
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -9,6 +9,7 @@
 #include "programs/node/document_fetcher.h"
 #include "programs/node/fleet_link.h"
 #include "programs/node/member_connections.h"
+#include "programs/node/member_watch.h"
 #include "programs/node/node_metrics.h"
 #include "programs/node/operator_rows.h"
 #include "programs/node/quota_gate.h"
@@ -113,6 +114,7 @@
     event_guard m_guard;
     rejected_entries m_rejectedEntries;
     dispatcher m_dispatcher;
+    member_watch m_memberWatch;
     server_roster m_roster;
     std::vector<server_entry> m_serverEntries; ///< entries of the roster, as applied
     store_client m_store;
