Records of a statement name its member, connection, setup and decisive answer

Change: "statement finished" and "statement repeated" carry the member and the connection of the last attempt, how many statements that set the connection up were sent and acknowledged, whether the statement itself was sent, its prepared name there and the member's error. Lost connections are logged with their number. No change of logic.

--- a/programs/node/member_connections.cpp
+++ b/programs/node/member_connections.cpp
@@ -47,6 +47,7 @@
         return;
     m_log.write(line_importance::failure, "connection to member lost",
                 {{"server", server.str()},
+                 {"connection", std::to_string(connection)},
                  {"error", end.refusal ? std::string(nameOf(*end.refusal)) : "closed"}},
                 suspendAwareNow());
     m_closed.push_back(std::move(found->second));
@@ -79,7 +80,9 @@
                                                             action.server, handlers, &m_intake));
     } catch (const error &failure) {
         m_log.write(line_importance::failure, "opening a connection to a member failed",
-                    {{"server", action.server.str()}, {"error", failure.what()}},
+                    {{"server", action.server.str()},
+                     {"connection", std::to_string(connection)},
+                     {"error", failure.what()}},
                     suspendAwareNow());
         reportLoss(connection, {});
     }
--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -21,6 +21,20 @@
     auto operator<=>(const prepared_statement &) const = default;
 };
 
+/** \brief The last attempt to run a statement, for logs. */
+struct statement_attempt
+{
+    server_id server;
+    connection_id connection = 0;
+    std::size_t setupStatements = 0; ///< sent to prepare the connection for the statement
+    std::size_t setupAcknowledged = 0;
+    bool wasSent = false; ///< the statement itself was sent
+    std::string preparedName; ///< that it executes on the connection, if any
+    std::string answer; ///< error of the member that ended the attempt
+
+    auto operator<=>(const statement_attempt &) const = default;
+};
+
 /** \brief The statement of a session that is being processed, from its arrival to its answer. */
 struct statement_job
 {
@@ -55,6 +69,7 @@
     std::uint64_t handOver = 0; ///< number with which it was handed over last; 0: never
     instance_id broker; ///< to which it was handed over last
     bool avoidsBroker = false; ///< it runs on connections of this instance
+    statement_attempt lastAttempt;
 };
 
 /** \brief What the session of another instance's operation serves. */
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -483,6 +483,8 @@
                    const statement_answer &answer, time_point now);
     void onFailure(caller &from, member_pool &pool, member_connection &connection,
                    const statement_answer &answer, time_point now);
+    void recordAnswerOfAttempt(const member_connection &connection, expected_answer kind,
+                               const statement_answer &answer);
     void onBeginRejected(caller &from, member_pool &pool, member_connection &connection,
                          const rejected &why, time_point now);
     void recordTime(const caller &from, member_pool &pool, time_point now);
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -85,6 +85,7 @@
     ++job.attempts;
     job.handOver = ++m_lastHandOver;
     job.broker = from.broker;
+    job.lastAttempt = {};
     brokered_statement statement;
     statement.operation = from.handedOver;
     statement.number = job.handOver;
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -35,6 +35,23 @@
 /** Workspace of callers of open routes whose key belongs to no workspace. */
 const workspace_id anonymousWorkspace("-");
 
+/** \returns the fields of log lines that tell what a member was sent and what it answered. */
+std::vector<std::pair<std::string, std::string>> describe(const internal::statement_attempt &attempt)
+{
+    if (attempt.connection == 0)
+        return {};
+    std::vector<std::pair<std::string, std::string>> fields{
+            {"connection", std::to_string(attempt.connection)},
+            {"setup_sent", std::to_string(attempt.setupStatements)},
+            {"setup_acknowledged", std::to_string(attempt.setupAcknowledged)},
+            {"was_sent", attempt.wasSent ? "true" : "false"}};
+    if (!attempt.preparedName.empty())
+        fields.emplace_back("prepared", attempt.preparedName);
+    if (!attempt.answer.empty())
+        fields.emplace_back("answer", attempt.answer);
+    return fields;
+}
+
 } // namespace
 
 dispatcher::caller *dispatcher::findCaller(session_number session)
@@ -608,9 +625,11 @@
     entry.workspace = from.workspace;
     entry.outcome = std::move(outcome);
     entry.cause = std::move(cause);
-    entry.server = server;
-    if (server.empty())
+    const auto &attempt = ended.lastAttempt;
+    entry.server = server.empty() ? attempt.server : server;
+    if (entry.server.empty())
         entry.broker = ended.broker;
+    entry.inputs = describe(attempt);
     if (from.served)
         entry.servedFor = from.served->instance;
     entry.latency = now - ended.arrivedAt;
@@ -659,12 +678,15 @@
 {
     const auto &of = *from.job;
     const bool ranAtBroker = server.empty() && !of.broker.empty();
-    m_outputs.push_back(record_step{
+    record_step entry{
             of.request.id,
             std::move(step),
             {{ranAtBroker ? "broker" : "server", ranAtBroker ? of.broker.str() : server.str()},
              {"reason", std::string(why)},
-             {"attempts", std::to_string(of.attempts)}}});
+             {"attempts", std::to_string(of.attempts)}}};
+    if (!ranAtBroker)
+        std::ranges::move(describe(of.lastAttempt), std::back_inserter(entry.inputs));
+    m_outputs.push_back(std::move(entry));
 }
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -25,6 +25,13 @@
     return code < statement_error::failed;
 }
 
+/** \returns the error of a member, with its text. */
+std::string describe(const rejected &error)
+{
+    std::string result(nameOf(error.code));
+    return error.text.empty() ? result : result + ": " + error.text;
+}
+
 /** \returns whether the statement may run again on another connection. The first statement of a
  * transaction may, together with its BEGIN. A later statement may not, because the transaction is
  * open on one connection only.
@@ -183,6 +190,7 @@
     }
     const auto expected = to->pending.front();
     to->pending.pop_front();
+    recordAnswerOfAttempt(*to, expected.kind, answer);
     switch (expected.kind) {
     case expected_answer::setup:
         if (!answer.succeeded()) {
@@ -213,6 +221,20 @@
     return takeOutputs();
 }
 
+/** Records the answer in the last attempt of the statement to which it belongs. */
+void dispatcher::recordAnswerOfAttempt(const member_connection &connection, expected_answer kind,
+                                       const statement_answer &answer)
+{
+    auto *from = findCaller(connection.session);
+    if (!from || from->boundConnection != connection.id || !from->job)
+        return;
+    auto &attempt = from->job->lastAttempt;
+    if (const auto *error = std::get_if<rejected>(&answer.result))
+        attempt.answer = describe(*error);
+    else if (kind == expected_answer::setup)
+        ++attempt.setupAcknowledged;
+}
+
 void dispatcher::onBeginRejected(caller &from, member_pool &pool, member_connection &connection,
                                  const rejected &why, time_point now)
 {
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -562,6 +562,7 @@
     pool.limit().recordSent(now);
     charge(from);
     auto statements = setupStatements(from, connection, now);
+    job.lastAttempt = {pool.entry().id, connection.id, statements.size(), 0, false, {}, {}};
     const std::size_t own = job.startsTransaction ? 2 : 1; // BEGIN counts
     m_access.onSent(pool.entry().id, statements.size() + own, now);
     if (!job.startsTransaction)
@@ -596,6 +597,7 @@
     }
     connection->since = now;
     auto setup = setupStatements(from, *connection, now);
+    job.lastAttempt = {pool->entry().id, connection->id, setup.size(), 0, false, {}, {}};
     m_access.onSent(pool->entry().id, setup.size(), now);
     sendStatement(from, *connection, std::move(setup), now);
 }
@@ -637,10 +639,11 @@
 {
     auto &job = *from.job;
     const auto floor = from.state == session_state::inTransaction ? std::nullopt : job.floor;
+    job.lastAttempt.wasSent = true;
     if (const auto *execute = executeOf(job)) {
-        before.emplace_back(member_statement::execute{
-                job.request.id, memberPreparedName(from.prepared.at(execute->name)),
-                execute->arguments, floor});
+        job.lastAttempt.preparedName = memberPreparedName(from.prepared.at(execute->name));
+        before.emplace_back(member_statement::execute{job.request.id, job.lastAttempt.preparedName,
+                                                      execute->arguments, floor});
     } else {
         before.emplace_back(member_statement::forward{job.request.id, job.request.text, floor});
     }
