Prepared statements get a name on their connection that holds no text of theirs

A shape of 900,000 bytes made a line beyond 1 MiB.

Cause: the name was `r` or `w` followed by the shape. A shape is the last field of its line and may hold blanks, a name may not: with the shape `q14 WRITE in` the member read the name `wq14` and the shape `in WRITE q14 WRITE in`.

Change: connection_setup holds the values and prepared statements of a connection, and names the latter itself, with one byte. A renamed statement is not longer than its caller's own.

Why it holds: no text of a caller becomes part of a name any more, and statements of different access or shape never share one.

--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -12,15 +12,6 @@
 
 namespace sycamorespan::internal {
 
-/** \brief A statement that the caller prepared, by its access and shape. */
-struct prepared_statement
-{
-    statement_access access = statement_access::read;
-    std::string statementShape;
-
-    auto operator<=>(const prepared_statement &) const = default;
-};
-
 /** \brief The last attempt to run a statement, for logs. */
 struct statement_attempt
 {
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -438,7 +438,6 @@
     void updatePrimaryOnlyWork(database_state &group) const;
     bool sendOnIdleConnection(caller &from, const candidate &chosen, time_point now);
     bool openConnectionFor(caller &from, const candidate &chosen, time_point now);
-    std::string preparedNameFor(const caller &from) const;
     void bindAndSend(caller &from, member_pool &pool, member_connection &connection,
                      std::optional<log_position> floor, time_point now);
     void send(caller &from, member_connection &connection, bool withBegin, time_point now);
@@ -485,6 +484,7 @@
                    const statement_answer &answer, time_point now);
     void recordAnswerOfAttempt(const member_connection &connection, expected_answer kind,
                                const statement_answer &answer);
+    void makeIdle(member_connection &connection, time_point now);
     void onBeginRejected(caller &from, member_pool &pool, member_connection &connection,
                          const rejected &why, time_point now);
     void recordTime(const caller &from, member_pool &pool, time_point now);
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -36,7 +36,8 @@
 const workspace_id anonymousWorkspace("-");
 
 /** \returns the fields of log lines that tell what a member was sent and what it answered. */
-std::vector<std::pair<std::string, std::string>> describe(const internal::statement_attempt &attempt)
+std::vector<std::pair<std::string, std::string>>
+describe(const internal::statement_attempt &attempt)
 {
     if (attempt.connection == 0)
         return {};
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -240,13 +240,20 @@
 {
     const auto server = pool.entry().id;
     recordRefusal(from, pool, why.code, now);
-    connection.state = member_connection::phase::idle;
-    connection.since = now;
-    connection.session = 0;
+    makeIdle(connection, now);
     unbind(from);
     retryOrReject(from, server, why, false, now);
 }
 
+/** Makes a connection without an open transaction available to other sessions. */
+void dispatcher::makeIdle(member_connection &connection, time_point now)
+{
+    connection.session = 0;
+    connection.state = member_connection::phase::idle;
+    connection.since = now;
+    connection.setup.limitSize();
+}
+
 /** Updates the state of the member from an error that it returned. */
 void dispatcher::recordRefusal(const caller &from, member_pool &pool, statement_error code,
                                time_point now)
@@ -357,9 +364,7 @@
     from.state = answer.state;
     if (from.state == session_state::idle) {
         unbind(from);
-        connection.session = 0;
-        connection.state = member_connection::phase::idle;
-        connection.since = now;
+        makeIdle(connection, now);
         releaseAdmission(from);
         from.hasWritten = false;
         from.readOnly = false;
@@ -396,12 +401,10 @@
         return;
     }
     if (why.code == statement_error::unknownPrepared)
-        connection.prepared.clear();
+        connection.setup.forget();
     unbind(from);
     if (answer.state == session_state::idle) {
-        connection.session = 0;
-        connection.state = member_connection::phase::idle;
-        connection.since = now;
+        makeIdle(connection, now);
     } else {
         rollBack(pool, connection, now);
     }
@@ -456,8 +459,7 @@
 {
     if (answer.state != session_state::idle)
         return closeConnection(pool, connection.id, now);
-    connection.state = member_connection::phase::idle;
-    connection.since = now;
+    makeIdle(connection, now);
     dispatchQueue(stateOf(pool.entry().database), now);
 }
 
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -46,9 +46,9 @@
     }
 };
 
-std::string memberPreparedName(const internal::prepared_statement &statement)
+outgoing_statement toOutgoing(const setup_statement &statement)
 {
-    return (statement.access == statement_access::write ? 'w' : 'r') + statement.statementShape;
+    return std::visit([](const auto &each) { return outgoing_statement(each); }, statement);
 }
 
 const caller_statement::execute *executeOf(const statement_job &job)
@@ -56,6 +56,13 @@
     return std::get_if<caller_statement::execute>(&job.request.parsed);
 }
 
+/** \returns the prepared statement that the session executes; null if it executes none. */
+const prepared_statement *preparedOf(const internal::caller_state &from)
+{
+    const auto *execute = executeOf(*from.job);
+    return execute ? &from.prepared.at(execute->name) : nullptr;
+}
+
 /** Weight of one tick in the mean number of statements that only the primary can run. */
 constexpr double primaryOnlyWorkSmoothing = 0.02;
 
@@ -383,8 +390,7 @@
         hasUsual = hasUsual || !isReturning;
         if (!hasRoom(pool, from, now))
             return;
-        const bool isIdle =
-                pool.findIdleConnection(from.workspace, from.values, preparedNameFor(from));
+        const bool isIdle = pool.findIdleConnection(from.workspace, from.values, preparedOf(from));
         double score = scoreOf(pool, from, usualFailures, !isIdle, now);
         if (from.job->excluded.contains(pool.entry().id))
             score += toSeconds(1s);
@@ -474,19 +480,12 @@
     });
 }
 
-std::string dispatcher::preparedNameFor(const caller &from) const
-{
-    const auto *execute = executeOf(*from.job);
-    return execute ? memberPreparedName(from.prepared.at(execute->name)) : std::string();
-}
-
 /** Sends the statement on an idle connection to the candidate, if there is one.
  * \returns whether it was sent
  */
 bool dispatcher::sendOnIdleConnection(caller &from, const candidate &chosen, time_point now)
 {
-    auto *idle =
-            chosen.pool->findIdleConnection(from.workspace, from.values, preparedNameFor(from));
+    auto *idle = chosen.pool->findIdleConnection(from.workspace, from.values, preparedOf(from));
     if (!idle)
         return false;
     bindAndSend(from, *chosen.pool, *idle, chosen.floor, now);
@@ -609,28 +608,11 @@
 dispatcher::setupStatements(const caller &from, member_connection &connection, time_point) const
 {
     std::vector<outgoing_statement> statements;
-    const bool discards = std::ranges::any_of(connection.values, [&](const auto &value) {
-        return !from.values.contains(value.first);
+    const auto setup = connection.setup.statementsFor(from.values, preparedOf(from));
+    std::ranges::for_each(setup, [&](const setup_statement &each) {
+        connection.setup.apply(each);
+        statements.push_back(toOutgoing(each));
     });
-    if (discards) {
-        statements.emplace_back(member_statement::discard{});
-        connection.values.clear();
-        connection.prepared.clear();
-    }
-    for (const auto &[name, value] : from.values) {
-        const auto held = connection.values.find(name);
-        if (held != connection.values.end() && held->second == value)
-            continue;
-        statements.emplace_back(member_statement::set_value{name, value});
-        connection.values[name] = value;
-    }
-    if (const auto *execute = executeOf(*from.job)) {
-        const auto &prepared = from.prepared.at(execute->name);
-        const auto name = memberPreparedName(prepared);
-        if (connection.prepared.insert(name).second)
-            statements.emplace_back(
-                    member_statement::prepare{name, prepared.access, prepared.statementShape});
-    }
     return statements;
 }
 
@@ -641,7 +623,7 @@
     const auto floor = from.state == session_state::inTransaction ? std::nullopt : job.floor;
     job.lastAttempt.wasSent = true;
     if (const auto *execute = executeOf(job)) {
-        job.lastAttempt.preparedName = memberPreparedName(from.prepared.at(execute->name));
+        job.lastAttempt.preparedName = connection.setup.use(*preparedOf(from));
         before.emplace_back(member_statement::execute{job.request.id, job.lastAttempt.preparedName,
                                                       execute->arguments, floor});
     } else {
--- a/sycamorespan/src/Dispatch/member_pool.cpp
+++ b/sycamorespan/src/Dispatch/member_pool.cpp
@@ -24,29 +24,8 @@
  */
 constexpr duration connectionLimitGrowthInterval = 200ms;
 
-bool needsDiscard(const session_values &held, const session_values &wanted)
-{
-    return std::ranges::any_of(held,
-                               [&](const auto &value) { return !wanted.contains(value.first); });
-}
-
 } // namespace
 
-std::size_t setupCost(const member_connection &connection, const session_values &values,
-                      const std::string &preparedName)
-{
-    const bool prepares = !preparedName.empty();
-    if (needsDiscard(connection.values, values))
-        return 1 + values.size() + (prepares ? 1 : 0);
-    const auto differs = [&](const auto &value) {
-        const auto held = connection.values.find(value.first);
-        return held == connection.values.end() || held->second != value.second;
-    };
-    const auto settings = std::ranges::count_if(values, differs);
-    const bool missing = prepares && !connection.prepared.contains(preparedName);
-    return static_cast<std::size_t>(settings) + (missing ? 1 : 0);
-}
-
 member_pool::member_pool(server_entry entry)
     : m_entry(std::move(entry))
     , m_limit(m_entry.slots)
@@ -60,14 +39,14 @@
 
 member_connection *member_pool::findIdleConnection(const workspace_id &workspace,
                                                    const session_values &values,
-                                                   const std::string &preparedName)
+                                                   const prepared_statement *executed)
 {
     member_connection *best = nullptr;
     std::size_t bestCost = 0;
     for (auto &[key, each] : m_connections) {
         if (each.state != member_connection::phase::idle || each.workspace != workspace)
             continue;
-        const auto cost = setupCost(each, values, preparedName);
+        const auto cost = each.setup.costFor(values, executed);
         if (best && cost >= bestCost)
             continue;
         best = &each;
--- a/sycamorespan/src/Dispatch/member_pool.h
+++ b/sycamorespan/src/Dispatch/member_pool.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMORESPAN_DISPATCH_MEMBER_POOL_H
 #define SYCAMORESPAN_DISPATCH_MEMBER_POOL_H
 
+#include "sycamorespan/src/Dispatch/connection_setup.h"
 #include "sycamorespan/src/Dispatch/dispatch_action.h"
 #include "sycamorespan/src/Membership/server_entry.h"
 #include "sycamorespan/src/Pooling/member_limit.h"
@@ -8,14 +9,10 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace sycamorespan {
 
-/** \brief Values that a session has set, by name. */
-using session_values = std::map<std::string, std::string>;
-
 /** \brief The kind of statement to which the next answer of a member belongs. */
 enum class expected_answer { setup, begin, statement, rollback };
 
@@ -37,8 +34,7 @@
     workspace_id workspace;
     phase state = phase::opening;
     time_point since; ///< when the phase began
-    session_values values; ///< session values set on the connection
-    std::set<std::string> prepared; ///< names of its prepared statements, derived from their shapes
+    connection_setup setup; ///< what it holds for the sessions that it serves
     std::deque<pending_answer> pending; ///< in the order of their statements
     session_number session = 0; ///< session to which it is bound
     bool requiresPrimary = false; ///< its work may run only on the primary
@@ -54,11 +50,11 @@
     void setEntry(server_entry entry);
 
     /** \returns the idle connection of \a workspace that needs the fewest statements to hold
-     * \a values and \a preparedName; nullptr if none is idle.
+     * \a values and to have prepared \a executed, which may be null; nullptr if none is idle.
      */
     member_connection *findIdleConnection(const workspace_id &workspace,
                                           const session_values &values,
-                                          const std::string &preparedName);
+                                          const prepared_statement *executed);
 
     /** \returns the connection of another workspace that has been idle longest, and at least for
      * \a leastIdle; nullptr if there is none.
@@ -160,12 +156,6 @@
     std::optional<time_point> m_drainingSince;
 };
 
-/** \returns the number of statements that give \a connection the session's \a values and prepare
- * \a preparedName on it. Discarding values also discards the prepared statements.
- */
-std::size_t setupCost(const member_connection &connection, const session_values &values,
-                      const std::string &preparedName);
-
 } // namespace sycamorespan
 
 #endif
--- a/sycamorespan/src/Dispatch/statement.h
+++ b/sycamorespan/src/Dispatch/statement.h
@@ -159,6 +159,14 @@
     auto operator<=>(const prepare &) const = default;
 };
 
+/** \brief Drops a prepared statement of the connection. */
+struct deallocate
+{
+    std::string name;
+
+    auto operator<=>(const deallocate &) const = default;
+};
+
 /** \brief Discards the values and prepared statements of the connection. */
 struct discard
 {
@@ -197,9 +205,9 @@
 using outgoing_statement =
         std::variant<member_statement::forward, member_statement::execute, member_statement::begin,
                      member_statement::rollback, member_statement::set_value,
-                     member_statement::prepare, member_statement::discard, member_statement::status,
-                     member_statement::pause, member_statement::resume,
-                     member_statement::step_down>;
+                     member_statement::prepare, member_statement::deallocate,
+                     member_statement::discard, member_statement::status, member_statement::pause,
+                     member_statement::resume, member_statement::step_down>;
 
 /** \brief State of a session between two statements. */
 enum class session_state { idle, inTransaction, failedTransaction };
