A read that leaves no room for a required position runs at the primary

What callers saw: a legal read of nearly 1 MiB on a route that allows replicas became a line beyond the limit of 1 MiB, as `AFTER` and the position are put in front of it; a member may refuse it or close the connection.

Cause: the encoder adds the position to any read, whatever its length.

Change: a read whose id and text exceed 1 MiB less 128 bytes needs the primary, which runs it without a position. In a transaction BEGIN carries the position, so that its reads are not concerned.

Evidence: with a floor, DispatchLegalTexts.TheLongestStatementsStayWithin- TheLimitOfALine failed before (two lines of 1,048,587 bytes) and passes.

--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -89,6 +89,10 @@
     duration expectedStartupTime = 500ms;
     /** Time after the start of the instance for which statements wait for a first primary view. */
     duration startupTimeout = 1500ms;
+    /** Bytes of id and text up to which a read may be sent with a required position, so that it is
+     * not longer than the protocol allows. Longer ones run at the primary, without it.
+     */
+    std::size_t maximumPositionedBytes = (std::size_t{1} << 20) - 128;
     /** Relative random variation of scores, so that instances do not all choose the same member. */
     double scoreJitter = 0.2;
     /** Connections of each member's limit that are reserved for supervision. */
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -35,6 +35,13 @@
 /** Workspace of callers of open routes whose key belongs to no workspace. */
 const workspace_id anonymousWorkspace("-");
 
+/** \returns the size of a statement's text, without the name of a prepared statement. */
+std::size_t textBytes(const caller_request &request)
+{
+    const auto *execute = std::get_if<caller_statement::execute>(&request.parsed);
+    return execute ? execute->arguments.size() : request.text.size();
+}
+
 /** \returns the fields of log lines that tell what a member was sent and what it answered. */
 std::vector<std::pair<std::string, std::string>>
 describe(const internal::statement_attempt &attempt)
@@ -318,8 +325,11 @@
     started.access = access;
     started.isCommit = isCommit;
     started.startsTransaction = inTransaction && from.boundConnection == 0 && from.broker.empty();
-    started.needsPrimary = access == statement_access::write || (inTransaction && !from.readOnly)
-                           || from.route.reads == consistency::latest || !from.route.maxStaleness;
+    started.needsPrimary =
+            access == statement_access::write || (inTransaction && !from.readOnly)
+            || from.route.reads == consistency::latest || !from.route.maxStaleness
+            || (!inTransaction
+                && request.id.size() + textBytes(request) > m_policy.maximumPositionedBytes);
     started.arrivedAt = now;
     started.queuedSince = now;
     started.deadline = now + from.route.statementTimeout;
--- a/test/dispatch_legal_texts.cpp
+++ b/test/dispatch_legal_texts.cpp
@@ -24,7 +24,9 @@
     }));
 }
 
-/** Guards against lines that grow beyond the protocol's limit where a statement is renamed. */
+/** Guards against lines that grow beyond the protocol's limit where a statement is renamed, or a
+ * position is required.
+ */
 TEST(DispatchLegalTexts, TheLongestStatementsStayWithinTheLimitOfALine)
 {
     const auto longest = [](std::string front) {
@@ -35,6 +37,7 @@
     for (const std::string text :
          {"READ x", "WRITE x ", "SET v ", "PREPARE s READ ", "PREPARE s WRITE q ", "EXECUTE s x"}) {
         dispatch_harness harness(consistency::boundedStaleness);
+        harness.subject.addFloor(harness.database, {{1, 7}, harness.now}, harness.now);
         harness.connect(1);
         harness.request(1, "PREPARE s READ q 1");
         harness.request(1, longest(text));
