Repeats: a malformed statement ends, and a member that refuses again gets a pause

Cause: every refusal that promises that nothing ran was repeated, and only BUSY was followed by a pause. A member that had refused a statement was chosen again at once when all others had refused it too.

Change: MALFORMED and OVERSIZE are answered to the caller; a further refusal by a member that has refused the statement before is followed by the delay for a busy member.

Evidence: DispatchReads.AMemberThatRefusesAgainGetsAPauseBeforeTheNextRepeat failed before (8 attempts at once, then ABORTED) and passes; AStatementThatAMemberFindsMalformedIsNotRepeated is new and failed too.

--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -168,7 +168,8 @@
     const auto least = fromSeconds(meanStatementTime(from) / 2);
     const bool isBusy = why.code == statement_error::busy;
     const bool isLagging = why.code == statement_error::lagging;
-    const auto refusalDelay = isBusy ? m_policy.busyRetryDelay : duration::zero();
+    const bool isRefusedAgain = job.excluded.contains(server);
+    const auto refusalDelay = isBusy || isRefusedAgain ? m_policy.busyRetryDelay : duration::zero();
     if (isLagging)
         ++job.lagRefusals;
     if (job.attempts - job.lagRefusals >= m_policy.maximumAttempts
@@ -508,7 +509,8 @@
         connection.setup.forget();
     unbind(from);
     release(pool, connection, answer.state, now);
-    const bool repeats = isRetryable(from) || (!inTransaction && !ran);
+    const bool repeats =
+            (isRetryable(from) || (!inTransaction && !ran)) && isWorthRepeating(why.code);
     if (repeats)
         return retryOrReject(from, server, why, ran, now);
     const auto text = why.text.empty() ? std::string(nameOf(why.code)) : why.text;
--- a/test/dispatch_reads.cpp
+++ b/test/dispatch_reads.cpp
@@ -414,4 +414,35 @@
     EXPECT_EQ(harness.subject.sessionCount(), 0U);
 }
 
+/** Guards against repeats that follow each other without a pause at members which have refused the
+ * statement before.
+ */
+TEST(DispatchReads, AMemberThatRefusesAgainGetsAPauseBeforeTheNextRepeat)
+{
+    dispatch_harness harness(consistency::boundedStaleness);
+    harness.connect(1);
+    harness.subject.addFloor(harness.database, {{1, 7}, harness.now}, harness.now);
+    harness.request(1, "READ x");
+    std::size_t refused = 0;
+    while (refused < harness.sentCount() && refused < 100) {
+        ++refused;
+        harness.refuse(harness.lastSent().connection, statement_error::readOnly);
+    }
+    EXPECT_LE(refused, harness.servers.size() + 1);
+    EXPECT_EQ(harness.replyCount(), 0U);
+    harness.advance(40ms);
+    EXPECT_GT(harness.sentCount(), refused);
+}
+
+TEST(DispatchReads, AStatementThatAMemberFindsMalformedIsNotRepeated)
+{
+    dispatch_harness harness(consistency::boundedStaleness);
+    harness.connect(1);
+    harness.request(1, "READ x");
+    harness.refuse(harness.lastSent().connection, statement_error::malformed);
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::malformed);
+    harness.advance(200ms);
+    EXPECT_EQ(harness.sentCount(), 1U);
+}
+
 } // namespace
