--- a/test/dispatch_reads.cpp
+++ b/test/dispatch_reads.cpp
@@ -440,6 +440,7 @@
     harness.connect(1);
     harness.request(1, "READ x");
     harness.refuse(harness.lastSent().connection, statement_error::malformed);
+    ASSERT_EQ(harness.replyCount(), 1U);
     EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::malformed);
     harness.advance(200ms);
     EXPECT_EQ(harness.sentCount(), 1U);
