A statement whose setup is answered too late does not reach an evacuated data centre

What callers saw: nothing directly. A member of a data centre that is to get nothing any more got a statement, after evacuate_ms where its answer to SET or BEGIN took long.

Cause: sendOnBound() and placement check the evacuation before a connection is prepared; the statement follows a round trip later, and only the primary was checked there. endEvacuatedWork() leaves connections with an unanswered statement alone, and setup counts as one.

Evidence: the two tests fail on (a second line is sent) and pass.

Why it holds: the last acknowledgement is the only place from which a prepared statement is sent, and it asks again whether it may be.

--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -490,6 +490,8 @@
                          const statement_answer &answer);
     void finishSetup(member_pool &pool, member_connection &connection, const statement_answer &last,
                      time_point now);
+    std::string_view reasonNotToSend(const caller &from, const member_pool &pool,
+                                     const member_connection &connection, time_point now) const;
     void onConnectionPrepared(caller &from, member_pool &pool, member_connection &connection,
                               session_state state, time_point now);
     void onSetupRefused(caller &from, member_pool &pool, member_connection &connection,
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -282,22 +282,36 @@
         onConnectionPrepared(*from, pool, connection, last.state, now);
 }
 
-/** Sends the statement for which the connection has been prepared, unless its caller has left or
- * the primary is being changed.
+/** \returns why a prepared connection may not get its statement any more; empty if it may. */
+std::string_view dispatcher::reasonNotToSend(const caller &from, const member_pool &pool,
+                                             const member_connection &connection,
+                                             time_point now) const
+{
+    const auto &server = pool.entry().id;
+    const auto &database = m_databases.at(from.route.database);
+    if (from.isDisconnected)
+        return "the caller has left";
+    if (connection.requiresPrimary
+        && !(isPrimaryViewValid(database, now) && isPrimary(database, server)))
+        return "the primary is being changed";
+    if (m_access.isEvacuated(server, now))
+        return "the data centre of the member is evacuated";
+    return {};
+}
+
+/** Sends the statement for which the connection has been prepared, if its caller still waits for
+ * it and the member may still get it.
  */
 void dispatcher::onConnectionPrepared(caller &from, member_pool &pool,
                                       member_connection &connection, session_state state,
                                       time_point now)
 {
-    const auto &database = group(from);
-    const bool hasLostPrimary =
-            connection.requiresPrimary
-            && !(isPrimaryViewValid(database, now) && isPrimary(database, pool.entry().id));
-    if (!from.isDisconnected && !hasLostPrimary)
+    const auto reason = reasonNotToSend(from, pool, connection, now);
+    if (reason.empty())
         return sendStatement(from, connection, now);
     const auto server = pool.entry().id;
     release(pool, connection, state, now);
-    onConnectionLost(from, server, "the primary is being changed", now);
+    onConnectionLost(from, server, reason, now);
 }
 
 /** Handles a setup that the member refused, so that the statement has not been sent. */
--- a/test/evacuation.cpp
+++ b/test/evacuation.cpp
@@ -236,6 +236,41 @@
     EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::busy);
 }
 
+TEST(Evacuation, AStatementWhoseSetupIsAnsweredTooLateIsNotSentToTheMember)
+{
+    access_harness harness(consistency::latest);
+    harness.connect(1);
+    harness.request(1, "SET v 1");
+    harness.evacuate(a, true);
+    harness.advance(timeout / 2 - 200ms);
+    harness.request(1, "WRITE x 1");
+    const auto connection = harness.lastSent().connection;
+    const auto sent = harness.sentCount();
+    harness.advance(220ms);
+    harness.answer(connection);
+    harness.advance(1s);
+    EXPECT_EQ(harness.sentCount(), sent);
+    EXPECT_EQ(harness.replyCount(), 2U);
+    EXPECT_NE(dispatch_harness::codeOf(harness.lastReply()), statement_error::inDoubt);
+}
+
+TEST(Evacuation, ATransactionWhoseBeginIsAnsweredTooLateIsClosedWithoutAStatementToTheMember)
+{
+    access_harness harness(consistency::latest);
+    harness.connect(1);
+    harness.evacuate(a, true);
+    harness.advance(timeout / 2 - 200ms);
+    harness.request(1, "BEGIN");
+    harness.request(1, "WRITE x 1");
+    const auto connection = harness.lastSent().connection;
+    const auto sent = harness.sentCount();
+    harness.advance(220ms);
+    harness.answer(connection, session_state::inTransaction);
+    EXPECT_EQ(harness.sentCount(), sent);
+    ASSERT_EQ(harness.outputsOf<dispatch_action::close_member>().size(), 1U);
+    EXPECT_EQ(harness.outputsOf<dispatch_action::close_member>().back().connection, connection);
+}
+
 TEST(Evacuation, ItsTimeDoesNotBeginAgainForMembersThatRestartOrJoin)
 {
     access_harness harness(consistency::latest);
