A COMMIT that is not sent for want of a primary is answered as aborted

What callers saw: INDOUBT for a COMMIT that no member was sent, so that the operation is not repeated.

Cause: sendOnBound() enters the stage `running` before it checks the view of the primary, and onConnectionLost() takes a statement in that stage for one that has been sent.

Why it holds: on a bound connection sendStatement() alone enters the stage `running`.

--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -572,7 +572,7 @@
     if (isHeldBack(from, *pool, *connection, now))
         return;
     auto &job = *from.job;
-    if (std::exchange(job.currentStage, job_stage::running) == job_stage::held)
+    if (std::exchange(job.currentStage, job_stage::preparing) == job_stage::held)
         job.queueTime += now - job.queuedSince;
     ++job.attempts;
     if (connection->requiresPrimary && !isPrimaryViewValid(group(from), now)) {
--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -112,6 +112,17 @@
     EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
 }
 
+TEST(DispatchSetupRefusals, ACommitThatIsNotSentWithoutAPrimaryIsAborted)
+{
+    dispatch_harness harness;
+    harness.openTransaction("WRITE x 1");
+    harness.collect(harness.subject.setPrimary(harness.database, std::nullopt, harness.now));
+    const auto sent = harness.sentCount();
+    harness.request(1, "COMMIT");
+    EXPECT_EQ(harness.sentCount(), sent);
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+}
+
 TEST(DispatchSetupRefusals, TheStatementOfACallerThatLeftMeanwhileIsNotSent)
 {
     dispatch_harness harness;
