An operation whose setup is answered too late does not begin at a draining member

With the statement timeouts of 3 s of the users' sites, the first statement of an operation could reach a primary up to 8.25 s after it was known to be draining (limit 7 s).

Cause: placement checks the drain period before the connection is prepared; the statement follows when the setup has been acknowledged.

A transaction that is open still ends there (second test, passes before and after).

--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -296,6 +296,10 @@
         return "the primary is being changed";
     if (m_access.isEvacuated(server, now))
         return "the data centre of the member is evacuated";
+    const bool continues =
+            from.state == session_state::inTransaction && !from.job->startsTransaction;
+    if (!continues && isPastDrainPeriod(pool, now))
+        return "the member is draining";
     return {};
 }
 
--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -156,6 +156,35 @@
     EXPECT_TRUE(isOnly<member_statement::set_value>(harness.lastSent()));
 }
 
+TEST(DispatchSetupRefusals, AnOperationWhoseSetupOutlastsTheDrainPeriodOfItsMemberIsNotSentThere)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    harness.request(1, "SET v 1");
+    harness.servers.front().state = server_state::draining;
+    harness.collect(harness.subject.setServers(harness.servers, harness.now));
+    harness.advance(dispatch_policy().drainingPrimaryUsePeriod - 200ms);
+    harness.request(1, "WRITE x 1");
+    const auto connection = harness.lastSent().connection;
+    const auto sent = harness.sentCount();
+    harness.advance(400ms);
+    harness.answer(connection);
+    EXPECT_EQ(harness.sentCount(), sent);
+}
+
+TEST(DispatchSetupRefusals, AnOpenTransactionMayEndAtADrainingMember)
+{
+    dispatch_harness harness;
+    const auto connection = harness.openTransaction("WRITE x 1");
+    harness.servers.front().state = server_state::draining;
+    harness.collect(harness.subject.setServers(harness.servers, harness.now));
+    harness.now += dispatch_policy().drainingPrimaryUsePeriod + 100ms;
+    harness.request(1, "SET v 1");
+    harness.request(1, "COMMIT");
+    harness.answer(connection, session_state::inTransaction);
+    EXPECT_TRUE(isOnly<member_statement::forward>(harness.lastSent()));
+}
+
 TEST(DispatchSetupRefusals, StatementsRunAsSentWhileSetupsAreRefused)
 {
     EXPECT_TRUE(holdsOnEverySchedule({.busySetup = 0.3}, runsAsSent));
