A malformed setup is not repeated where a busy refusal follows it

What callers saw: a statement whose setup the member calls malformed was repeated with the same lines until its attempts were used up, if the member refused the next setup statement as busy.

Cause: onSetupAnswered() replaced each refusal after which the connection is known by the next one.

Evidence: the test fails on (the reply is missing, the lines are sent again) and passes.

Why it holds: a refusal is replaced only by one of at least its weight.

--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -259,8 +259,12 @@
                         && std::holds_alternative<member_statement::deallocate>(statement);
     if (!error || isGone)
         return connection.setup.acknowledge(statement);
+    // What must close the connection outweighs what must not be repeated, and that the rest.
+    const auto weight = [](statement_error code) {
+        return !leavesSetupUnchanged(code) ? 2 : isWorthRepeating(code) ? 0 : 1;
+    };
     auto &refusal = connection.setupRefusal;
-    if (!refusal || leavesSetupUnchanged(refusal->code))
+    if (!refusal || weight(error->code) >= weight(refusal->code))
         refusal = *error;
 }
 
--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -91,6 +91,21 @@
     EXPECT_EQ(harness.sentCount(), 1U);
 }
 
+TEST(DispatchSetupRefusals, AMalformedSetupIsNotRepeatedIfTheNextOneIsRefusedAsBusy)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    harness.request(1, "SET v 1");
+    harness.request(1, "SET w 2");
+    harness.request(1, "WRITE x 1");
+    const auto connection = harness.lastSent().connection;
+    harness.refuse(connection, statement_error::malformed);
+    harness.refuse(connection, statement_error::busy);
+    EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
+    harness.advance(200ms);
+    EXPECT_EQ(harness.sentCount(), 1U);
+}
+
 TEST(DispatchSetupRefusals, AWriteWhoseSetupIsUnansweredHasNotRunAtItsDeadline)
 {
     dispatch_harness harness;
