READONLY in answer to BEGIN counts behind a refused setup

What callers saw: a transaction was repeated at a primary that had already said that it leads no longer, until it refused BEGIN without refusing the setup in front of it.

Cause: finishSetup() looks at the refusal of the setup and drops the error of BEGIN, which alone shows that the primary was replaced or lags.

--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -278,6 +278,10 @@
     if (!from || from->boundConnection != connection.id || !from->job)
         return release(pool, connection, last.state, now);
     const auto *error = std::get_if<rejected>(&last.result);
+    // BEGIN may tell more of the member, such as that it is a replica.
+    if (connection.setupRefusal && error && from->job->startsTransaction
+        && error->code != connection.setupRefusal->code)
+        recordRefusal(*from, pool, error->code, now);
     if (connection.setupRefusal)
         onSetupRefused(*from, pool, connection, last.state, now);
     else if (error)
--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -64,6 +64,19 @@
     EXPECT_TRUE(isOnly<member_statement::rollback>(harness.lastSent()));
 }
 
+TEST(DispatchSetupRefusals, ABeginThatShowsAReplicaCountsBehindARefusedSetup)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    harness.request(1, "SET v 1");
+    harness.request(1, "BEGIN");
+    harness.request(1, "WRITE x 1");
+    const auto connection = harness.lastSent().connection;
+    harness.refuse(connection, statement_error::busy);
+    harness.refuse(connection, statement_error::readOnly);
+    EXPECT_TRUE(harness.subject.primaryLastRefusedAt(harness.database).has_value());
+}
+
 TEST(DispatchSetupRefusals, AConnectionWithASetupInDoubtServesNobodyElse)
 {
     dispatch_harness harness;
