The soak sends any legal statement and checks what members run

The count of writes that took effect twice is taken over the items of the writers, whose values are unique; for the others the checker reports single writes that ran twice.

--- a/test/process_soak.py
+++ b/test/process_soak.py
@@ -1,6 +1,6 @@
 """Randomized soak test of the node program: injects faults into real processes and checks the guarantees.
 
-    process_soak.py BUILD [--first SEED] [--seeds N] [--seconds S]
+    process_soak.py BUILD [--first SEED] [--seeds N] [--seconds S] [--instances N]
 
 Without options it runs for a short time with each seed that has failed before and two more, for CI. The logs
 of a failing seed are kept and their folder is printed. Reports between instances are datagrams, which pass
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import collections
+import itertools
 import os
 import pathlib
 import random
@@ -23,6 +24,7 @@
 os.environ["SYCAMORESPAN_TEST_HOST"] = HOST
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins" / "users_platform"))
 from node_programs import Caller, Node  # noqa: E402
+from statement_checks import Sent, StatementChecker, describe, keep_calling, shorten  # noqa: E402
 from users_platform import Platform  # noqa: E402
 
 CI_SEEDS = [1, 2]
@@ -30,7 +32,11 @@
 CI_SECONDS = 6
 
 KEY, SMALL_KEY = "key-of-the-shop", "key-of-the-small-shop"
-INSTANCES, WRITERS = 3, 4
+INSTANCES, WRITERS, LEGAL_CALLERS = 3, 4, 8
+MAXIMUM_INSTANCES = 140
+SCARCE, AMPLE = 8, 32  # connections that a member accepts; brokers are used where they are scarce
+LOST_ANSWER_RATE, LEAVING_RATE = 0.002, 0.02  # of the statements at members, and of callers
+SHOWN_VIOLATIONS = 10
 STALENESS_S = 1.5  # staleness bound of the route "browse"
 # Rate limit of the workspace "small" and the excess that the users allow.
 SMALL_RATE, SMALL_BURST, QUOTA_WINDOW_S, QUOTA_OVERAGE, QUOTA_SLACK = 20, 20, 5, 0.1, 20
@@ -87,6 +93,22 @@
             state["is_blocked"] = True
 
 
+class CheckedCaller(Caller):
+    """Caller of single statements, which are recorded for the checker under ids that no other session uses."""
+
+    sessions = itertools.count(1)
+
+    def __init__(self, checker, workspace):
+        self.checker, self.workspace, self.number = checker, workspace, next(self.sessions)
+
+    async def ask(self, text, name="r"):
+        word, _, arguments = text.partition(" ")
+        request = f"{name}{self.number}-{self.requests + 1}"
+        self.checker.sent[request] = Sent(self.workspace, word, arguments, None, {}, None, False)
+        self.requests += 1
+        return await self.exchange(f"QUERY {request} {text}")
+
+
 class AnswerRecorder:
     """Records the answers that callers received and checks later reads against them."""
 
@@ -108,10 +130,11 @@
 
 
 class Soak:
-    def __init__(self, program, seed, seconds, folder):
-        self.program, self.seconds, self.folder = program, seconds, folder
-        self.random = random.Random(seed)
+    def __init__(self, program, seed, seconds, instances, folder):
+        self.program, self.seconds, self.instances, self.folder = program, seconds, instances, folder
+        self.seed, self.random = seed, random.Random(seed)
         self.recorder = AnswerRecorder()
+        self.checker = StatementChecker()
         self.items = []
         self.running = True
 
@@ -124,19 +147,28 @@
             link = self.member_links[member.id] = Link(lambda member=member: member.port)
             await link.start()
             member.listed_port = link.port
-        await self.platform.configure(
-            {"sales": ("db1", "primary", 0), "browse": ("db1", "bounded_stale", STALENESS_S * 1000),
-             "recall": ("db1", "read_own", 2500)},
-            {"shop": ([KEY], 5000, 5000), "small": ([SMALL_KEY], SMALL_RATE, SMALL_BURST)})
+            member.random.seed(f"{self.seed}-{member.id}")
+            member.setup_refusal_rate = self.random.choice((0, 0.1, 0.3))
+            member.lost_answer_rate = LOST_ANSWER_RATE
+        await self.configure(AMPLE, has_spare_route=False)
         self.store_links, self.nodes = [], []
-        for index in range(INSTANCES):
+        for index in range(self.instances):
             link = Link(lambda: self.platform.store_port)
             await link.start()
             self.store_links.append(link)
-            self.nodes.append(Node(self.program, self.platform, f"n{index}", "abc"[index], self.folder,
+            self.nodes.append(Node(self.program, self.platform, f"n{index}", "abc"[index % 3], self.folder,
                                    link.port))
         await self.until_ready(START_BOUND_S)
 
+    async def configure(self, connections, has_spare_route):
+        routes = {"sales": ("db1", "primary", 0), "browse": ("db1", "bounded_stale", STALENESS_S * 1000),
+                  "recall": ("db1", "read_own", 2500)}
+        if has_spare_route:
+            routes["spare"] = ("db1", "primary", 0)
+        await self.platform.configure(
+            routes, {"shop": ([KEY], 5000, 5000), "small": ([SMALL_KEY], SMALL_RATE, SMALL_BURST)},
+            connections=connections)
+
     async def until_ready(self, bound_s):
         deadline = time.monotonic() + bound_s
         for node in self.nodes:
@@ -149,7 +181,7 @@
     # Callers.
 
     async def session(self, route, key=KEY):
-        caller = Caller()
+        caller = CheckedCaller(self.checker, "shop" if key == KEY else "small")
         node = self.random.choice(self.nodes)
         answer = await caller.connect(node.ports[0], route, key)
         return caller if answer[0] == "READY I -" else None
@@ -219,6 +251,13 @@
 
         await asyncio.gather(*(self.repeat_in_sessions("browse", SMALL_KEY, step) for _ in range(3)))
 
+    def call_legally(self, number):
+        draw = random.Random(f"{self.seed}-{number}")
+        return keep_calling(
+            draw, self.checker, "shop",
+            lambda: (draw.choice(self.nodes).ports[0], draw.choice(("sales", "browse", "recall", "spare")), KEY),
+            lambda: not self.running, LEAVING_RATE, 0.02)
+
     # Faults. Each lasts for a limited time and is then undone. Faults can overlap.
 
     async def fault(self, kind, length):
@@ -238,6 +277,23 @@
             await self.restart(node)
         elif kind == "reload":
             node.process.send_signal(signal.SIGHUP)
+        elif kind == "stops in series":
+            for each in self.nodes[:INSTANCES]:
+                each.process.terminate()
+                await asyncio.sleep(length / INSTANCES)
+            await asyncio.gather(*(self.restart(each) for each in self.nodes[:INSTANCES]))
+        elif kind == "signals in series":
+            for _ in range(5):
+                node.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(length / 10)
+            node.process.terminate()
+            node.process.send_signal(signal.SIGHUP)
+            node.process.terminate()
+            await self.restart(node)
+        elif kind == "configurations in series":
+            for _ in range(4):
+                await self.configure(self.random.choice((SCARCE, AMPLE)), self.random.random() < 0.5)
+                await asyncio.sleep(length / 4)
         elif kind == "freeze":
             process = node.process
             process.send_signal(signal.SIGSTOP)
@@ -294,9 +350,10 @@
             primary.replicate()
 
     async def inject_faults(self):
-        kinds = ["kill", "kill all", "stop", "reload", "freeze", "freeze", "crash", "crash",
-                 "replication stopped", "store down", "lost answers", "history",
-                 "reset connections", "block connections", "reset", "drop all", "drop requests", "drop answers", "delay"]
+        kinds = ["kill", "kill all", "stop", "stops in series", "signals in series", "configurations in series",
+                 "configurations in series", "reload", "freeze", "freeze", "crash", "crash",
+                 "replication stopped", "store down", "lost answers", "history", "reset connections",
+                 "block connections", "reset", "drop all", "drop requests", "drop answers", "delay"]
         end = time.monotonic() + self.seconds
         running = []
         while time.monotonic() < end:
@@ -312,6 +369,8 @@
     # Checks at the end.
 
     async def check_recovery(self):
+        for member in self.members:
+            member.setup_refusal_rate = member.lost_answer_rate = 0
         await self.until_ready(RECOVERY_BOUND_S)
         deadline = time.monotonic() + RECOVERY_BOUND_S
         missing = list(dict.fromkeys(item for item in self.items if self.recorder.acknowledged[item]))
@@ -343,7 +402,8 @@
         primary = self.platform.groups["db1"].primary()
         writes = collections.Counter(entry[2:] for entry in primary.log) if primary else {}
         violations += [f"write {write} took effect {count} times" for write, count in writes.items()
-                       if count > 1 and write[0] != "last"]
+                       if count > 1 and write[0] in self.items]
+        violations += self.checker.check(self.members)
         holders = collections.defaultdict(set)
         tokens = [(token, holder) for _, holder, token, _, _ in self.platform.orders]
         if [token for token, _ in tokens] != sorted(token for token, _ in tokens):
@@ -367,6 +427,7 @@
         routes = ["sales", "recall"] * WRITERS
         callers = [self.write_and_read(number, routes[number]) for number in range(WRITERS)]
         callers += [self.read("sales", 0), self.read("browse", STALENESS_S)]
+        callers += [self.call_legally(number) for number in range(LEGAL_CALLERS)]
         tasks = [asyncio.create_task(each) for each in (*callers, self.exceed_rate())]
         await self.inject_faults()
         await self.check_recovery()
@@ -386,18 +447,27 @@
         self.platform.heartbeat.cancel()
 
 
-async def run(program, seed, seconds):
+async def run(program, seed, seconds, instances):
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    soak = Soak(program, seed, seconds, folder)
+    soak = Soak(program, seed, seconds, instances, folder)
     try:
         await soak.run()
     finally:
         soak.stop()
     served = ", ".join(f"{route} {count}" for route, count in sorted(soak.recorder.served.items()))
-    print(f"seed {seed}: {len(soak.platform.orders)} orders; served {served}", flush=True)
+    runs = sorted((run for member in soak.members for run in member.runs), key=lambda run: run.order)
+    refused, lost = (sum(getattr(member, name) for member in soak.members)
+                     for name in ("refused_setups", "lost_answers"))
+    print(f"seed {seed}: {len(soak.platform.orders)} orders; served {served}; {len(runs)} runs, {refused} refused "
+          f"setups, {lost} lost answers, legal statements {dict(soak.checker.outcomes)}", flush=True)
     if soak.recorder.violations:
-        print("\n".join(f"  violation: {each}" for each in soak.recorder.violations[:10]),
-              f"\n  logs: {folder}")
+        violations = [each[:400] for each in soak.recorder.violations]
+        (folder / "violations.log").write_text("\n".join(violations), encoding="utf-8")
+        (folder / "runs.log").write_text("\n".join(
+            f"{run.order} {run.connection} transaction={run.transaction} request={run.request} {describe(run)} "
+            f"{shorten(run.values)}" for run in runs), encoding="utf-8")
+        print("\n".join(f"  violation: {each}" for each in violations[:SHOWN_VIOLATIONS]),
+              f"\n  {len(violations)} violations, logs: {folder}", flush=True)
         return False
     shutil.rmtree(folder)
     return True
@@ -409,12 +479,14 @@
     parser.add_argument("--first", type=int)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=CI_SECONDS)
+    parser.add_argument("--instances", type=int, default=INSTANCES, choices=range(INSTANCES, MAXIMUM_INSTANCES + 1),
+                        metavar="N", help=f"node processes, {INSTANCES} to {MAXIMUM_INSTANCES}")
     options = parser.parse_args()
     seeds = CI_SEEDS + REGRESSION_SEEDS
     if options.first is not None:
         seeds = range(options.first, options.first + options.seeds)
     program = options.build / "programs" / "node" / "sycamorespan-node"
-    failed = [seed for seed in seeds if not asyncio.run(run(program, seed, options.seconds))]
+    failed = [seed for seed in seeds if not asyncio.run(run(program, seed, options.seconds, options.instances))]
     if failed:
         sys.exit(f"seeds that violated a guarantee: {failed}")
 
--- a/test/statement_checks.py
+++ b/test/statement_checks.py
@@ -264,5 +264,7 @@
                 goes_on = await caller.act()
                 await asyncio.sleep(random.uniform(0, pause_s))
             caller.writer.close()
-        except (OSError, asyncio.TimeoutError):
+        except asyncio.TimeoutError:
+            checker.report("no answer", "?", f"in {ANSWER_BOUND_S} s")
+        except OSError:
             await asyncio.sleep(PAUSE_S)
