--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -234,6 +234,14 @@
                                      runsAsSent));
 }
 
+/** Reads whose answers are overdue are repeated elsewhere while the first attempt may still run. */
+TEST(DispatchSetupRefusals, StatementsRunAsSentWhileMembersAreSlow)
+{
+    EXPECT_TRUE(holdsOnEverySchedule(
+            {.busySetup = 0.2, .lostAnswer = 0.005, .slowness = 0.8, .leaving = 0.02}, runsAsSent,
+            40'000));
+}
+
 /** A write whose setup was refused has not been sent, so that its outcome is known. */
 TEST(DispatchSetupRefusals, ARefusedSetupLeavesNoWriteInDoubt)
 {
--- a/test/isolation_schedule.h
+++ b/test/isolation_schedule.h
@@ -23,6 +23,7 @@
     double busyStatement = 0;
     double lostAnswer = 0; ///< the connection delivers nothing any more
     double closing = 0; ///< the member closes the connection
+    double slowness = 0; ///< a member does not act when it might
     double leaving = 0; ///< a caller closes its session instead of sending a statement
 };
 
@@ -320,7 +321,7 @@
     /** A random member handles the next line of a connection, or a fault occurs there. */
     void memberActs()
     {
-        if (m_links.empty())
+        if (m_links.empty() || m_text.happens(m_faults.slowness))
             return;
         auto chosen = m_links.begin();
         std::advance(chosen, static_cast<std::ptrdiff_t>(m_text.below(m_links.size())));
@@ -504,9 +505,9 @@
  * \returns whether \a holds succeeds on each of them
  */
 inline bool holdsOnEverySchedule(const fault_rates &faults,
-                                 const std::function<void(isolation_schedule &)> &holds)
+                                 const std::function<void(isolation_schedule &)> &holds,
+                                 std::size_t steps = 10'000)
 {
-    constexpr std::size_t steps = 10'000;
     return rc::check([&] {
         const auto seed = *rc::gen::noShrink(
                 rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()));
--- a/test/strict_member.h
+++ b/test/strict_member.h
@@ -103,7 +103,8 @@
         const auto text = line.rest();
         fields statement(text);
         auto word = statement.next();
-        if (word == "AFTER") {
+        m_hasPosition = word == "AFTER";
+        if (m_hasPosition) {
             statement.next();
             word = statement.next();
             if (word != "READ" && word != "BEGIN" && word != "EXECUTE")
@@ -151,6 +152,8 @@
     std::string record(const std::string &id, const std::string &word, const std::string &arguments,
                        const std::optional<std::string> &shape)
     {
+        if (word == "WRITE" && (m_hasPosition || (m_state == 'T' && m_isReadOnly)))
+            return malformedError;
         if (word == "WRITE" && !m_isPrimary) {
             m_state = m_state == 'T' ? 'E' : m_state;
             return "ERROR READONLY a-member\r\n";
@@ -168,6 +171,7 @@
             if (mode.empty() && !m_isPrimary)
                 return "ERROR READONLY a-member\r\n";
             m_state = 'T';
+            m_isReadOnly = mode == "READ";
         } else if (word == "ROLLBACK" && !statement.hasRest()) {
             m_state = 'I';
         } else if (word == "DISCARD" && !statement.hasRest()) {
@@ -196,6 +200,8 @@
     static constexpr const char *malformedError = "ERROR MALFORMED not in the grammar\r\n";
 
     bool m_isPrimary = false;
+    bool m_isReadOnly = false; ///< the open transaction
+    bool m_hasPosition = false; ///< of the statement that is handled
     char m_state = 'I';
     std::map<std::string, std::string> m_values;
     std::map<std::string, prepared> m_prepared;
