--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -92,6 +92,61 @@
     EXPECT_TRUE(isOnly<member_statement::set_value>(harness.lastSent()));
 }
 
+/** The member has lost the name, and perhaps the values. */
+TEST(DispatchSetupRefusals, AConnectionThatLacksANameIsSetUpFromTheBeginning)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    harness.request(1, "SET v 1");
+    harness.request(1, "PREPARE s WRITE q");
+    harness.request(1, "EXECUTE s x 1");
+    const auto connection = harness.lastSent().connection;
+    harness.answer(connection);
+    harness.answer(connection);
+    harness.refuse(connection, statement_error::unknownPrepared);
+    harness.advance(40ms);
+    ASSERT_EQ(harness.lastSent().connection, connection);
+    ASSERT_EQ(harness.lastSent().statements.size(), 3U);
+    EXPECT_TRUE(std::holds_alternative<member_statement::discard>(
+            harness.lastSent().statements.front()));
+}
+
+TEST(DispatchSetupRefusals, AConnectionWithALongStatementIsDiscardedForTheNextOperation)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    harness.request(1, "PREPARE s WRITE " + std::string(100'000, 'q'));
+    harness.request(1, "EXECUTE s x 1");
+    const auto connection = harness.lastSent().connection;
+    harness.answer(connection);
+    harness.answer(connection);
+    harness.request(1, "READ x");
+    ASSERT_EQ(harness.lastSent().connection, connection);
+    EXPECT_TRUE(isOnly<member_statement::discard>(harness.lastSent()));
+}
+
+TEST(DispatchSetupRefusals, ANameThatTheMemberLacksAlreadyNeedsNoDealloc)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    for (std::size_t number = 0; number <= connection_setup::maximumPrepared; ++number) {
+        harness.request(1, "PREPARE s READ q" + std::to_string(number));
+        harness.request(1, "EXECUTE s x");
+        if (number < connection_setup::maximumPrepared) {
+            harness.answer(harness.lastSent().connection);
+            harness.answer(harness.lastSent().connection);
+        }
+    }
+    const auto connection = harness.lastSent().connection;
+    ASSERT_EQ(harness.lastSent().statements.size(), 2U);
+    ASSERT_TRUE(std::holds_alternative<member_statement::deallocate>(
+            harness.lastSent().statements.front()));
+    harness.refuse(connection, statement_error::unknownPrepared);
+    harness.answer(connection);
+    EXPECT_EQ(harness.lastSent().connection, connection);
+    EXPECT_TRUE(isOnly<member_statement::execute>(harness.lastSent()));
+}
+
 TEST(DispatchSetupRefusals, AMalformedSetupIsNotRepeatedAndPromisesThatNothingIsKept)
 {
     dispatch_harness harness;
--- a/test/isolation_schedule.h
+++ b/test/isolation_schedule.h
@@ -402,6 +402,17 @@
             report("transaction");
         if (run.word == "WRITE" && !run.isInTransaction && !m_written.insert(run.id).second)
             report("twice");
+        if (run.word == "WRITE" && run.isInTransaction)
+            m_writtenTransactions.insert(sent.transaction);
+        const bool keepsWrite = run.isInTransaction
+                                        ? run.word == "COMMIT"
+                                                  && m_writtenTransactions.contains(sent.transaction)
+                                        : run.word == "WRITE";
+        if (keepsWrite) {
+            m_kept.insert(run.id);
+            if (m_promised.contains(run.id))
+                report("kept in spite of a promise");
+        }
         if (!run.isInTransaction)
             return;
         const auto owner = m_connectionOf.find(sent.transaction);
@@ -463,6 +474,13 @@
         m_links.erase(found);
     }
 
+    static bool promisesThatNothingIsKept(statement_error code)
+    {
+        return code == statement_error::busy || code == statement_error::aborted
+               || code == statement_error::lagging || code == statement_error::readOnly
+               || code == statement_error::moved || code == statement_error::connectionLimit;
+    }
+
     void onReply(const dispatch_action::reply_to_caller &reply)
     {
         auto &to = m_callers.at(reply.session);
@@ -474,6 +492,11 @@
         if (const auto *error = std::get_if<rejected>(&reply.answer.result)) {
             ++rejectedCount;
             ++outcomes[std::string(nameOf(error->code))];
+            if (promisesThatNothingIsKept(error->code)) {
+                m_promised.insert(id);
+                if (m_kept.contains(id))
+                    findings.push_back("kept in spite of a promise: " + id);
+            }
         } else {
             const auto receipt = std::get<completed_answer>(reply.answer.result).receipt;
             if (receipt != "-" && receipt != "receipt-" + id)
@@ -496,6 +519,9 @@
     std::map<connection_id, link> m_links;
     std::map<std::string, expected_run> m_expected;
     std::set<std::string> m_written;
+    std::set<std::uint64_t> m_writtenTransactions;
+    std::set<std::string> m_kept; ///< writes and commits that took effect
+    std::set<std::string> m_promised; ///< requests of which their caller was told nothing is kept
     std::map<std::uint64_t, connection_id> m_connectionOf;
     std::uint64_t m_lastTransaction = 0;
     int m_lastRequest = 0;
