A field of a line has a type that holds nothing else

A broker took id, text, shape, arguments, values and workspace from another instance as they came, and wrote them into the lines of a member: a text with a line break would have been two lines there, one of which nobody sent. CONNECT was written from any names.

Cause: the parts of lines were plain strings, checked in some places and not in others.

line_field (no blank, CR, LF or NUL; not empty) and line_text (the last field: no CR, LF or NUL) are checked where they are made. A message of a broker or an instance with another text is a decode error, which ends its link as any malformed message does.

Evidence: on brokerage_messages.with_a_text_that_is_no_field_of_a_line_are_rejected, with_an_answer_that_would_be_two_lines_are_rejected and PlatformMembers.NamesThatAreNoFieldsAreNotSent fail (nothing is thrown); here they pass. The property MembersReadWhatTheLinesOfCallersSay, whose member shares no parser with the product, and keep_texts_of_any_bytes pass on both: the codecs of lines and of frames keep any byte.

dispatch_brokers compares values as session_values now, which is as strict.

--- a/sycamorespan/src/Brokerage/broker_messages.cpp
+++ b/sycamorespan/src/Brokerage/broker_messages.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 #include <utility>
 
 namespace sycamorespan {
@@ -48,6 +50,12 @@
     return field.get<std::string>();
 }
 
+/** \returns a text that is sent on to a caller or a member as the last field of a line. */
+std::string decodeLineText(const json &field)
+{
+    return line_text(decodeText(field));
+}
+
 /** Greatest absolute value of a relative time. It is longer than any timeout or transaction. */
 constexpr std::int64_t maximumTime = duration(24h).count();
 
@@ -60,7 +68,8 @@
 {
     return std::visit(overloaded{[](const brokered_execution &each) {
                                      return json::array({static_cast<int>(each.access),
-                                                         each.statementShape, each.arguments});
+                                                         each.statementShape.str(),
+                                                         each.arguments.str()});
                                  },
                                  [](const caller_statement::direct &each) {
                                      return json::array({static_cast<int>(each.access)});
@@ -97,11 +106,26 @@
                                 decodeTime(fields.at(2))};
 }
 
+json encodeValues(const session_values &values)
+{
+    json fields = json::object();
+    std::ranges::for_each(values,
+                          [&](const auto &each) { fields[each.first.str()] = each.second.str(); });
+    return fields;
+}
+
+session_values decodeValues(const json &fields)
+{
+    const auto values = fields.get<std::map<std::string, std::string>>();
+    return {values.begin(), values.end()};
+}
+
 json encodeFields(const brokered_statement &each)
 {
     return json::array({static_cast<int>(message_type::statement), each.operation, each.number,
-                        each.requestId, each.text, encodeWork(each.work), each.databaseName,
-                        each.workspace.str(), encodeTransaction(each.transaction), each.values,
+                        each.requestId.str(), each.text.str(), encodeWork(each.work),
+                        each.databaseName, each.workspace.str(),
+                        encodeTransaction(each.transaction), encodeValues(each.values),
                         encodePosition(each.lastCommitPosition), each.configurationVersion,
                         each.timeLeft.count(), each.objectiveLeft.count()});
 }
@@ -115,9 +139,9 @@
     result.text = decodeText(fields.at(4));
     result.work = decodeWork(fields.at(5));
     result.databaseName = decodeText(fields.at(6));
-    result.workspace = workspace_id(decodeText(fields.at(7)));
+    result.workspace = workspace_id(line_field(decodeText(fields.at(7))));
     result.transaction = decodeTransaction(fields.at(8));
-    result.values = fields.at(9).get<std::map<std::string, std::string>>();
+    result.values = decodeValues(fields.at(9));
     result.lastCommitPosition = decodePosition(fields.at(10));
     result.configurationVersion = toInteger<std::uint64_t>(fields.at(11));
     result.timeLeft = decodeTime(fields.at(12));
@@ -137,9 +161,9 @@
 std::variant<completed, rejected> decodeResult(const json &fields)
 {
     if (fields.size() == 1)
-        return completed{decodeText(fields.at(0))};
+        return completed{decodeLineText(fields.at(0))};
     return rejected{decodeEnumeration(fields.at(0), statement_error::inDoubt),
-                    decodeText(fields.at(1))};
+                    decodeLineText(fields.at(1))};
 }
 
 json encodeFields(const brokered_answer &each)
@@ -158,7 +182,7 @@
     result.number = toInteger<std::uint64_t>(fields.at(2));
     result.isDeclined = fields.at(3).get<bool>();
     result.wasSent = fields.at(4).get<bool>();
-    result.answer.rows = fields.at(5).get<std::vector<std::string>>();
+    std::ranges::transform(fields.at(5), std::back_inserter(result.answer.rows), decodeLineText);
     result.answer.result = decodeResult(fields.at(6));
     result.answer.state = decodeEnumeration(fields.at(7), session_state::failedTransaction);
     if (!fields.at(8).is_null())
--- a/sycamorespan/src/Brokerage/brokered_statement.h
+++ b/sycamorespan/src/Brokerage/brokered_statement.h
@@ -4,10 +4,10 @@
 #include "sycamorespan/src/Core/identifiers.h"
 #include "sycamorespan/src/Core/log_position.h"
 #include "sycamorespan/src/Core/time_types.h"
+#include "sycamorespan/src/Dispatch/connection_setup.h"
 #include "sycamorespan/src/Dispatch/statement.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -33,8 +33,8 @@
 struct brokered_execution
 {
     statement_access access = statement_access::read;
-    std::string statementShape;
-    std::string arguments;
+    line_text statementShape;
+    line_text arguments;
 
     auto operator<=>(const brokered_execution &) const = default;
 };
@@ -50,13 +50,13 @@
 {
     operation_number operation = 0;
     std::uint64_t number = 0; ///< of the statement, unique among those of its instance
-    std::string requestId;
-    std::string text; ///< forwarded unchanged, unless a prepared statement is executed
+    line_field requestId;
+    line_text text; ///< forwarded unchanged, unless a prepared statement is executed
     brokered_work work;
     std::string databaseName; ///< that the caller connected with
     workspace_id workspace;
     std::optional<brokered_transaction> transaction;
-    std::map<std::string, std::string> values; ///< session values, by name
+    session_values values;
     log_position lastCommitPosition; ///< covers every acknowledged commit of the session
     std::uint64_t configurationVersion = 0; ///< in force at the instance; not older at the broker
     duration timeLeft{}; ///< until its deadline
--- a/sycamorespan/src/Dispatch/connection_setup.cpp
+++ b/sycamorespan/src/Dispatch/connection_setup.cpp
@@ -136,11 +136,11 @@
                               m_values[each.name] = each.value;
                           },
                           [&](const member_statement::deallocate &each) {
-                              release(each.name.front());
+                              release(each.name.str().front());
                           },
                           [&](const member_statement::prepare &each) {
-                              release(each.name.front());
-                              m_prepared[{each.access, each.statementShape}] = {each.name.front(),
+                              release(each.name.str().front());
+                              m_prepared[{each.access, each.statementShape}] = {each.name.str().front(),
                                                                                 ++m_lastUse};
                           }},
                statement);
--- a/sycamorespan/src/Dispatch/connection_setup.h
+++ b/sycamorespan/src/Dispatch/connection_setup.h
@@ -14,13 +14,13 @@
 namespace sycamorespan {
 
 /** \brief Values that a session has set, by name. */
-using session_values = std::map<std::string, std::string>;
+using session_values = std::map<line_field, line_text>;
 
 /** \brief A statement that the caller prepared, by its access and shape. */
 struct prepared_statement
 {
     statement_access access = statement_access::read;
-    std::string statementShape;
+    line_text statementShape;
 
     auto operator<=>(const prepared_statement &) const = default;
 };
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -223,7 +223,7 @@
     const auto known = from.prepared.find(statement.name);
     if (known == from.prepared.end())
         return reject(from, statement_error::unknownPrepared,
-                      "prepared statement \"" + statement.name + "\" does not exist", now);
+                      "prepared statement \"" + statement.name.str() + "\" does not exist", now);
     from.keptBytes -= keptSize(known->first, known->second.statementShape);
     from.prepared.erase(known);
     complete(from, now);
@@ -235,7 +235,7 @@
     const auto known = from.prepared.find(statement.name);
     if (known == from.prepared.end())
         return reject(from, statement_error::unknownPrepared,
-                      "prepared statement \"" + statement.name + "\" does not exist", now);
+                      "prepared statement \"" + statement.name.str() + "\" does not exist", now);
     startJob(from, request, known->second.access, false, now);
 }
 
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -367,7 +367,7 @@
     // all instances would choose the same member at the same time.
     // At a broker, statements of a workspace prefer the same member, which has its connections.
     const auto draw = rendezvousWeight(isBrokerOf(from.route.database) ? from.workspace.str()
-                                                                       : from.job->request.id,
+                                                                       : from.job->request.id.str(),
                                        pool.entry().id.str());
     constexpr double largestDraw = 18446744073709551616.0; // 2^64
     return score * (1 + m_policy.scoreJitter * static_cast<double>(draw) / largestDraw);
@@ -386,7 +386,7 @@
             return;
         const bool isReturning =
                 pool.entry().isEvacuated
-                || m_access.isReturning(pool.entry().id, from.job->request.id, now);
+                || m_access.isReturning(pool.entry().id, from.job->request.id.str(), now);
         hasUsual = hasUsual || !isReturning;
         if (!hasRoom(pool, from, now))
             return;
--- a/sycamorespan/src/Dispatch/statement.h
+++ b/sycamorespan/src/Dispatch/statement.h
@@ -2,6 +2,7 @@
 #define SYCAMORESPAN_DISPATCH_STATEMENT_H
 
 #include "sycamorespan/src/Core/identifiers.h"
+#include "sycamorespan/src/Core/line_field.h"
 #include "sycamorespan/src/Core/log_position.h"
 
 #include <cstdint>
@@ -40,32 +41,32 @@
 /** \brief Sets a session value. */
 struct set_value
 {
-    std::string name;
-    std::string value;
+    line_field name;
+    line_text value;
 
     auto operator<=>(const set_value &) const = default;
 };
 
 struct prepare
 {
-    std::string name;
+    line_field name;
     statement_access access = statement_access::read;
-    std::string statementShape; ///< text of the statement, without its arguments
+    line_text statementShape; ///< text of the statement, without its arguments
 
     auto operator<=>(const prepare &) const = default;
 };
 
 struct deallocate
 {
-    std::string name;
+    line_text name;
 
     auto operator<=>(const deallocate &) const = default;
 };
 
 struct execute
 {
-    std::string name;
-    std::string arguments;
+    line_field name;
+    line_text arguments;
 
     auto operator<=>(const execute &) const = default;
 };
@@ -97,8 +98,8 @@
 /** \brief One statement of a caller, as received. */
 struct caller_request
 {
-    std::string id;
-    std::string text; ///< forwarded unchanged
+    line_field id;
+    line_text text; ///< forwarded unchanged
     parsed_statement parsed;
 
     auto operator<=>(const caller_request &) const = default;
@@ -110,8 +111,8 @@
 /** \brief A caller's statement with its text unchanged. */
 struct forward
 {
-    std::string id;
-    std::string text;
+    line_field id;
+    line_text text;
     std::optional<log_position>
             requiredPosition; ///< the member refuses it until its log includes this position
 
@@ -121,9 +122,9 @@
 /** \brief Executes a caller's prepared statement by its name on the connection. */
 struct execute
 {
-    std::string id;
-    std::string name;
-    std::string arguments;
+    line_field id;
+    line_field name;
+    line_text arguments;
     std::optional<log_position> requiredPosition;
 
     auto operator<=>(const execute &) const = default;
@@ -144,17 +145,17 @@
 
 struct set_value
 {
-    std::string name;
-    std::string value;
+    line_field name;
+    line_text value;
 
     auto operator<=>(const set_value &) const = default;
 };
 
 struct prepare
 {
-    std::string name;
+    line_field name;
     statement_access access = statement_access::read;
-    std::string statementShape;
+    line_text statementShape;
 
     auto operator<=>(const prepare &) const = default;
 };
@@ -162,7 +163,7 @@
 /** \brief Drops a prepared statement of the connection. */
 struct deallocate
 {
-    std::string name;
+    line_field name;
 
     auto operator<=>(const deallocate &) const = default;
 };
--- a/test/brokerage_messages.cpp
+++ b/test/brokerage_messages.cpp
@@ -1,11 +1,16 @@
 #include "sycamorespan/Brokerage"
 #include "sycamorespan/src/Core/error.h"
 
+#include <algorithm>
+#include <functional>
+
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace {
 
 using namespace sycamorespan;
+using namespace std::string_literals;
 
 brokered_statement aStatement()
 {
@@ -92,4 +97,109 @@
     EXPECT_THROW(unknown.next(), decode_error);
 }
 
+broker_message decodeFrame(const std::string &frame)
+{
+    broker_frame_reader reader(frame.size());
+    reader.append(frame);
+    return *reader.next();
+}
+
+// Guards against a text of another instance that becomes two fields or two lines at a member.
+TEST(brokerage_messages, with_a_text_that_is_no_field_of_a_line_are_rejected)
+{
+    const std::string placeholder = "placeholder";
+    const auto makers = std::vector<std::function<void(brokered_statement &)>>{
+            [&](auto &each) { each.requestId = placeholder; },
+            [&](auto &each) { each.workspace = workspace_id(placeholder); },
+            [&](auto &each) {
+                each.values = {{placeholder, "1"}};
+            },
+            [&](auto &each) {
+                each.values = {{"v", placeholder}};
+            },
+            [&](auto &each) { each.text = placeholder; },
+            [&](auto &each) {
+                each.work = brokered_execution{statement_access::read, placeholder, "1a4"};
+            },
+            [&](auto &each) {
+                each.work = brokered_execution{statement_access::read, "q", placeholder};
+            }};
+    for (std::size_t maker = 0; maker < makers.size(); ++maker) {
+        auto statement = aStatement();
+        makers[maker](statement);
+        const auto frame = encodeFrame(statement);
+        EXPECT_EQ(decodeFrame(frame), broker_message(statement));
+        for (const auto &odd :
+             {"place\rolder"s, "place\nolder"s, "place\0older"s, "place older"s}) {
+            const bool isLastField = maker > 2;
+            if (isLastField && odd == "place older")
+                continue;
+            auto changed = frame;
+            changed.replace(frame.find(placeholder), placeholder.size(), odd);
+            EXPECT_THROW(decodeFrame(changed), decode_error) << maker << ' ' << odd;
+        }
+    }
+}
+
+TEST(brokerage_messages, with_an_answer_that_would_be_two_lines_are_rejected)
+{
+    const auto answers = std::vector<statement_answer>{
+            {{"placeholder"}, completed{"r"}, session_state::idle, {}},
+            {{}, completed{"placeholder"}, session_state::idle, {}},
+            {{}, rejected{statement_error::failed, "placeholder"}, session_state::idle, {}}};
+    for (const auto &each : answers) {
+        auto frame = encodeFrame(brokered_answer{7, 9, false, true, each});
+        frame.replace(frame.find("placeholder"), 11, "place\rolder");
+        EXPECT_THROW(decodeFrame(frame), decode_error);
+    }
+}
+
+/** \returns a text of any bytes that the last field of a line may hold; few of them are UTF-8. */
+std::string anyLineText()
+{
+    auto text = *rc::gen::arbitrary<std::string>();
+    std::ranges::replace_if(
+            text, [](char byte) { return byte == '\r' || byte == '\n' || byte == '\0'; }, '\xff');
+    return text;
+}
+
+std::string anyField()
+{
+    auto text = anyLineText() + "f";
+    std::ranges::replace(text, ' ', '\x80');
+    return text;
+}
+
+RC_GTEST_PROP(brokerage_messages, keep_texts_of_any_bytes, ())
+{
+    auto statement = aStatement();
+    statement.requestId = anyField();
+    statement.text = anyLineText();
+    statement.work = brokered_execution{statement_access::read, anyLineText(), anyLineText()};
+    statement.databaseName = anyField();
+    for (int count = *rc::gen::inRange(0, 4); count > 0; --count)
+        statement.values[anyField()] = anyLineText();
+    RC_ASSERT(decodeFrame(encodeFrame(statement)) == broker_message(statement));
+    const brokered_answer answer{7,
+                                 9,
+                                 false,
+                                 true,
+                                 {{anyLineText(), anyLineText()},
+                                  completed{anyField()},
+                                  session_state::idle,
+                                  log_position{1, 2}}};
+    RC_ASSERT(decodeFrame(encodeFrame(answer)) == broker_message(answer));
+}
+
+TEST(brokerage_messages, keep_long_and_many_rows)
+{
+    const std::size_t rowBytes = (std::size_t{1} << 20) - 8;
+    for (const auto &rows : {std::vector<std::string>(3, std::string(rowBytes, '\xfe')),
+                             std::vector<std::string>(100'000, "r")}) {
+        const brokered_answer answer{
+                7, 9, false, true, {rows, completed{"r"}, session_state::idle, {}}};
+        EXPECT_TRUE(decodeFrame(encodeFrame(answer)) == broker_message(answer));
+    }
+}
+
 } // namespace
--- a/test/dispatch_brokers.cpp
+++ b/test/dispatch_brokers.cpp
@@ -69,7 +69,7 @@
     instance.request(1, "WRITE x 1");
     const auto statement = instance.lastHandedOver();
     EXPECT_EQ(instance.sentCount(), 0U);
-    EXPECT_EQ(statement.values, (std::map<std::string, std::string>{{"v", "1"}}));
+    EXPECT_EQ(statement.values, (session_values{{"v", "1"}}));
     EXPECT_EQ(statement.configurationVersion, 1U);
     EXPECT_LT(statement.timeLeft, 1s);
     instance.brokerAnswers(true, completed{"receipt"});
--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -1,5 +1,7 @@
 // Tests of the codecs for the users' platform: lines, documents, settings and store calls.
 
+#include "strict_member.h"
+
 #include "platform/caller_codec.h"
 #include "platform/documents.h"
 #include "platform/line_reader.h"
@@ -8,6 +10,7 @@
 #include "platform/store_protocol.h"
 
 #include "sycamorespan/src/Core/error.h"
+#include "sycamorespan/src/Core/overloaded.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -96,6 +99,92 @@
     EXPECT_THROW(decodeCallerLine("CONNECT"), decode_error);
 }
 
+/** \returns any text that the last field of a line may hold. */
+std::string anyLineText(std::size_t leastBytes)
+{
+    const auto byte = rc::gen::suchThat(
+            rc::gen::weightedOneOf<char>(
+                    {{4, rc::gen::arbitrary<char>()}, {1, rc::gen::just(' ')}}),
+            [](char each) { return each != '\r' && each != '\n' && each != '\0'; });
+    auto text = *rc::gen::container<std::string>(byte);
+    text.resize(std::max(text.size(), leastBytes), 'x');
+    return text;
+}
+
+std::string anyField()
+{
+    auto text = *rc::gen::weightedOneOf<std::string>(
+            {{3, rc::gen::exec([] { return anyLineText(1); })},
+             {1, rc::gen::elementOf(std::vector<std::string>{"READ", "WRITE", "AFTER", "-"})}});
+    std::ranges::replace(text, ' ', '_');
+    return text;
+}
+
+/** \returns the statements by which a member runs the caller's, as it was received. */
+std::vector<outgoing_statement> forMember(const caller_request &request)
+{
+    namespace from = caller_statement;
+    namespace to = member_statement;
+    return std::visit(
+            overloaded{[&](const from::set_value &each) -> std::vector<outgoing_statement> {
+                           return {to::set_value{each.name, each.value}};
+                       },
+                       [&](const from::prepare &each) -> std::vector<outgoing_statement> {
+                           return {to::prepare{each.name, each.access, each.statementShape}};
+                       },
+                       [&](const from::execute &each) -> std::vector<outgoing_statement> {
+                           return {to::execute{request.id, each.name, each.arguments, {}}};
+                       },
+                       [&](const auto &) -> std::vector<outgoing_statement> {
+                           return {to::forward{request.id, request.text, {}}};
+                       }},
+            request.parsed);
+}
+
+// Guards against a text of a caller that a member reads as another field.
+RC_GTEST_PROP(PlatformMembers, MembersReadWhatTheLinesOfCallersSay, ())
+{
+    test::strict_member_connection member(true);
+    const auto send = [&](const std::string &id, const std::string &text) {
+        line_reader reader;
+        reader.append("QUERY " + id + " " + text + "\r\n");
+        for (const auto &each : forMember(decodeRequest(*reader.next())))
+            RC_ASSERT(member.handle(encodeStatement(each), "").starts_with("ERROR") == false);
+    };
+    const auto id = anyField() + "i";
+    const auto name = anyField();
+    const auto value = anyLineText(0);
+    const auto prepared = anyField();
+    const std::string access = *rc::gen::element("READ", "WRITE");
+    const auto shape = anyLineText(1);
+    const auto arguments = anyField() + " " + anyLineText(0);
+    send("set", "SET " + name + " " + value);
+    send("prepare", "PREPARE " + prepared + " " + access + " " + shape);
+    send(id, "EXECUTE " + prepared + " " + arguments);
+    send(id, access + " " + arguments);
+    RC_ASSERT(member.violations.empty());
+    RC_ASSERT(member.runs.size() == 2U);
+    for (const auto &run : member.runs) {
+        RC_ASSERT(run.id == id);
+        RC_ASSERT(run.word == access);
+        RC_ASSERT(run.arguments == arguments);
+        RC_ASSERT((run.values == std::map<std::string, std::string>{{name, value}}));
+    }
+    RC_ASSERT(member.runs.front().shape == shape);
+}
+
+TEST(PlatformMembers, NamesThatAreNoFieldsAreNotSent)
+{
+    for (const std::string odd : {"", "a b", "a\r\nQUERY x WRITE y 1"}) {
+        EXPECT_THROW(encodeConnect(database_id(odd), workspace_id("w"), server_id("i-1")),
+                     decode_error);
+        EXPECT_THROW(encodeConnect(database_id("d"), workspace_id(odd), server_id("i-1")),
+                     decode_error);
+        EXPECT_THROW(encodeConnect(database_id("d"), workspace_id("w"), server_id(odd)),
+                     decode_error);
+    }
+}
+
 RC_GTEST_PROP(PlatformCallers, AnyLineIsDecodedOrRejected, (const std::string &line))
 {
     try {
