--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -99,6 +99,18 @@
     EXPECT_THROW(decodeCallerLine("CONNECT"), decode_error);
 }
 
+// Guards against answers beyond the limit of a line, where an error repeats a text of the caller.
+TEST(PlatformCallers, ErrorsAreOneLineWithinTheLimit)
+{
+    for (const std::string text : {std::string(maxLineBytes, 'x'), std::string("two\r\nlines"),
+                                   std::string("two\nlines"), std::string("a\0b", 3)}) {
+        const rejected error{statement_error::unknownDatabase, text};
+        EXPECT_EQ(splitIntoLines(encodeRejected(error), 4096).size(), 1U) << text.substr(0, 20);
+        const statement_answer answer{{}, error, session_state::idle, {}};
+        EXPECT_EQ(splitIntoLines(encodeAnswer(answer), 4096).size(), 2U) << text.substr(0, 20);
+    }
+}
+
 /** \returns any text that the last field of a line may hold. */
 std::string anyLineText(std::size_t leastBytes)
 {
