Statements that lack a field of the grammar are refused as malformed

What callers saw: `EXECUTE name` took a place in the queue and a slot of a member, which refused it. `SET name` was acknowledged, and an empty value that nobody had sent was set at members. `COMMIT ` with a blank behind it was forwarded; the member refused it as malformed and the transaction was rolled back.

Cause: a missing field and an empty one were not told apart.

The grammar is `EXECUTE name item [data]` and `SET name value`. `SET name ` with its blank has a value, which is empty, and stays legal; BEGIN, COMMIT and ROLLBACK stand alone.

--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -99,6 +99,17 @@
     EXPECT_THROW(decodeCallerLine("CONNECT"), decode_error);
 }
 
+TEST(PlatformCallers, StatementsWithoutAFieldOfTheGrammarAreRejected)
+{
+    for (const auto *text : {"EXECUTE s1", "EXECUTE s1 ", "SET v0", "SET", "SET  x", "COMMIT ",
+                             "ROLLBACK ", "BEGIN ", "PREPARE s1 READ", "DEALLOC "})
+        EXPECT_TRUE(std::holds_alternative<caller_statement::malformed>(
+                decodeRequest(std::string("QUERY a ") + text).parsed))
+                << '"' << text << '"';
+    EXPECT_EQ(decodeRequest("QUERY a SET v0 ").parsed,
+              parsed_statement(caller_statement::set_value{"v0", ""}));
+}
+
 // Guards against answers beyond the limit of a line, where an error repeats a text of the caller.
 TEST(PlatformCallers, ErrorsAreOneLineWithinTheLimit)
 {
