The key of a caller extends to the end of its line

What callers saw: `CONNECT sales k1 rest` was accepted as key k1, although the line names the key "k1 rest", which nobody holds.

Cause: the last field was read up to a blank, against the grammar of lines.

--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -110,6 +110,12 @@
               parsed_statement(caller_statement::set_value{"v0", ""}));
 }
 
+TEST(PlatformCallers, TheKeyExtendsToTheEndOfTheLine)
+{
+    const auto message = std::get<connect_message>(decodeCallerLine("CONNECT sales k1 k2"));
+    EXPECT_EQ(message, (connect_message{"sales", "k1 k2"}));
+}
+
 // Guards against answers beyond the limit of a line, where an error repeats a text of the caller.
 TEST(PlatformCallers, ErrorsAreOneLineWithinTheLimit)
 {
