A session that does not fit a message of a link runs on own connections

What callers saw: a session whose values and text exceed the 4 MiB of a message was handed over, declined by the link ("the statement is too long"), and taken as a sign that the broker does not serve: for 300 ms all statements of the database went past it, to connections of their own, and again with each statement of that session.

Cause: the length of the message was checked behind the decision to hand over.

The dispatcher bounds the length from the texts that the message holds, and does not hand over what may exceed the limit. The limit is one constant for both.

Evidence: dispatch_brokers.a_session_that_does_not_fit_a_message_runs_here_and_keeps_nobody_off fails on (messages of 4,245,618 and 5,145,618 bytes are handed over, the limit is 4,194,304) and passes here.

--- a/programs/node/broker_link.h
+++ b/programs/node/broker_link.h
@@ -31,8 +31,7 @@
 {
     /** Greatest length of the first message of another instance. */
     std::size_t helloBytes = std::size_t{4} << 10;
-    /** Greatest length of a message: the longest line of a caller with its session values. */
-    std::size_t messageBytes = std::size_t{4} << 20;
+    std::size_t messageBytes = maximumBrokerMessageBytes; ///< greatest length of later messages
     /** Unsent bytes to a broker above which statements are not handed over to it. */
     std::size_t unsentStatementBytes = std::size_t{1} << 20;
     /** Unsent answers to an instance above which nothing more is read from it. */
--- a/sycamorespan/src/Brokerage/brokered_statement.h
+++ b/sycamorespan/src/Brokerage/brokered_statement.h
@@ -7,6 +7,7 @@
 #include "sycamorespan/src/Dispatch/connection_setup.h"
 #include "sycamorespan/src/Dispatch/statement.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,6 +15,11 @@
 
 namespace sycamorespan {
 
+/** Greatest length of a message between an instance and a broker, in bytes. A statement that may need
+ * more is not handed over.
+ */
+constexpr std::size_t maximumBrokerMessageBytes = std::size_t{4} << 20;
+
 /** \brief Number of an operation that is handed over, unique among those of its instance. An
  * operation is a single statement or a transaction.
  */
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 
 namespace sycamorespan {
 
@@ -23,6 +24,26 @@
 /** Outcome in the log of a statement that this instance declined as a broker. */
 const std::string declinedOutcome = "declined";
 
+/** Bytes of a message to a broker beside its texts. */
+constexpr std::size_t messageFieldBytes = 512;
+
+/** Bytes in front of a text in a message to a broker. */
+constexpr std::size_t textPrefixBytes = 9;
+
+/** \returns the length that the message which hands over the statement in progress has at most. */
+std::size_t maximumMessageBytes(const caller_state &from)
+{
+    const auto &request = from.job->request;
+    auto bytes = messageFieldBytes + request.id.size() + request.text.size()
+                 + from.databaseName.size() + from.workspace.str().size();
+    if (const auto *execute = std::get_if<caller_statement::execute>(&request.parsed))
+        bytes += from.prepared.at(execute->name).statementShape.size();
+    return std::accumulate(
+            from.values.begin(), from.values.end(), bytes, [](std::size_t sum, const auto &each) {
+                return sum + 2 * textPrefixBytes + each.first.size() + each.second.size();
+            });
+}
+
 /** \returns what a broker is to run for the statement in progress. */
 brokered_work workOf(const caller_state &from)
 {
@@ -68,6 +89,8 @@
             || (from.job->needsPrimary && now < avoided.brokerAvoidedForPrimaryUntil))
             return std::nullopt;
     }
+    if (maximumMessageBytes(from) > maximumBrokerMessageBytes)
+        return std::nullopt;
     return broker->second;
 }
 
--- a/test/dispatch_brokers.cpp
+++ b/test/dispatch_brokers.cpp
@@ -4,6 +4,8 @@
 
 #include "dispatch_harness.h"
 
+#include "sycamorespan/Brokerage"
+
 #include <gtest/gtest.h>
 
 namespace {
@@ -212,6 +214,33 @@
     EXPECT_EQ(instance.sentCount(), 1U);
 }
 
+// Guards against one session that keeps all statements of its database from their broker.
+TEST(dispatch_brokers, a_session_that_does_not_fit_a_message_runs_here_and_keeps_nobody_off)
+{
+    const std::size_t valueBytes = (std::size_t{1} << 20) - 64;
+    std::size_t handedOver = 0;
+    for (const std::size_t last : {2, 900'000, 1'047'000, 1'100'000, 2'000'000}) {
+        caller_side instance;
+        instance.connect(1);
+        instance.connect(2);
+        for (const auto *name : {"a", "b", "c"})
+            instance.request(1, std::string("SET ") + name + " " + std::string(valueBytes, 'x'));
+        for (const auto *name : {"d", "e"})
+            instance.request(1, std::string("SET ") + name + " " + std::string(last / 2, 'x'));
+        instance.request(1, "READ x");
+        if (instance.handedOverCount() == 0) {
+            instance.answer(instance.lastSent().connection); // the setup of the connection
+        } else {
+            ++handedOver;
+            EXPECT_LE(encodeFrame(instance.lastHandedOver()).size(), maximumBrokerMessageBytes);
+        }
+        const auto before = instance.handedOverCount();
+        instance.request(2, "READ x");
+        EXPECT_EQ(instance.handedOverCount(), before + 1);
+    }
+    EXPECT_EQ(handedOver, 3U);
+}
+
 /** \brief The broker of the database. */
 struct broker_side : dispatch_harness
 {
