A read that is in doubt at its broker runs on an own connection

What callers saw: a read whose rows exceed the 4 MiB of a message was answered with in_doubt, and each repeat of it as well, while the database had a broker. Without a broker the same read succeeds.

Cause: the broker replaces an answer that does not fit by in_doubt, which is right for what may not run twice, and the caller's instance passed it on.

A single read may run again: the caller's instance runs it on its own connection, without taking the broker for unusable. Writes, commits and reads in transactions stay in doubt, so that a transaction that reads more than 4 MiB in one statement through a broker still fails.

--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -404,6 +404,7 @@
     void endHandOver(caller &from);
     void leaveBroker(caller &from);
     void returnDeclined(caller &from, const std::string &why, time_point now);
+    void runHere(caller &from, std::string step, std::string_view why, time_point now);
     void serve(caller &from, const brokered_statement &statement, time_point now);
     void answerHandOver(caller &to, statement_answer answer, time_point now);
     void decline(session_number session, const brokered_statement &statement, std::string why);
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -44,6 +44,13 @@
             });
 }
 
+/** \returns whether the statement in progress is a read outside a transaction, which may run again.
+ */
+bool isSingleRead(const caller_state &from)
+{
+    return from.state == session_state::idle && from.job->access == statement_access::read;
+}
+
 /** \returns what a broker is to run for the statement in progress. */
 brokered_work workOf(const caller_state &from)
 {
@@ -167,6 +174,10 @@
     if (why) {
         if (answer.answer.state != session_state::inTransaction)
             leaveBroker(from);
+        if (why->code == statement_error::inDoubt && isSingleRead(from)) {
+            runHere(from, "repeat", why->text, now);
+            return takeOutputs();
+        }
         reject(from, why->code, why->text, now);
         return takeOutputs();
     }
@@ -193,22 +204,31 @@
 /** Runs a statement here that its broker declined, so that it did not run there. */
 void dispatcher::returnDeclined(caller &from, const std::string &why, time_point now)
 {
-    if (from.state == session_state::inTransaction && !from.job->startsTransaction)
+    const bool isBegun = from.state == session_state::inTransaction && !from.job->startsTransaction;
+    if (isBegun)
         endHandOver(from); // the broker may still have the transaction open
     else
         leaveBroker(from);
-    auto &job = *from.job;
+    if (isBegun && !from.isDisconnected)
+        return reject(from, statement_error::aborted, why + ": rolled back", now);
+    if (!isBegun) {
+        auto &state = group(from);
+        auto &avoidedUntil = from.job->needsPrimary ? state.brokerAvoidedForPrimaryUntil
+                                                    : state.brokerAvoidedUntil;
+        avoidedUntil = now + m_policy.avoidancePeriod;
+    }
+    runHere(from, "declined", why, now);
+}
+
+/** Runs a statement that is over at its broker on a connection of this instance. */
+void dispatcher::runHere(caller &from, std::string step, std::string_view why, time_point now)
+{
     if (from.isDisconnected) {
         from.job.reset();
         return removeCaller(from.number, now);
     }
-    if (from.state == session_state::inTransaction && !job.startsTransaction)
-        return reject(from, statement_error::aborted, why + ": rolled back", now);
-    auto &state = group(from);
-    (job.needsPrimary ? state.brokerAvoidedForPrimaryUntil : state.brokerAvoidedUntil) =
-            now + m_policy.avoidancePeriod;
-    recordStep(from, "declined", {}, why);
-    job.avoidsBroker = true;
+    recordStep(from, std::move(step), {}, why);
+    from.job->avoidsBroker = true;
     from.hasWritten = false;
     enqueue(from, now);
 }
--- a/test/dispatch_brokers.cpp
+++ b/test/dispatch_brokers.cpp
@@ -241,6 +241,39 @@
     EXPECT_EQ(handedOver, 3U);
 }
 
+// Guards against a read whose rows never fit a message of its broker.
+TEST(dispatch_brokers, a_read_whose_answer_the_broker_lost_runs_here)
+{
+    caller_side instance;
+    instance.connect(1);
+    instance.connect(2);
+    instance.request(1, "READ x");
+    instance.brokerAnswers(true, rejected{statement_error::inDoubt, "too long"});
+    ASSERT_EQ(instance.sentCount(), 1U);
+    instance.answer(instance.lastSent().connection);
+    EXPECT_TRUE(instance.lastReply().succeeded());
+    EXPECT_EQ(instance.settlements(), settled(1, 0));
+    instance.request(2, "READ x"); // the broker serves the others
+    EXPECT_EQ(instance.handedOverCount(), 2U);
+}
+
+TEST(dispatch_brokers, a_write_or_a_transaction_in_doubt_at_its_broker_does_not_run_again)
+{
+    caller_side instance;
+    instance.connect(1);
+    instance.connect(2);
+    instance.request(1, "WRITE x 1");
+    instance.brokerAnswers(true, rejected{statement_error::inDoubt, "lost"});
+    EXPECT_EQ(dispatch_harness::codeOf(instance.lastReply()), statement_error::inDoubt);
+    instance.request(2, "BEGIN");
+    instance.request(2, "READ x");
+    instance.brokerAnswers(true, rejected{statement_error::inDoubt, "lost"},
+                           session_state::inTransaction);
+    EXPECT_EQ(dispatch_harness::codeOf(instance.lastReply()), statement_error::inDoubt);
+    EXPECT_EQ(instance.lastReply().state, session_state::failedTransaction);
+    EXPECT_EQ(instance.sentCount(), 0U);
+}
+
 /** \brief The broker of the database. */
 struct broker_side : dispatch_harness
 {
