The name of an instance is one word before it becomes a header

What operators saw: with a settings file whose lines end with CR LF the name of the instance ended with CR, and Lease-Holder was sent with it; a name with a line break would have been further headers.

Cause: names went into headers as they came.

The property KeysOfAnyBytesStayOneParameter passes on both: keys in paths are encoded.

--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -492,6 +492,45 @@
     const auto order = orderPromotion("db1", "i-1", "node-3", 8);
     EXPECT_EQ(order.headers, (std::vector<std::pair<std::string, std::string>>{
                                      {"Lease-Holder", "node-3"}, {"Fencing-Token", "8"}}));
+    EXPECT_THROW(orderPromotion("db1", "i-1", "node-3\r\nFencing-Token: 9", 8), decode_error);
+}
+
+/** \returns the value of a parameter of a path, as a server decodes it. */
+std::string parameterOf(const std::string &path, const std::string &name)
+{
+    const auto start = path.find('&' + name + '=') + name.size() + 2;
+    const auto encoded = path.substr(start, path.find('&', start) - start);
+    std::string decoded;
+    for (std::size_t index = 0; index < encoded.size(); ++index) {
+        const bool isEscape = encoded[index] == '%';
+        decoded += isEscape
+                           ? static_cast<char>(std::stoi(encoded.substr(index + 1, 2), nullptr, 16))
+                           : encoded[index];
+        index += isEscape ? 2 : 0;
+    }
+    return decoded;
+}
+
+RC_GTEST_PROP(PlatformStore, KeysOfAnyBytesStayOneParameter, ())
+{
+    const auto from = *rc::gen::nonEmpty<std::string>();
+    const auto end = *rc::gen::nonEmpty<std::string>();
+    const auto path = readRows("my", from, end).path;
+    RC_ASSERT(parameterOf(path, "from") == from);
+    RC_ASSERT(parameterOf(path, "target") == end);
+    RC_ASSERT(std::ranges::count(path, '&') == 3);
+    RC_ASSERT(std::ranges::all_of(path,
+                                  [](unsigned char byte) { return byte > ' ' && byte < 0x7f; }));
+}
+
+TEST(PlatformSettings, TheNameOfAnInstanceIsOneWord)
+{
+    try {
+        static_cast<void>(parseSettings("node_name=n1\r\n"));
+        FAIL();
+    } catch (const decode_error &failure) {
+        EXPECT_NE(std::string(failure.what()).find("node_name is not one word"), std::string::npos);
+    }
 }
 
 TEST(PlatformSettings, ErrorNamesAllInvalidKeys)
