Log lines stay within 4,096 bytes whatever bytes a caller sends

What operators saw: a line of up to 11,344 bytes where a caller's database name, request id or error text holds control characters or bytes above ASCII. Such a line is not written at once to a pipe: it may block the process or be torn.

Cause: values were cut by their own length, with room for escapes of two bytes; those of control characters and of bytes above ASCII take six. The names of the fields were counted with 512 bytes for all of them.

Values are cut by the bytes that they take in the line, and the names are counted.

Evidence: logging.nodeLinesOfAnyBytesAreOneLineThatFitsIntoOneAtomicPipeWrite fails on (11,344 bytes) and passes here, in both formats.

--- a/programs/node/event_log.cpp
+++ b/programs/node/event_log.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <climits>
 #include <iterator>
+#include <numeric>
 #include <string_view>
 #include <utility>
 
@@ -15,11 +16,15 @@
 /** Minimum time between two log lines that report the number of dropped lines. */
 constexpr duration dropReportInterval = 1s;
 
-/** Maximum total size of the values in a line. A pipe that polls as writable takes PIPE_BUF bytes
- * without blocking. 512 of them are reserved for names and time, and quoting can double the size of
- * the values.
- */
-constexpr std::size_t maxFieldBytes = (PIPE_BUF - 512) / 2;
+/** Greatest length of a line. A pipe that polls as writable takes that much without blocking. */
+constexpr std::size_t maxLineBytes = PIPE_BUF;
+
+/** Bytes of a line beside its event and its fields: time, level, component and the line break. */
+constexpr std::size_t fixedBytes = 160;
+
+/** Bytes of a field beside its name and value: separators, quotes and the truncation mark. */
+constexpr std::size_t fieldBytes = 9;
+
 constexpr std::string_view truncationMark = "...";
 
 log_level levelOf(line_importance importance)
@@ -34,17 +39,44 @@
     return log_level::info;
 }
 
+/** \returns the number of bytes that a byte of a value takes in a line at most. */
+std::size_t writtenBytes(unsigned char byte)
+{
+    constexpr std::size_t unicodeEscape = std::string_view("\\u0000").size();
+    if (byte < ' ' || byte >= 0x7f)
+        return unicodeEscape;
+    return byte == '"' || byte == '\\' ? 2 : 1;
+}
+
+/** \returns the longest front of \a value that takes at most \a remaining bytes, with a mark if it
+ * is not all of it. Reduces \a remaining by what it takes.
+ */
+std::string truncated(const std::string &value, std::size_t &remaining)
+{
+    const auto end = std::ranges::find_if(value, [&remaining](unsigned char byte) {
+        const auto written = writtenBytes(byte);
+        if (written > remaining)
+            return true;
+        remaining -= written;
+        return false;
+    });
+    if (end == value.end())
+        return value;
+    remaining = 0;
+    return std::string(value.begin(), end).append(truncationMark);
+}
+
 /** \returns the fields, with the last values truncated if the line would become too long. */
-std::vector<log_field> truncatedFields(const event_fields &fields)
+std::vector<log_field> truncatedFields(std::string_view event, const event_fields &fields)
 {
-    auto remaining = maxFieldBytes;
+    const auto reserved = std::accumulate(fields.begin(), fields.end(), fixedBytes + event.size(),
+                                          [](std::size_t sum, const auto &field) {
+                                              return sum + field.first.size() + fieldBytes;
+                                          });
+    auto remaining = maxLineBytes - std::min(maxLineBytes, reserved);
     std::vector<log_field> result;
     std::ranges::transform(fields, std::back_inserter(result), [&remaining](const auto &field) {
-        auto value = field.second;
-        if (value.size() > remaining)
-            value = value.substr(0, remaining).append(truncationMark);
-        remaining -= std::min(remaining, value.size());
-        return log_field{field.first, std::move(value)};
+        return log_field{field.first, truncated(field.second, remaining)};
     });
     return result;
 }
@@ -73,7 +105,7 @@
         return;
     }
     reportDropped(now);
-    m_logger.write(levelOf(importance), event, truncatedFields(fields));
+    m_logger.write(levelOf(importance), event, truncatedFields(event, fields));
 }
 
 void event_log::reportDropped(time_point now)
--- a/test/logging.cpp
+++ b/test/logging.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <climits>
 #include <sstream>
@@ -109,6 +110,28 @@
     setUpLogging({}, std::cerr);
 }
 
+// Guards against lines that block on a pipe or are torn, because escapes are longer than the bytes.
+TEST(logging, nodeLinesOfAnyBytesAreOneLineThatFitsIntoOneAtomicPipeWrite)
+{
+    for (const auto format : {settings::log_format::text, settings::log_format::json}) {
+        for (int byte = 0; byte < 256; ++byte) {
+            std::ostringstream stream;
+            setUpLogging({log_level::info, format}, stream);
+            output_pipe output;
+            node::event_log log({}, output.writeEnd());
+            const std::string name(std::size_t{1} << 20, static_cast<char>(byte));
+            node::event_fields fields(20, {"a_name_of_a_field", "1"});
+            fields[3].second = name;
+            fields[4].second = name;
+            log.write(line_importance::state, "session refused", fields, time_point(1h));
+            const auto line = stream.str();
+            EXPECT_LE(line.size(), std::size_t{PIPE_BUF}) << byte;
+            EXPECT_EQ(std::ranges::count(line, '\n'), 1) << byte;
+        }
+    }
+    setUpLogging({}, std::cerr);
+}
+
 TEST(logging, omitsLinesBelowTheConfiguredLevel)
 {
     EXPECT_EQ(writeLine({log_level::warning, settings::log_format::text}, log_level::info, {}), "");
