Prepared statements of SQL sessions change when that is acknowledged

What callers saw: a name ran another statement than the one acknowledged for it. Parse and Close took effect as soon as they were read, also behind an error of their batch, where the protocol skips them, and where the answers of an implicit transaction were discarded. DISCARD ALL that was carried out later dropped statements whose Parse had been read before and acknowledged since.

Parse, Bind, Describe, Execute and Close are operations that are carried out in their turn. What an implicit transaction changed is taken back with its answers. A Describe of a portal that another one follows is answered; before, it was lost.

--- a/sycamorespan/src/Session/caller_session.cpp
+++ b/sycamorespan/src/Session/caller_session.cpp
@@ -16,6 +16,7 @@
 using internal::errorOf;
 
 constexpr std::string_view noActiveSqlTransaction = "25P01";
+constexpr std::string_view programLimitExceeded = "54000";
 
 /** Session parameters that are accepted and ignored, because they have no effect on the results of
  * other callers that share a connection.
@@ -30,6 +31,28 @@
                    "block");
 }
 
+error_report unknownStatement(const std::string &name)
+{
+    return errorOf(sqlstate::invalidStatementName,
+                   "prepared statement \"" + name + "\" does not exist");
+}
+
+error_report unknownPortal(const std::string &name)
+{
+    return errorOf(sqlstate::invalidCursorName, "portal \"" + name + "\" does not exist");
+}
+
+std::int16_t commonFormat(const std::vector<std::int16_t> &formats)
+{
+    return formats.empty() ? std::int16_t{0} : formats.front();
+}
+
+bool isMixed(const std::vector<std::int16_t> &formats)
+{
+    return std::ranges::any_of(
+            formats, [&formats](std::int16_t format) { return format != formats.front(); });
+}
+
 } // namespace
 
 caller_session::caller_session(const session_limits &limits, statement_classifier &classifier)
@@ -145,6 +168,116 @@
     m_writer.raw(next.bytes);
 }
 
+void caller_session::perform(const prepare_operation &next)
+{
+    const auto &message = next.message;
+    if (m_statements.size() >= m_limits.preparedStatements && !message.statement.empty())
+        return failStatement(errorOf(programLimitExceeded, "too many prepared statements"));
+    if (m_classifier.classify(message.text)->statements.size() > 1)
+        return failStatement(errorOf(sqlstate::syntaxError,
+                                     "cannot insert multiple commands into a prepared statement"));
+    changeStatement(message.statement, prepared_statement{message.text, message.parameterTypes});
+    m_writer.parseComplete();
+}
+
+void caller_session::perform(const bind_operation &next)
+{
+    const auto &message = next.message;
+    const auto statement = m_statements.find(message.statement);
+    if (statement == m_statements.end())
+        return failStatement(unknownStatement(message.statement));
+    if (isMixed(message.resultFormats))
+        return failStatement(errorOf(sqlstate::featureNotSupported,
+                                     "result columns of different formats are not supported"));
+    m_portals[message.portal] = {statement->second, message};
+    m_writer.bindComplete();
+}
+
+void caller_session::perform(const describe_operation &next)
+{
+    const auto statement = m_statements.find(next.statement);
+    if (statement == m_statements.end())
+        return failStatement(unknownStatement(next.statement));
+    run_operation describe{{statement->second.text, statement->second.parameterTypes},
+                           result_form::statementDescription,
+                           std::nullopt};
+    describe.sql.describeOnly = true;
+    perform(describe);
+}
+
+void caller_session::perform(const describe_portal_operation &next)
+{
+    const auto found = m_portals.find(next.portal);
+    if (found == m_portals.end())
+        return failStatement(unknownPortal(next.portal));
+    const auto &[statement, bound] = found->second;
+    run_operation describe{{statement.text, statement.parameterTypes},
+                           result_form::portalDescription,
+                           std::nullopt};
+    describe.sql.describeOnly = true;
+    describe.sql.resultFormat = commonFormat(bound.resultFormats);
+    perform(describe);
+}
+
+void caller_session::perform(const execute_operation &next)
+{
+    const auto found = m_portals.find(next.message.portal);
+    if (found == m_portals.end())
+        return failStatement(unknownPortal(next.message.portal));
+    if (next.message.maximumRows != 0)
+        return failStatement(errorOf(sqlstate::featureNotSupported,
+                                     "fetching a portal in parts is not supported"));
+    const auto &[statement, bound] = found->second;
+    const auto classification = m_classifier.classify(statement.text);
+    if (classification->isEmpty()) {
+        if (next.described)
+            m_writer.noData();
+        return m_writer.emptyQueryResponse();
+    }
+    run_operation run{{statement.text, statement.parameterTypes, bound.parameters,
+                       bound.parameterFormats, commonFormat(bound.resultFormats), false},
+                      next.described ? result_form::describedRows : result_form::rows,
+                      std::nullopt};
+    if (!classification->statements.empty())
+        run.statement = classification->statements.front();
+    perform(run);
+}
+
+void caller_session::perform(const close_operation &next)
+{
+    if (next.message.kind == target_kind::statement)
+        changeStatement(next.message.name, std::nullopt);
+    else
+        m_portals.erase(next.message.name);
+    m_writer.closeComplete();
+}
+
+/** Prepares a statement, or closes it. */
+void caller_session::changeStatement(const std::string &name,
+                                     std::optional<prepared_statement> statement)
+{
+    const auto known = m_statements.find(name);
+    if (m_implicitTransactionOpen)
+        m_unacknowledgedChanges.emplace_back(
+                name, known == m_statements.end() ? std::nullopt : std::optional(known->second));
+    if (statement)
+        m_statements[name] = std::move(*statement);
+    else if (known != m_statements.end())
+        m_statements.erase(known);
+}
+
+/** Takes back the changes of prepared statements whose answers are discarded. */
+void caller_session::revertUnacknowledgedChanges()
+{
+    const auto changes = std::exchange(m_unacknowledgedChanges, {});
+    std::for_each(changes.rbegin(), changes.rend(), [this](const auto &change) {
+        if (change.second)
+            m_statements[change.first] = *change.second;
+        else
+            m_statements.erase(change.first);
+    });
+}
+
 void caller_session::perform(const run_operation &next)
 {
     const auto kind = next.statement ? next.statement->kind : statement_kind::write;
@@ -224,6 +357,8 @@
 void caller_session::perform(const ready_for_query_operation &)
 {
     m_skipUntilReady = false;
+    m_portals.clear();
+    m_unacknowledgedChanges.clear();
     m_writer.readyForQuery(status());
 }
 
@@ -380,8 +515,10 @@
 void caller_session::fail(const error_report &report)
 {
     // The results of the implicit transaction are discarded; only its error is sent to the caller.
-    if (m_implicitTransactionOpen)
+    if (m_implicitTransactionOpen) {
         m_writer = {};
+        revertUnacknowledgedChanges();
+    }
     m_writer.errorResponse(report);
     m_skipUntilReady = true;
 }
--- a/sycamorespan/src/Session/caller_session.h
+++ b/sycamorespan/src/Session/caller_session.h
@@ -199,6 +199,39 @@
         portalDescription, ///< for Describe of a portal: columns
         errorsOnly, ///< for the end of an implicit transaction: errors only
     };
+    /** Prepares a statement. Like all that changes what the session holds, it is carried out in its
+     * turn, so that nothing of a batch that has failed before takes effect.
+     */
+    struct prepare_operation
+    {
+        parse_message message;
+    };
+    /** Binds a portal. */
+    struct bind_operation
+    {
+        bind_message message;
+    };
+    /** Describes a prepared statement. */
+    struct describe_operation
+    {
+        std::string statement;
+    };
+    /** Describes a portal that is not executed next. */
+    struct describe_portal_operation
+    {
+        std::string portal;
+    };
+    /** Executes a portal. */
+    struct execute_operation
+    {
+        execute_message message;
+        bool described = false; ///< a Describe of the portal precedes it
+    };
+    /** Closes a prepared statement or a portal. */
+    struct close_operation
+    {
+        close_message message;
+    };
     /** Runs a statement. */
     struct run_operation
     {
@@ -221,7 +254,9 @@
         error_report report;
     };
     using operation =
-            std::variant<reply_operation, run_operation, begin_implicit_transaction_operation,
+            std::variant<reply_operation, prepare_operation, bind_operation, describe_operation,
+                         describe_portal_operation, execute_operation, close_operation,
+                         run_operation, begin_implicit_transaction_operation,
                          end_implicit_transaction_operation, ready_for_query_operation,
                          fail_operation>;
 
@@ -243,17 +278,25 @@
     void handleSync();
     void handleFlush();
     void addToBatch(operation next);
-    void addErrorToBatch(std::string_view code, const std::string &message);
+    void addDescribedPortal();
     void releaseBatch(bool complete);
 
     void runOperations();
     void perform(const reply_operation &next);
+    void perform(const prepare_operation &next);
+    void perform(const bind_operation &next);
+    void perform(const describe_operation &next);
+    void perform(const describe_portal_operation &next);
+    void perform(const execute_operation &next);
+    void perform(const close_operation &next);
     void perform(const run_operation &next);
     void perform(const begin_implicit_transaction_operation &next);
     void perform(const end_implicit_transaction_operation &next);
     void perform(const ready_for_query_operation &next);
     void perform(const fail_operation &next);
 
+    void changeStatement(const std::string &name, std::optional<prepared_statement> statement);
+    void revertUnacknowledgedChanges();
     void runStatement(const run_operation &next, statement_kind kind);
     void beginTransaction(const run_operation &next);
     void endTransaction(const run_operation &next, statement_kind kind);
@@ -297,6 +340,8 @@
 
     std::map<std::string, prepared_statement> m_statements;
     std::map<std::string, portal> m_portals;
+    /** Former values of the prepared statements that the implicit transaction has changed. */
+    std::vector<std::pair<std::string, std::optional<prepared_statement>>> m_unacknowledgedChanges;
     std::optional<end_session_request> m_ending;
 };
 
--- a/sycamorespan/src/Session/caller_session_messages.cpp
+++ b/sycamorespan/src/Session/caller_session_messages.cpp
@@ -16,8 +16,6 @@
 
 using internal::errorOf;
 
-constexpr std::string_view programLimitExceeded = "54000";
-
 bool isTransactionControl(const classified_statement &statement)
 {
     return statement.kind == statement_kind::begin || statement.kind == statement_kind::commit
@@ -29,17 +27,6 @@
     return text.substr(statement.offset, statement.length);
 }
 
-std::int16_t commonFormat(const std::vector<std::int16_t> &formats)
-{
-    return formats.empty() ? std::int16_t{0} : formats.front();
-}
-
-bool isMixed(const std::vector<std::int16_t> &formats)
-{
-    return std::ranges::any_of(
-            formats, [&formats](std::int16_t format) { return format != formats.front(); });
-}
-
 } // namespace
 
 void caller_session::decodeFrames()
@@ -172,97 +159,39 @@
 
 void caller_session::handleParse(const parse_message &message)
 {
-    if (m_statements.size() >= m_limits.preparedStatements && !message.statement.empty())
-        return addErrorToBatch(programLimitExceeded, "too many prepared statements");
-    if (m_classifier.classify(message.text)->statements.size() > 1)
-        return addErrorToBatch(sqlstate::syntaxError,
-                               "cannot insert multiple commands into a prepared statement");
-    m_statements[message.statement] = {message.text, message.parameterTypes};
-    backend_writer reply;
-    reply.parseComplete();
-    addToBatch(reply_operation{reply.release()});
+    addToBatch(prepare_operation{message});
 }
 
 void caller_session::handleBind(const bind_message &message)
 {
-    const auto statement = m_statements.find(message.statement);
-    if (statement == m_statements.end())
-        return addErrorToBatch(sqlstate::invalidStatementName,
-                               "prepared statement \"" + message.statement + "\" does not exist");
-    if (isMixed(message.resultFormats))
-        return addErrorToBatch(sqlstate::featureNotSupported,
-                               "result columns of different formats are not supported");
-    m_portals[message.portal] = {statement->second, message};
-    backend_writer reply;
-    reply.bindComplete();
-    addToBatch(reply_operation{reply.release()});
+    addToBatch(bind_operation{message});
 }
 
 void caller_session::handleDescribe(const describe_message &message)
 {
-    if (message.kind == target_kind::portal) {
-        if (!m_portals.contains(message.name))
-            return addErrorToBatch(sqlstate::invalidCursorName,
-                                   "portal \"" + message.name + "\" does not exist");
-        m_describedPortal = message.name;
-        return;
-    }
-    const auto statement = m_statements.find(message.name);
-    if (statement == m_statements.end())
-        return addErrorToBatch(sqlstate::invalidStatementName,
-                               "prepared statement \"" + message.name + "\" does not exist");
-    run_operation describe{{statement->second.text, statement->second.parameterTypes},
-                           result_form::statementDescription,
-                           std::nullopt};
-    describe.sql.describeOnly = true;
-    addToBatch(std::move(describe));
+    if (message.kind == target_kind::statement)
+        return addToBatch(describe_operation{message.name});
+    addDescribedPortal();
+    m_describedPortal = message.name;
 }
 
 void caller_session::handleExecute(const execute_message &message)
 {
-    const auto found = m_portals.find(message.portal);
-    if (found == m_portals.end())
-        return addErrorToBatch(sqlstate::invalidCursorName,
-                               "portal \"" + message.portal + "\" does not exist");
-    if (message.maximumRows != 0)
-        return addErrorToBatch(sqlstate::featureNotSupported,
-                               "fetching a portal in parts is not supported");
     const bool described = m_describedPortal == message.portal;
-    m_describedPortal.reset();
-    const auto &[statement, bound] = found->second;
-    const auto classification = m_classifier.classify(statement.text);
-    if (classification->isEmpty()) {
-        backend_writer empty;
-        if (described)
-            empty.noData();
-        empty.emptyQueryResponse();
-        return addToBatch(reply_operation{empty.release()});
-    }
-    run_operation run{{statement.text, statement.parameterTypes, bound.parameters,
-                       bound.parameterFormats, commonFormat(bound.resultFormats), false},
-                      described ? result_form::describedRows : result_form::rows,
-                      std::nullopt};
-    if (!classification->statements.empty())
-        run.statement = classification->statements.front();
+    if (described)
+        m_describedPortal.reset();
     ++m_batchStatements;
-    addToBatch(std::move(run));
+    addToBatch(execute_operation{message, described});
 }
 
 void caller_session::handleClose(const close_message &message)
 {
-    if (message.kind == target_kind::statement)
-        m_statements.erase(message.name);
-    else
-        m_portals.erase(message.name);
-    backend_writer reply;
-    reply.closeComplete();
-    addToBatch(reply_operation{reply.release()});
+    addToBatch(close_operation{message});
 }
 
 void caller_session::handleSync()
 {
     releaseBatch(true);
-    m_portals.clear();
     m_operations.emplace_back(ready_for_query_operation{});
 }
 
@@ -273,22 +202,15 @@
 
 void caller_session::addToBatch(operation next)
 {
-    if (m_describedPortal) {
-        const auto &[statement, bound] = m_portals[*m_describedPortal];
-        run_operation describe{{statement.text, statement.parameterTypes},
-                               result_form::portalDescription,
-                               std::nullopt};
-        describe.sql.describeOnly = true;
-        describe.sql.resultFormat = commonFormat(bound.resultFormats);
-        m_describedPortal.reset();
-        m_batch.emplace_back(std::move(describe));
-    }
+    addDescribedPortal();
     m_batch.push_back(std::move(next));
 }
 
-void caller_session::addErrorToBatch(std::string_view code, const std::string &message)
+/** Adds the description of a portal that is not executed next. */
+void caller_session::addDescribedPortal()
 {
-    addToBatch(fail_operation{errorOf(code, message)});
+    if (const auto name = std::exchange(m_describedPortal, std::nullopt))
+        m_batch.emplace_back(describe_portal_operation{*name});
 }
 
 /** Moves the batch to the queue of operations. Statements before one Sync form one transaction, to
@@ -296,8 +218,7 @@
  */
 void caller_session::releaseBatch(bool complete)
 {
-    if (m_describedPortal)
-        addToBatch(reply_operation{});
+    addDescribedPortal();
     const bool needsTransaction = m_batchStatements > 1 || (!complete && m_batchStatements > 0);
     if (needsTransaction && !m_batchTransactionOpen) {
         m_operations.emplace_back(begin_implicit_transaction_operation{});
--- a/test/session_caller.cpp
+++ b/test/session_caller.cpp
@@ -185,6 +185,80 @@
     EXPECT_EQ(driver.running->sql.text, "INSERT INTO t VALUES (2)");
 }
 
+std::string parse(const std::string &name, const std::string &sql)
+{
+    return encode('P', text(name) + text(sql) + std::string(2, '\0'));
+}
+
+std::string closeStatement(const std::string &name)
+{
+    return encode('C', "S" + text(name));
+}
+
+/** \returns Bind and Execute of a prepared statement, without Sync. */
+std::string executePrepared(const std::string &name)
+{
+    return encode('B', text("") + text(name) + std::string(6, '\0'))
+           + encode('E', text("") + bigEndian(0));
+}
+
+const std::string sync = encode('S', "");
+const std::string first = "INSERT INTO t VALUES (1)";
+const std::string second = "INSERT INTO t VALUES (2)";
+
+/** Guards against a name that runs another statement than the one acknowledged for it. */
+TEST(caller_session, aBatchThatFailsChangesNoPreparedStatementBehindItsError)
+{
+    session_driver driver;
+    driver.feed(parse("s", first) + sync);
+    driver.feed(execute("SELECT 1") + closeStatement("s") + parse("s", second) + sync);
+    ASSERT_TRUE(driver.running);
+    driver.fail("23505");
+    EXPECT_EQ(driver.takeSentTypes(), "1Z12EZ") << "Close and Parse are not acknowledged";
+    driver.feed(executePrepared("s") + sync);
+    ASSERT_TRUE(driver.running);
+    EXPECT_EQ(driver.running->sql.text, first);
+}
+
+/** The caller may send the next batch before the one that changes the name has been answered. */
+TEST(caller_session, aNameRunsTheStatementAcknowledgedForItInBatchesSentAhead)
+{
+    session_driver driver;
+    driver.feed(parse("s", first) + sync);
+    driver.feed(execute("SELECT 1") + closeStatement("s") + parse("s", second) + sync
+                + executePrepared("s") + sync);
+    driver.fail("23505");
+    ASSERT_TRUE(driver.running);
+    EXPECT_EQ(driver.running->sql.text, first);
+}
+
+TEST(caller_session, aBatchWhoseAnswersAreDiscardedChangesNoPreparedStatement)
+{
+    session_driver driver;
+    driver.feed(parse("s", first) + sync);
+    driver.takeSentTypes();
+    driver.feed(closeStatement("s") + parse("s", second) + executePrepared("s")
+                + executePrepared("s") + sync);
+    driver.finish("INSERT 0 1");
+    driver.fail("23505");
+    driver.finish("ROLLBACK");
+    EXPECT_EQ(driver.takeSentTypes(), "EZ");
+    driver.feed(executePrepared("s") + sync);
+    ASSERT_TRUE(driver.running);
+    EXPECT_EQ(driver.running->sql.text, first);
+}
+
+TEST(caller_session, aStatementPreparedBehindDiscardIsKept)
+{
+    session_driver driver;
+    driver.feed(execute("SELECT 1") + sync + query("DISCARD ALL") + parse("s", first) + sync);
+    driver.finish("SELECT 1");
+    EXPECT_EQ(driver.takeSentTypes(), "12CZCZ1Z");
+    driver.feed(executePrepared("s") + sync);
+    ASSERT_TRUE(driver.running);
+    EXPECT_EQ(driver.running->sql.text, first);
+}
+
 TEST(caller_session, rejectsUnsupportedStatements)
 {
     for (const std::string sql :
