A NUL in a text parameter is refused, not cut

What callers saw: INSERT with a parameter of the bytes a, NUL, b in text format succeeded and wrote "a". PostgreSQL itself refuses it.

Cause: libpq takes parameters in text format as C strings, whatever length it is given.

Bind answers 22021 as PostgreSQL does; parameters in binary format may hold any byte.

--- a/sycamorespan/src/Session/caller_session.cpp
+++ b/sycamorespan/src/Session/caller_session.cpp
@@ -15,6 +15,7 @@
 
 using internal::errorOf;
 
+constexpr std::string_view characterNotInRepertoire = "22021";
 constexpr std::string_view noActiveSqlTransaction = "25P01";
 constexpr std::string_view programLimitExceeded = "54000";
 
@@ -53,6 +54,23 @@
             formats, [&formats](std::int16_t format) { return format != formats.front(); });
 }
 
+/** \returns whether a parameter in text format holds a NUL. The backend server refuses it, and its
+ * client library would cut the text there.
+ */
+bool hasNulInText(const bind_message &message)
+{
+    const auto &formats = message.parameterFormats;
+    const auto isText = [&](std::size_t index) {
+        return formats.empty() || formats[std::min(index, formats.size() - 1)] == 0;
+    };
+    for (std::size_t index = 0; index < message.parameters.size(); ++index) {
+        const auto &parameter = message.parameters[index];
+        if (parameter && isText(index) && parameter->find('\0') != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 caller_session::caller_session(const session_limits &limits, statement_classifier &classifier)
@@ -189,6 +207,9 @@
     if (isMixed(message.resultFormats))
         return failStatement(errorOf(sqlstate::featureNotSupported,
                                      "result columns of different formats are not supported"));
+    if (hasNulInText(message))
+        return failStatement(errorOf(characterNotInRepertoire,
+                                     "invalid byte sequence for encoding \"UTF8\": 0x00"));
     m_portals[message.portal] = {statement->second, message};
     m_writer.bindComplete();
 }
--- a/test/session_caller.cpp
+++ b/test/session_caller.cpp
@@ -259,6 +259,26 @@
     EXPECT_EQ(driver.running->sql.text, first);
 }
 
+/** Guards against a text that libpq would cut at the NUL, and write in part. */
+TEST(caller_session, aTextParameterWithANulIsRefused)
+{
+    const auto bind = [](std::uint16_t format) {
+        const auto bigEndian16 = [](std::uint16_t value) {
+            return std::string{static_cast<char>(value >> 8U), static_cast<char>(value)};
+        };
+        const std::string value("a\0b", 3);
+        return encode('B', text("") + text("") + bigEndian16(1) + bigEndian16(format)
+                                   + bigEndian16(1) + bigEndian(3) + value + bigEndian16(0));
+    };
+    for (const std::uint16_t format : {0, 1}) {
+        session_driver driver;
+        driver.feed(parse("", "INSERT INTO t VALUES ($1)") + bind(format)
+                    + encode('E', text("") + bigEndian(0)) + sync);
+        EXPECT_EQ(driver.running.has_value(), format == 1) << "binary values may hold any byte";
+        EXPECT_EQ(driver.takeSentTypes(), format == 1 ? "12" : "1EZ");
+    }
+}
+
 TEST(caller_session, rejectsUnsupportedStatements)
 {
     for (const std::string sql :
