A waiting statement gets a connection at once when its setup ends without a statement

What callers saw: up to one tick (20 ms) of waiting where connections are scarce and the caller whose connection was being prepared has left.

Cause: onSuccess() serves the queue, but since the statement follows its setup a connection also becomes idle without one.

--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -288,6 +288,7 @@
         onBeginRejected(*from, pool, connection, *error, last.state, now);
     else
         onConnectionPrepared(*from, pool, connection, last.state, now);
+    dispatchQueue(stateOf(pool.entry().database), now); // the connection may be idle again
 }
 
 /** \returns why a prepared connection may not get its statement any more; empty if it may. */
--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -224,6 +224,26 @@
     EXPECT_TRUE(isOnly<member_statement::forward>(harness.lastSent()));
 }
 
+TEST(DispatchSetupRefusals, AWaitingStatementGetsTheConnectionOfACallerThatLeftAtOnce)
+{
+    constexpr session_number connections = 4;
+    dispatch_policy policy;
+    policy.reservedConnections = 31;
+    policy.smallShareConnections = connections;
+    dispatch_harness harness(consistency::latest, policy);
+    for (session_number session = 1; session <= connections + 1; ++session) {
+        harness.connect(session);
+        harness.request(session, "SET v 1");
+        harness.request(session, "WRITE x 1");
+    }
+    ASSERT_EQ(harness.sentCount(), connections);
+    const auto connection = harness.outputsOf<send_to_member>().front().connection;
+    harness.collect(harness.subject.callerDisconnected(1, harness.now));
+    harness.answer(connection);
+    ASSERT_EQ(harness.sentCount(), connections + 1);
+    EXPECT_EQ(harness.lastSent().connection, connection);
+}
+
 TEST(DispatchSetupRefusals, AStatementWaitsForTheNextPrimaryIfItsPrimaryIsReplacedMeanwhile)
 {
     dispatch_harness harness;
