--- a/sycamorespan/src/Brokerage/brokered_statement.h
+++ b/sycamorespan/src/Brokerage/brokered_statement.h
@@ -15,8 +15,8 @@
 
 namespace sycamorespan {
 
-/** Greatest length of a message between an instance and a broker, in bytes. A statement that may need
- * more is not handed over.
+/** Greatest length of a message between an instance and a broker, in bytes. A statement that may
+ * need more is not handed over.
  */
 constexpr std::size_t maximumBrokerMessageBytes = std::size_t{4} << 20;
 
--- a/sycamorespan/src/Dispatch/connection_setup.cpp
+++ b/sycamorespan/src/Dispatch/connection_setup.cpp
@@ -140,8 +140,8 @@
                           },
                           [&](const member_statement::prepare &each) {
                               release(each.name.str().front());
-                              m_prepared[{each.access, each.statementShape}] = {each.name.str().front(),
-                                                                                ++m_lastUse};
+                              m_prepared[{each.access, each.statementShape}] = {
+                                      each.name.str().front(), ++m_lastUse};
                           }},
                statement);
 }
--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -309,6 +309,17 @@
                                      runsAsSent));
 }
 
+TEST(DispatchSetupRefusals, StatementsRunAsSentWhileConnectionsRunOutOfNames)
+{
+    EXPECT_TRUE(holdsOnEverySchedule(
+            {.busySetup = 0.2, .failedSetup = 0.001, .numberedShapes = 1},
+            [](const isolation_schedule &played) {
+                runsAsSent(played);
+                RC_ASSERT(played.deallocated > 0U);
+            },
+            60'000));
+}
+
 /** Reads whose answers are overdue are repeated elsewhere while the first attempt may still run. */
 TEST(DispatchSetupRefusals, StatementsRunAsSentWhileMembersAreSlow)
 {
--- a/test/isolation_schedule.h
+++ b/test/isolation_schedule.h
@@ -24,6 +24,7 @@
     double lostAnswer = 0; ///< the connection delivers nothing any more
     double closing = 0; ///< the member closes the connection
     double slowness = 0; ///< a member does not act when it might
+    double numberedShapes = 0; ///< a shape is one of many, so that connections run out of names
     double leaving = 0; ///< a caller closes its session instead of sending a statement
 };
 
@@ -176,6 +177,7 @@
     std::vector<std::string> findings;
     std::size_t completed = 0; ///< statements that members ran
     std::size_t rejectedCount = 0;
+    std::size_t deallocated = 0; ///< lines with DEALLOC that members were sent
     std::size_t malformedCount = 0; ///< lines that members refused as malformed
     std::map<std::string, std::size_t> outcomes;
 
@@ -245,7 +247,10 @@
         if (from.state == session_state::failedTransaction)
             return sendLocal(number, "ROLLBACK", endTransaction);
         const bool inTransaction = from.state == session_state::inTransaction;
-        switch (m_text.below(inTransaction ? 10 : 8)) {
+        auto choice = m_text.below(inTransaction ? 10 : 8);
+        if (choice == 0 && m_text.happens(m_faults.numberedShapes))
+            choice = 1; // values of other sessions are discarded, and all names with them
+        switch (choice) {
         case 0: {
             const auto name = m_text.field(30);
             const auto value = m_text.lastField();
@@ -256,7 +261,9 @@
         case 2: {
             const auto name = m_text.field(m_text.below(20) == 0 ? 1000 : 30);
             const std::string access = m_text.below(2) == 0 ? "READ" : "WRITE";
-            const auto shape = m_text.lastField();
+            const bool isNumbered = m_text.happens(m_faults.numberedShapes);
+            const auto shape = m_text.lastField()
+                               + (isNumbered ? std::to_string(m_text.below(200)) : std::string());
             return sendLocal(number, "PREPARE " + name + ' ' + access + ' ' + shape,
                              [=](caller_model &to) {
                                  to.statements[name] = {access, shape};
@@ -353,6 +360,7 @@
             return false;
         const auto line = std::move(each.lines.front());
         each.lines.pop_front();
+        deallocated += line.starts_with("QUERY - DEALLOC ") ? 1 : 0;
         const auto answer = each.member.handle(line, refusalOf(line));
         check(connection, each);
         if (each.isLost)
@@ -404,10 +412,10 @@
             report("twice");
         if (run.word == "WRITE" && run.isInTransaction)
             m_writtenTransactions.insert(sent.transaction);
-        const bool keepsWrite = run.isInTransaction
-                                        ? run.word == "COMMIT"
-                                                  && m_writtenTransactions.contains(sent.transaction)
-                                        : run.word == "WRITE";
+        const bool keepsWrite =
+                run.isInTransaction
+                        ? run.word == "COMMIT" && m_writtenTransactions.contains(sent.transaction)
+                        : run.word == "WRITE";
         if (keepsWrite) {
             m_kept.insert(run.id);
             if (m_promised.contains(run.id))
