Tests choose ports that the system does not give to connections

Seen: in one of 60 starts of 40 instances a node ended with "cannot bind TCP address: Address already in use". Cause: the port had been free when it was chosen, and was taken by an outgoing connection before the node bound it: both came from the system's range. Change: ports of nodes are below that range (32768 here).

--- a/test/node_programs.py
+++ b/test/node_programs.py
@@ -1,5 +1,6 @@
 """Node processes and their callers, for tests of the running program."""
 import asyncio
+import itertools
 import socket
 import subprocess
 import urllib.request
@@ -8,32 +9,30 @@
 from users_platform import node_settings
 
 
-_ports = set()  # ports that free_port() has returned
+# A node binds its ports later, so they are below those that the system gives to connections.
+_ports = itertools.cycle(range(10_000, 32_000))
+
+
+def is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 def free_port():
-    """Returns a free port, and each port only once: a node binds its ports later."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in _ports:
-            _ports.add(port)
-            return port
+    """Returns a free port, and another one each time."""
+    return next(port for port in _ports if is_free(port))
 
 
 def free_port_pair():
     """Returns a free port whose successor is free too, each of them only once."""
-    while True:
-        first = free_port()
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, first + 1))
-            except OSError:
-                continue
-        if first + 1 not in _ports:
-            _ports.add(first + 1)
-            return first
+    first, second = free_port(), free_port()
+    while second != first + 1:
+        first, second = second, free_port()
+    return first
 
 
 class Caller:
