The soak restarts the process that it stopped, and keeps the state of one that is not ready

Change: a restart waits for the process that was stopped. The state of an instance that is not ready in time is kept with the logs.

--- a/test/process_soak.py
+++ b/test/process_soak.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import urllib.request
 
 from loopback import HOST
 
@@ -175,9 +176,18 @@
             while not await asyncio.to_thread(node.is_ready):
                 if time.monotonic() > deadline:
                     self.recorder.violations.append(f"{node.name} was not ready within {bound_s} s")
+                    await asyncio.to_thread(self.save_state, node)
                     return
                 await asyncio.sleep(0.1)
 
+    def save_state(self, node):
+        try:
+            url = f"http://{HOST}:{node.ports[2]}/state"
+            text = urllib.request.urlopen(url, timeout=1).read()
+        except OSError as error:
+            text = repr(error).encode()
+        (self.folder / f"{node.name}-state.json").write_bytes(text)
+
     # Callers.
 
     async def session(self, route, key=KEY):
@@ -267,29 +277,32 @@
         store = self.platform.store
         if kind == "kill":
             node.process.kill()
-            await self.restart(node)
+            await self.restart(node, node.process)
         elif kind == "kill all":
             for each in self.nodes:
                 each.process.kill()
-            await asyncio.gather(*(self.restart(each) for each in self.nodes))
+            await asyncio.gather(*(self.restart(each, each.process) for each in self.nodes))
         elif kind == "stop":
             node.process.terminate()
-            await self.restart(node)
+            await self.restart(node, node.process)
         elif kind == "reload":
             node.process.send_signal(signal.SIGHUP)
         elif kind == "stops in series":
+            restarts = []
             for each in self.nodes[:INSTANCES]:
                 each.process.terminate()
+                restarts.append(asyncio.create_task(self.restart(each, each.process)))
                 await asyncio.sleep(length / INSTANCES)
-            await asyncio.gather(*(self.restart(each) for each in self.nodes[:INSTANCES]))
+            await asyncio.gather(*restarts)
         elif kind == "signals in series":
+            process = node.process
             for _ in range(5):
-                node.process.send_signal(signal.SIGHUP)
+                process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(length / 10)
-            node.process.terminate()
-            node.process.send_signal(signal.SIGHUP)
-            node.process.terminate()
-            await self.restart(node)
+            process.terminate()
+            process.send_signal(signal.SIGHUP)
+            process.terminate()
+            await self.restart(node, process)
         elif kind == "configurations in series":
             for _ in range(4):
                 await self.configure(self.random.choice((SCARCE, AMPLE)), self.random.random() < 0.5)
@@ -327,8 +340,7 @@
             await asyncio.sleep(length)
             link.mode = "open"
 
-    async def restart(self, node):
-        process = node.process
+    async def restart(self, node, process):
         await asyncio.to_thread(process.wait)
         if node.process is not process:
             return  # an overlapping fault has already restarted the process
