The statement isolation test keeps the logs of a run that fails

One run of the broker case failed at 21:25 UTC beside two soaks, and its output had not been kept, so it could not be traced.

--- a/test/process_statement_isolation.py
+++ b/test/process_statement_isolation.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import re
+import shutil
 import sys
 import tempfile
 import time
@@ -93,13 +94,13 @@
 
 class StatementIsolationTest(unittest.IsolatedAsyncioTestCase):
     async def start(self, connections):
-        self.folder = tempfile.TemporaryDirectory()
+        self.folder, self.passed = pathlib.Path(tempfile.mkdtemp(prefix="isolation-")), False
         self.platform = Platform(["db1"])
         await self.platform.start()
         await self.platform.configure(
             ROUTES, {name: ([f"key-of-{name}"], 5000, 5000) for name in WORKSPACES}, connections=connections)
         self.members = list(self.platform.groups["db1"].members.values())
-        self.nodes = [Node(PROGRAM, self.platform, f"n{index}", "a", pathlib.Path(self.folder.name))
+        self.nodes = [Node(PROGRAM, self.platform, f"n{index}", "a", self.folder)
                       for index in range(INSTANCES)]
         for node in self.nodes:
             await self.until(node.is_ready, f"{node.name} is ready")
@@ -109,7 +110,10 @@
         for node in self.nodes:
             node.stop()
         self.platform.heartbeat.cancel()
-        self.folder.cleanup()
+        if self.passed:
+            shutil.rmtree(self.folder)
+        else:
+            print(f"{self.id()}: logs in {self.folder}", flush=True)
 
     async def until(self, condition, what):
         deadline = time.monotonic() + BOUND_S
@@ -153,6 +157,7 @@
         self.assertEqual([each[:400] for each in findings[:8]], [], f"{len(findings)} findings")
         self.assertGreaterEqual(self.checker.outcomes["COMPLETE"], statements)
         self.assertTrue(all(node.process.poll() is None for node in self.nodes))
+        self.passed = True
 
     async def test_legal_texts_reach_members_unchanged(self):
         await self.start(AMPLE)
