A statement is handed over only if a broker can hold four of them

What callers saw: nothing that is in the record. A broker on a small machine holds 4 MiB for all links of other instances and closes the link of the largest holder beyond it, with every operation on it. Messages of up to 4 MiB were handed over, so that two such sessions are enough.

Cause: the limit of a message was the one that a reader accepts.

A statement is handed over if its message has 1 MiB at most, values included, a quarter of the least budget. Readers accept 4 MiB as before, so that instances of both versions understand each other.

The closing of a link itself was read, not run.

--- a/sycamorespan/src/Brokerage/brokered_statement.h
+++ b/sycamorespan/src/Brokerage/brokered_statement.h
@@ -15,11 +15,14 @@
 
 namespace sycamorespan {
 
-/** Greatest length of a message between an instance and a broker, in bytes. A statement that may
- * need more is not handed over.
- */
+/** Greatest length of a message that a link between instances accepts, in bytes. */
 constexpr std::size_t maximumBrokerMessageBytes = std::size_t{4} << 20;
 
+/** Greatest length of a message that hands a statement over, in bytes. The broker holds at least
+ * four of them.
+ */
+constexpr std::size_t maximumHandOverBytes = std::size_t{1} << 20;
+
 /** \brief Number of an operation that is handed over, unique among those of its instance. An
  * operation is a single statement or a transaction.
  */
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -96,7 +96,7 @@
             || (from.job->needsPrimary && now < avoided.brokerAvoidedForPrimaryUntil))
             return std::nullopt;
     }
-    if (maximumMessageBytes(from) > maximumBrokerMessageBytes)
+    if (maximumMessageBytes(from) > maximumHandOverBytes)
         return std::nullopt;
     return broker->second;
 }
--- a/test/dispatch_brokers.cpp
+++ b/test/dispatch_brokers.cpp
@@ -4,10 +4,14 @@
 
 #include "dispatch_harness.h"
 
+#include "programs/node/broker_link.h"
+
 #include "sycamorespan/Brokerage"
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace {
 
 using namespace sycamorespan;
@@ -214,31 +218,41 @@
     EXPECT_EQ(instance.sentCount(), 1U);
 }
 
-// Guards against one session that keeps all statements of its database from their broker.
+/** \returns the bytes that the smallest instance holds for links. */
+std::size_t leastLinkBytes()
+{
+    platform::node_settings smallest;
+    smallest.memoryBytes = 1;
+    return node::linkIntakePolicy(smallest).budgetBytes;
+}
+
+// Guards against a message for which a broker closes the link, and against one session that keeps
+// all statements of its database from their broker.
 TEST(dispatch_brokers, a_session_that_does_not_fit_a_message_runs_here_and_keeps_nobody_off)
 {
     const std::size_t valueBytes = (std::size_t{1} << 20) - 64;
-    std::size_t handedOver = 0;
-    for (const std::size_t last : {2, 900'000, 1'047'000, 1'100'000, 2'000'000}) {
+    std::set<std::size_t> handedOver;
+    for (const std::size_t total : {std::size_t{2}, valueBytes / 2, valueBytes * 3 / 2,
+                                    valueBytes * 5 / 2, valueBytes * 7 / 2, valueBytes * 5}) {
         caller_side instance;
         instance.connect(1);
         instance.connect(2);
-        for (const auto *name : {"a", "b", "c"})
-            instance.request(1, std::string("SET ") + name + " " + std::string(valueBytes, 'x'));
-        for (const auto *name : {"d", "e"})
-            instance.request(1, std::string("SET ") + name + " " + std::string(last / 2, 'x'));
+        std::size_t left = total;
+        for (int number = 0; left > 0; ++number) {
+            const auto size = std::min(left, valueBytes);
+            instance.request(1, "SET v" + std::to_string(number) + " " + std::string(size, 'x'));
+            left -= size;
+        }
         instance.request(1, "READ x");
-        if (instance.handedOverCount() == 0) {
-            instance.answer(instance.lastSent().connection); // the setup of the connection
-        } else {
-            ++handedOver;
-            EXPECT_LE(encodeFrame(instance.lastHandedOver()).size(), maximumBrokerMessageBytes);
+        if (instance.handedOverCount() > 0) {
+            handedOver.insert(total);
+            EXPECT_LE(encodeFrame(instance.lastHandedOver()).size(), leastLinkBytes() / 4) << total;
         }
         const auto before = instance.handedOverCount();
         instance.request(2, "READ x");
         EXPECT_EQ(instance.handedOverCount(), before + 1);
     }
-    EXPECT_EQ(handedOver, 3U);
+    EXPECT_EQ(handedOver, (std::set<std::size_t>{2, valueBytes / 2}));
 }
 
 // Guards against a read whose rows never fit a message of its broker.
