Only DISCARD ALL drops the prepared statements of a SQL session

What callers saw: after DISCARD PLANS, SEQUENCES or TEMP the names that the session had prepared were unknown, although their preparing was acknowledged and PostgreSQL keeps them; the answer said DISCARD ALL.

Cause: the classification did not tell what is discarded.

The other forms have no effect on what the session holds here and are answered with their own tag.

--- a/sycamorespan/src/Routing/classify_statements.cpp
+++ b/sycamorespan/src/Routing/classify_statements.cpp
@@ -280,6 +280,14 @@
                            : sessionStateStatement(std::move(feature));
 }
 
+classified_statement classifyDiscard(const json &node)
+{
+    constexpr std::string_view prefix = "DISCARD_"; // of DISCARD_ALL, DISCARD_PLANS and so on
+    const auto target = stringField(node, "target");
+    const auto start = std::min(prefix.size(), target.size());
+    return withFeature(statement_kind::discard, "DISCARD " + target.substr(start));
+}
+
 classified_statement classifyCreateTable(const json &node)
 {
     // The table is dropped at the end of the transaction and leaves no state in the session.
@@ -307,7 +315,7 @@
     if (name == "VariableShowStmt")
         return classifyShow(node);
     if (name == "DiscardStmt")
-        return ofKind(statement_kind::discard);
+        return classifyDiscard(node);
     if (name == "ConstraintsSetStmt")
         return ofKind(statement_kind::transactionParameter);
     if (name == "DeclareCursorStmt")
--- a/sycamorespan/src/Routing/statement_classification.h
+++ b/sycamorespan/src/Routing/statement_classification.h
@@ -49,7 +49,9 @@
     std::size_t length = 0; ///< length in bytes
     bool readOnlyTransaction = false; ///< BEGIN ... READ ONLY
     bool chainsTransaction = false; ///< COMMIT AND CHAIN, ROLLBACK AND CHAIN
-    /** Name of the SQL feature for error messages, set for sessionState, copy and twoPhase. */
+    /** Name of the SQL feature for error messages, set for sessionState, copy and twoPhase. For
+     * discard it is the command with what it discards, such as "DISCARD ALL".
+     */
     std::string feature;
     std::optional<parameter_statement> parameter;
 
--- a/sycamorespan/src/Session/caller_session.cpp
+++ b/sycamorespan/src/Session/caller_session.cpp
@@ -324,9 +324,11 @@
     case statement_kind::sessionParameter:
         return changeParameter(next);
     case statement_kind::discard:
-        m_statements.clear();
-        m_portals.clear();
-        return completeLocally(next, "DISCARD ALL");
+        if (next.statement->feature == "DISCARD ALL") {
+            m_statements.clear();
+            m_portals.clear();
+        }
+        return completeLocally(next, next.statement->feature);
     case statement_kind::sessionState:
     case statement_kind::copy:
     case statement_kind::twoPhase:
--- a/test/routing_classifier.cpp
+++ b/test/routing_classifier.cpp
@@ -64,7 +64,7 @@
         {kind::transactionParameter,
          {"SET LOCAL a.b = 1", "SET TRANSACTION READ ONLY", "SET CONSTRAINTS ALL DEFERRED"}},
         {kind::show, {"SHOW server_version"}},
-        {kind::discard, {"DISCARD ALL"}},
+        {kind::discard, {"DISCARD ALL", "DISCARD PLANS", "DISCARD SEQUENCES", "DISCARD TEMP"}},
         {kind::sessionState,
          {"LISTEN c", "UNLISTEN *", "PREPARE p AS SELECT 1", "EXECUTE p", "DEALLOCATE p",
           "CREATE TEMP TABLE t (a int)", "CREATE TEMP VIEW v AS SELECT 1", "SELECT 1 INTO TEMP t",
--- a/test/session_caller.cpp
+++ b/test/session_caller.cpp
@@ -259,6 +259,17 @@
     EXPECT_EQ(driver.running->sql.text, first);
 }
 
+TEST(caller_session, onlyDiscardAllDropsPreparedStatements)
+{
+    for (const std::string discarded : {"ALL", "PLANS", "SEQUENCES", "TEMP"}) {
+        session_driver driver;
+        driver.feed(parse("s", first) + sync + query("DISCARD " + discarded));
+        EXPECT_EQ(driver.takeSentTypes(), "1ZCZ");
+        driver.feed(executePrepared("s") + sync);
+        EXPECT_EQ(driver.running.has_value(), discarded != "ALL") << discarded;
+    }
+}
+
 /** Guards against a text that libpq would cut at the NUL, and write in part. */
 TEST(caller_session, aTextParameterWithANulIsRefused)
 {
