A statement is sent only in the transaction state of its session

What callers saw: nothing seen. A member whose answer to BEGIN or to a setup reports another state (I, T, E) than its session has would run the statement outside of its transaction, or inside another one (PINNED).

Change: where they differ, the connection is closed and the statement, which was not sent, is placed again, or its transaction aborted.

Evidence: AStatementIsNotSentIfItsTransactionHasNotBegun and ASingleStatementIsNotSentIntoAnOpenTransaction failed before and pass; the other dispatch tests and evacuation pass.

--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -319,10 +319,14 @@
                                       member_connection &connection, session_state state,
                                       time_point now)
 {
+    const auto server = pool.entry().id;
+    if (state != from.state) {
+        closeConnection(pool, connection.id, now);
+        return onConnectionLost(from, server, "the member reports another transaction state", now);
+    }
     const auto reason = reasonNotToSend(from, pool, connection, now);
     if (reason.empty())
         return sendStatement(from, connection, now);
-    const auto server = pool.entry().id;
     release(pool, connection, state, now);
     onConnectionLost(from, server, reason, now);
 }
--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -147,6 +147,33 @@
     EXPECT_TRUE(isOnly<member_statement::execute>(harness.lastSent()));
 }
 
+TEST(DispatchSetupRefusals, AStatementIsNotSentIfItsTransactionHasNotBegun)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    harness.request(1, "BEGIN");
+    harness.request(1, "WRITE x 1");
+    const auto connection = harness.lastSent().connection;
+    harness.answer(connection, session_state::idle);
+    EXPECT_EQ(harness.outputsOf<close_member>().size(), 1U);
+    harness.advance(40ms);
+    EXPECT_NE(harness.lastSent().connection, connection);
+    EXPECT_TRUE(isOnly<member_statement::begin>(harness.lastSent()));
+}
+
+TEST(DispatchSetupRefusals, ASingleStatementIsNotSentIntoAnOpenTransaction)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    harness.request(1, "SET v 1");
+    harness.request(1, "WRITE x 1");
+    const auto connection = harness.lastSent().connection;
+    harness.answer(connection, session_state::inTransaction);
+    EXPECT_EQ(harness.outputsOf<close_member>().size(), 1U);
+    harness.advance(40ms);
+    EXPECT_NE(harness.lastSent().connection, connection);
+}
+
 TEST(DispatchSetupRefusals, AMalformedSetupIsNotRepeatedAndPromisesThatNothingIsKept)
 {
     dispatch_harness harness;
