--- a/test/platform_codec.cpp
+++ b/test/platform_codec.cpp
@@ -119,8 +119,8 @@
 // Guards against answers beyond the limit of a line, where an error repeats a text of the caller.
 TEST(PlatformCallers, ErrorsAreOneLineWithinTheLimit)
 {
-    for (const std::string text : {std::string(maxLineBytes, 'x'), std::string("two\r\nlines"),
-                                   std::string("two\nlines"), std::string("a\0b", 3)}) {
+    for (const auto &text : std::vector<std::string>{std::string(maxLineBytes, 'x'), "two\r\nlines",
+                                                     "two\nlines", std::string("a\0b", 3)}) {
         const rejected error{statement_error::unknownDatabase, text};
         EXPECT_EQ(splitIntoLines(encodeRejected(error), 4096).size(), 1U) << text.substr(0, 20);
         const statement_answer answer{{}, error, session_state::idle, {}};
