--- a/test/isolation_schedule.h
+++ b/test/isolation_schedule.h
@@ -201,7 +201,7 @@
     std::string expect(caller_model &from, const std::string &word, const std::string &arguments,
                        std::optional<std::string> shape)
     {
-        const auto id = "r" + std::to_string(++m_lastRequest);
+        auto id = "r" + std::to_string(++m_lastRequest);
         m_expected[id] = {word,
                           arguments,
                           std::move(shape),
--- a/test/strict_member.h
+++ b/test/strict_member.h
@@ -144,7 +144,7 @@
     {
         if (m_state != 'T')
             return malformedError;
-        const auto answer = record(id, "COMMIT", {}, std::nullopt);
+        auto answer = record(id, "COMMIT", {}, std::nullopt);
         m_state = 'I';
         return answer;
     }
