--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -17,13 +17,21 @@
            && std::holds_alternative<Statement>(sent.statements.front());
 }
 
-TEST(DispatchSetupRefusals, AStatementIsNotSentBeforeItsSetupIsAcknowledged)
+/** Session 1 sets a value and writes.
+ * \returns the connection that is set up for it
+ */
+connection_id requestBehindSetup(dispatch_harness &harness)
 {
-    dispatch_harness harness;
     harness.connect(1);
     harness.request(1, "SET v 1");
     harness.request(1, "WRITE x 1");
-    const auto connection = harness.lastSent().connection;
+    return harness.lastSent().connection;
+}
+
+TEST(DispatchSetupRefusals, AStatementIsNotSentBeforeItsSetupIsAcknowledged)
+{
+    dispatch_harness harness;
+    const auto connection = requestBehindSetup(harness);
     EXPECT_TRUE(isOnly<member_statement::set_value>(harness.lastSent()));
     EXPECT_TRUE(harness.outputsOf<settle_admission>().empty()) << "nothing has been sent yet";
     harness.answer(connection);
@@ -80,10 +88,7 @@
 TEST(DispatchSetupRefusals, AConnectionWithASetupInDoubtServesNobodyElse)
 {
     dispatch_harness harness;
-    harness.connect(1);
-    harness.request(1, "SET v 1");
-    harness.request(1, "WRITE x 1");
-    const auto connection = harness.lastSent().connection;
+    const auto connection = requestBehindSetup(harness);
     harness.refuse(connection, statement_error::failed);
     ASSERT_EQ(harness.outputsOf<close_member>().size(), 1U);
     EXPECT_EQ(harness.outputsOf<close_member>().front().connection, connection);
@@ -164,10 +169,7 @@
 TEST(DispatchSetupRefusals, ASingleStatementIsNotSentIntoAnOpenTransaction)
 {
     dispatch_harness harness;
-    harness.connect(1);
-    harness.request(1, "SET v 1");
-    harness.request(1, "WRITE x 1");
-    const auto connection = harness.lastSent().connection;
+    const auto connection = requestBehindSetup(harness);
     harness.answer(connection, session_state::inTransaction);
     EXPECT_EQ(harness.outputsOf<close_member>().size(), 1U);
     harness.advance(40ms);
@@ -177,9 +179,7 @@
 TEST(DispatchSetupRefusals, AMalformedSetupIsNotRepeatedAndPromisesThatNothingIsKept)
 {
     dispatch_harness harness;
-    harness.connect(1);
-    harness.request(1, "SET v 1");
-    harness.request(1, "WRITE x 1");
+    requestBehindSetup(harness);
     harness.refuse(harness.lastSent().connection, statement_error::malformed);
     EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
     harness.advance(200ms);
@@ -204,9 +204,7 @@
 TEST(DispatchSetupRefusals, AWriteWhoseSetupIsUnansweredHasNotRunAtItsDeadline)
 {
     dispatch_harness harness;
-    harness.connect(1);
-    harness.request(1, "SET v 1");
-    harness.request(1, "WRITE x 1");
+    requestBehindSetup(harness);
     harness.advance(1200ms);
     EXPECT_EQ(dispatch_harness::codeOf(harness.lastReply()), statement_error::aborted);
 }
@@ -236,10 +234,7 @@
 TEST(DispatchSetupRefusals, TheStatementOfACallerThatLeftMeanwhileIsNotSent)
 {
     dispatch_harness harness;
-    harness.connect(1);
-    harness.request(1, "SET v 1");
-    harness.request(1, "WRITE x 1");
-    const auto connection = harness.lastSent().connection;
+    const auto connection = requestBehindSetup(harness);
     harness.collect(harness.subject.callerDisconnected(1, harness.now));
     harness.answer(connection);
     EXPECT_EQ(harness.sentCount(), 1U);
@@ -274,10 +269,7 @@
 TEST(DispatchSetupRefusals, AStatementWaitsForTheNextPrimaryIfItsPrimaryIsReplacedMeanwhile)
 {
     dispatch_harness harness;
-    harness.connect(1);
-    harness.request(1, "SET v 1");
-    harness.request(1, "WRITE x 1");
-    const auto connection = harness.lastSent().connection;
+    const auto connection = requestBehindSetup(harness);
     harness.collect(harness.subject.setPrimary(
             harness.database, usable_primary{server_id("s2"), 2, harness.now + 1h}, harness.now));
     harness.answer(connection);
