Dispatch: the setup of connections stands in a file of its own

The functions are moved unchanged; what two files need is a member of caller_state or stands beside the errors in statement.h.

--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -109,6 +109,15 @@
     std::optional<brokered_session> served; ///< set if the operation is of another instance
 
     bool isDisconnected = false; ///< the caller's connection is closed
+
+    /** \returns the prepared statement that the statement in progress executes; null if it executes
+     * none.
+     */
+    const prepared_statement *executed() const
+    {
+        const auto *execute = std::get_if<caller_statement::execute>(&job->request.parsed);
+        return execute ? &prepared.at(execute->name) : nullptr;
+    }
 };
 
 } // namespace sycamorespan::internal
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 using namespace dispatch_action;
-using internal::statement_job;
 
 /** Age after which a reported position is ignored, because the member has likely advanced since by
  * a replication delay.
@@ -46,23 +45,6 @@
     }
 };
 
-outgoing_statement toOutgoing(const setup_statement &statement)
-{
-    return std::visit([](const auto &each) { return outgoing_statement(each); }, statement);
-}
-
-const caller_statement::execute *executeOf(const statement_job &job)
-{
-    return std::get_if<caller_statement::execute>(&job.request.parsed);
-}
-
-/** \returns the prepared statement that the session executes; null if it executes none. */
-const prepared_statement *preparedOf(const internal::caller_state &from)
-{
-    const auto *execute = executeOf(*from.job);
-    return execute ? &from.prepared.at(execute->name) : nullptr;
-}
-
 /** Weight of one tick in the mean number of statements that only the primary can run. */
 constexpr double primaryOnlyWorkSmoothing = 0.02;
 
@@ -390,7 +372,7 @@
         hasUsual = hasUsual || !isReturning;
         if (!hasRoom(pool, from, now))
             return;
-        const bool isIdle = pool.findIdleConnection(from.workspace, from.values, preparedOf(from));
+        const bool isIdle = pool.findIdleConnection(from.workspace, from.values, from.executed());
         double score = scoreOf(pool, from, usualFailures, !isIdle, now);
         if (from.job->excluded.contains(pool.entry().id))
             score += toSeconds(1s);
@@ -485,7 +467,7 @@
  */
 bool dispatcher::sendOnIdleConnection(caller &from, const candidate &chosen, time_point now)
 {
-    auto *idle = chosen.pool->findIdleConnection(from.workspace, from.values, preparedOf(from));
+    auto *idle = chosen.pool->findIdleConnection(from.workspace, from.values, from.executed());
     if (!idle)
         return false;
     bindAndSend(from, *chosen.pool, *idle, chosen.floor, now);
@@ -584,59 +566,4 @@
     prepareConnection(from, *pool, *connection, now);
 }
 
-/** Prepares the connection for the session, and begins the transaction if the statement starts one.
- * The statement is sent once the member has acknowledged all of it: sent along with it, the
- * statement would run without what the member refused.
- */
-void dispatcher::prepareConnection(caller &from, member_pool &pool, member_connection &connection,
-                                   time_point now)
-{
-    auto &job = *from.job;
-    const auto setup = connection.setup.statementsFor(from.values, preparedOf(from));
-    job.lastAttempt = {pool.entry().id, connection.id, setup.size(), 0, false, {}, {}};
-    m_access.onSent(pool.entry().id, setup.size(), now);
-    connection.setupRefusal.reset();
-    std::vector<outgoing_statement> statements;
-    std::ranges::for_each(setup, [&](const setup_statement &each) {
-        statements.push_back(toOutgoing(each));
-        connection.pending.push_back({expected_answer::setup, now, each});
-    });
-    if (job.startsTransaction) {
-        statements.emplace_back(member_statement::begin{from.readOnly, job.floor});
-        connection.pending.push_back({expected_answer::begin, now, {}});
-    }
-    if (statements.empty())
-        return sendStatement(from, connection, now);
-    job.currentStage = job_stage::preparing;
-    job.sentAt = now;
-    job.inFlight = pool.occupiedSlots() + pool.slotsOccupiedByOthers();
-    m_outputs.push_back(send_to_member{connection.id, std::move(statements)});
-}
-
-void dispatcher::sendStatement(caller &from, member_connection &connection, time_point now)
-{
-    auto &job = *from.job;
-    charge(from);
-    job.currentStage = job_stage::running;
-    job.lastAttempt.wasSent = true;
-    const auto floor = from.state == session_state::inTransaction ? std::nullopt : job.floor;
-    outgoing_statement statement;
-    if (const auto *execute = executeOf(job)) {
-        job.lastAttempt.preparedName = connection.setup.use(*preparedOf(from));
-        statement = member_statement::execute{job.request.id, job.lastAttempt.preparedName,
-                                              execute->arguments, floor};
-    } else {
-        statement = member_statement::forward{job.request.id, job.request.text, floor};
-    }
-    connection.pending.push_back({expected_answer::statement, now, {}});
-    job.sentAt = now;
-    if (const auto *pool = poolOf(connection.id))
-        job.inFlight = pool->occupiedSlots() + pool->slotsOccupiedByOthers();
-    if (job.access == statement_access::write)
-        from.hasWritten = true;
-    m_outputs.push_back(send_to_member{connection.id, {std::move(statement)}});
-    if (job.access == statement_access::write || (job.isCommit && from.hasWritten))
-        updateOldestUnansweredWrite(group(from));
-}
-
 } // namespace sycamorespan
--- a/sycamorespan/src/Dispatch/statement.cpp
+++ b/sycamorespan/src/Dispatch/statement.cpp
@@ -14,4 +14,15 @@
     return names.at(static_cast<std::size_t>(code));
 }
 
+bool isWorthRepeating(statement_error code)
+{
+    return code != statement_error::malformed && code != statement_error::tooLarge;
+}
+
+std::string describe(const rejected &error)
+{
+    std::string result(nameOf(error.code));
+    return error.text.empty() ? result : result + ": " + error.text;
+}
+
 } // namespace sycamorespan
--- a/sycamorespan/src/Dispatch/statement.h
+++ b/sycamorespan/src/Dispatch/statement.h
@@ -238,6 +238,9 @@
 /** \returns the name of \a code in logs and metrics, such as "in_doubt". */
 std::string_view nameOf(statement_error code);
 
+/** \returns whether a statement that failed with \a code may succeed where it is repeated. */
+bool isWorthRepeating(statement_error code);
+
 /** \brief A statement that succeeded. */
 struct completed
 {
@@ -255,6 +258,9 @@
     auto operator<=>(const rejected &) const = default;
 };
 
+/** \returns the name of the error, with its text, such as "read_only: the reason". */
+std::string describe(const rejected &error);
+
 /** \brief Answer to one statement, either from a member or to a caller. */
 struct statement_answer
 {
