Stand-in store: a reader of changes ends when it is cancelled

Cause, from the stacks of its tasks: asyncio.wait_for() of Python 3.11 runs Condition.wait() as a task of its own and can drop the cancellation of the reader, which then waits again, or for the lock, while the loop waits for it.

Change: asyncio.timeout() in the same task.

--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -81,8 +81,10 @@
                 break
             async with self.changed:
                 try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
+                    # asyncio.wait_for() of Python 3.11 can drop a cancellation.
+                    async with asyncio.timeout(left):
+                        await self.changed.wait()
+                except TimeoutError:
                     pass
         return 200, {"rows": rows, "ver": self.version, "now_ms": self.now_ms()}
 
