Dispatch: what a job and a session say of themselves stands in one place

callerDisconnected() wrote isAtMember() again, whether a statement continues a transaction was computed in three places, and the size of a message to a broker looked up the executed statement beside executed().

--- a/sycamorespan/src/Dispatch/caller_state.h
+++ b/sycamorespan/src/Dispatch/caller_state.h
@@ -63,6 +63,12 @@
     instance_id broker; ///< to which it was handed over last
     bool avoidsBroker = false; ///< it runs on connections of this instance
     statement_attempt lastAttempt;
+
+    /** \returns whether a member or broker has the statement or what precedes it. */
+    bool isAtMember() const
+    {
+        return currentStage == stage::preparing || currentStage == stage::running;
+    }
 };
 
 /** \brief What the session of another instance's operation serves. */
@@ -110,6 +116,12 @@
 
     bool isDisconnected = false; ///< the caller's connection is closed
 
+    /** \returns whether the transaction of the statement in progress has begun before it. */
+    bool continuesTransaction() const
+    {
+        return state == session_state::inTransaction && !job->startsTransaction;
+    }
+
     /** \returns the prepared statement that the statement in progress executes; null if it executes
      * none.
      */
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -36,8 +36,8 @@
     const auto &request = from.job->request;
     auto bytes = messageFieldBytes + request.id.size() + request.text.size()
                  + from.databaseName.size() + from.workspace.str().size();
-    if (const auto *execute = std::get_if<caller_statement::execute>(&request.parsed))
-        bytes += from.prepared.at(execute->name).statementShape.size();
+    if (const auto *prepared = from.executed())
+        bytes += prepared->statementShape.size();
     return std::accumulate(
             from.values.begin(), from.values.end(), bytes, [](std::size_t sum, const auto &each) {
                 return sum + 2 * textPrefixBytes + each.first.size() + each.second.size();
@@ -204,7 +204,7 @@
 /** Runs a statement here that its broker declined, so that it did not run there. */
 void dispatcher::returnDeclined(caller &from, const std::string &why, time_point now)
 {
-    const bool isBegun = from.state == session_state::inTransaction && !from.job->startsTransaction;
+    const bool isBegun = from.continuesTransaction();
     if (isBegun)
         endHandOver(from); // the broker may still have the transaction open
     else
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -524,9 +524,7 @@
         return takeOutputs();
     from->isDisconnected = true;
     from->pendingRequests.clear();
-    if (from->job
-        && (from->job->currentStage == job_stage::running
-            || from->job->currentStage == job_stage::preparing))
+    if (from->job && from->job->isAtMember())
         return takeOutputs(); // the session is removed when the member has answered
     if (from->job && from->job->currentStage == job_stage::queued)
         group(*from).queue.erase(session);
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -19,13 +19,6 @@
 /** Slowness, as a multiple of the fastest member's, up to which a member's times are usual. */
 constexpr double usualSlowness = 1.3;
 
-/** \returns whether a member or broker has the statement or what precedes it. */
-bool isAtMember(const internal::statement_job &job)
-{
-    using stage = internal::statement_job::stage;
-    return job.currentStage == stage::preparing || job.currentStage == stage::running;
-}
-
 /** \returns whether no effect of a statement that failed with \a code is kept. */
 bool didNotRun(statement_error code)
 {
@@ -332,7 +325,7 @@
 void dispatcher::recordFailure(const caller &from, member_pool &pool, member_outcome outcome,
                                time_point now)
 {
-    if (!from.job || !isAtMember(*from.job))
+    if (!from.job || !from.job->isAtMember())
         return;
     const auto lost = now - from.job->sentAt;
     const auto times = m_times.find(from.databaseName);
@@ -548,7 +541,7 @@
             expired.push_back(number);
             continue;
         }
-        if (isAtMember(*each.job) && each.broker.empty()
+        if (each.job->isAtMember() && each.broker.empty()
             && now - each.job->sentAt > readTimeout(each) && each.state == session_state::idle
             && each.job->access == statement_access::read)
             overdueReads.push_back(number);
@@ -605,7 +598,7 @@
         return;
     if (from.job->currentStage == job_stage::held)
         return endHeldBack(from, whyNotRun + ": rolled back", now);
-    if (!isAtMember(*from.job))
+    if (!from.job->isAtMember())
         return reject(from, statement_error::busy, whyNotRun, now, refusal_cause::deadline);
     const bool wasSent = from.job->currentStage == job_stage::running;
     if (!from.broker.empty())
@@ -628,7 +621,7 @@
 /** Sends a read whose answer is overdue to another member, as the answer may be lost. */
 void dispatcher::retryOverdueRead(caller &from, time_point now)
 {
-    if (!from.job || !isAtMember(*from.job))
+    if (!from.job || !from.job->isAtMember())
         return;
     ++from.job->overdueAttempts;
     if (!group(from).repeats.hasRetry()) {
--- a/sycamorespan/src/Dispatch/dispatcher_setup.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_setup.cpp
@@ -136,9 +136,7 @@
         return "the primary is being changed";
     if (m_access.isEvacuated(server, now))
         return "the data centre of the member is evacuated";
-    const bool continues =
-            from.state == session_state::inTransaction && !from.job->startsTransaction;
-    if (!continues && isPastDrainPeriod(pool, now))
+    if (!from.continuesTransaction() && isPastDrainPeriod(pool, now))
         return "the member is draining";
     return {};
 }
@@ -170,7 +168,7 @@
     const auto server = pool.entry().id;
     auto &job = *from.job;
     recordRefusal(from, pool, why.code, now);
-    const bool continues = from.state == session_state::inTransaction && !job.startsTransaction;
+    const bool continues = from.continuesTransaction();
     if (continues && why.code == statement_error::busy && state == session_state::inTransaction
         && now + m_policy.busyRetryDelay < job.deadline && !from.isDisconnected) {
         recordStep(from, "repeat", server, "setup refused: busy");
