--- a/review/standins-2/drill.py
+++ b/review/standins-2/drill.py
@@ -340,6 +340,8 @@
 class Caller:
     """One requester's session."""
 
+    writer = None
+
     async def connect(self, node, database, key):
         self.reader, self.writer = await asyncio.open_connection(HOST, node.ports[0])
         return await self.exchange(f"CONNECT {database} {key}")
@@ -352,7 +354,8 @@
         answer = []
         while True:
             try:
-                received = await asyncio.wait_for(self.reader.readline(), bound_s)
+                async with asyncio.timeout(bound_s):  # wait_for() of Python 3.11 can drop a cancellation
+                    received = await self.reader.readline()
             except (TimeoutError, ConnectionError) as failure:
                 return answer + [f"no answer: {type(failure).__name__}"]
             if not received:
@@ -362,4 +365,5 @@
                 return answer
 
     def close(self):
-        self.writer.close()
+        if self.writer:
+            self.writer.close()
