--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # checks that they, and the project's own stand-in that they use, can be read.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-python3 - <<'CHECK'
+/usr/bin/python3 - <<'CHECK'
 import ast
 import pathlib
 for path in sorted([*pathlib.Path("review/standins-2").glob("*.py"), *pathlib.Path("review").glob("[0-9]*/case.py"),
