A supervisor takes its first list of servers for incomplete until all could register

The store was away for 4.5 s, entries of members expired, and the instance that had been the supervisor restarted as the store returned.

Cause: a process that starts knows only what the store lists at that moment. It took a primary that was not listed yet for removed, and the listed replicas for all that may hold commits. Three other instances fetched that list and dropped the two servers too.

Change: the list is incomplete at the start, and whenever an instance begins to follow it, until the store has answered for the 2.2 s in which running members register again. Until then no primary counts as removed, fenced replicas don't count as all, no floor is published unless the old primary stepped down, and the list is not announced to other instances.

Why it works: every member that confirms commits and lived through the outage is listed by then, so that it has to be fenced before a promotion.

The unit tests fail without the new condition.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -127,7 +127,8 @@
                [this](const platform::store_row &row) {
                    m_rejectedEntries.note("coordination rows", row.key, row.revision,
                                           "not a valid row", suspendAwareNow());
-               }})
+               },
+               [this] { return isFollowingStore() && m_roster.isComplete(); }})
     , m_quota({holder_id(m_settings.instance.str()), m_self.incarnation},
               {[this](const quota_verdict &verdict) {
                    const auto now = suspendAwareNow();
@@ -205,6 +206,7 @@
     m_dispatcher.setAccess(access_policy::forTimeout(m_settings.evacuationTimeout.value_or(0s)),
                            m_settings.areas);
     addFetchedDocuments();
+    m_roster.onStoreUnobserved(m_startedAt);
     m_tickTimer.startRepeating(tickInterval);
     m_log.write(line_importance::state, "started",
                 {{"instance", m_self.instance.str()},
@@ -478,7 +480,8 @@
     m_views.addToReport(report, now);
     report.flags = ownFlags(now);
     m_operatorRows.addTo(report.news);
-    report.news.serversRevision = m_serversRevision;
+    // The other instances would drop the servers that an incomplete list lacks.
+    report.news.serversRevision = m_roster.isComplete() ? m_serversRevision : 0;
     report.loads = reportOf(m_dispatcher.memberLoads(now));
     return report;
 }
@@ -629,6 +632,8 @@
     m_brokers.update(m_directory, table, m_stopRequestedAt.has_value(), now);
     m_dispatcher.setRegisteredInstances(m_self.instance, registered, now); // after the brokers
     const bool following = isFollower(now);
+    if (following && !isFollowingStore())
+        m_roster.onStoreUnobserved(now);
     m_configuration.setFollowing(following);
     m_servers.setFollowing(following);
 }
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -430,7 +430,8 @@
                 const auto known = m_recordedHolders.find(database);
                 return known == m_recordedHolders.end() ? std::vector<log_holder>()
                                                         : known->second.holders;
-            }};
+            },
+            m_handlers.hasAllServers()};
 }
 
 bool view_keeper::suspectsPrimary(const database_id &database, const server_id &primary,
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -33,6 +33,8 @@
         std::function<void(report_cause)> onUpdate;
         /** Called with a row that could not be decoded. */
         std::function<void(const platform::store_row &)> onRejectedRow;
+        /** \returns whether the list of servers has every running one. */
+        std::function<bool()> hasAllServers;
     };
 
     view_keeper(ev::loop_ref loop, const instance_incarnation &self, store_client &store,
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -58,6 +58,11 @@
     async def drop(self, table, key):
         await self.write([], [], [{"table": table, "key": key}])
 
+    def document(self, table, key):
+        """Returns the content of a row, or None if there is none."""
+        known = self.rows.get((table, key))
+        return json.loads(base64.b64decode(known[1])) if known else None
+
     def forget_history(self):
         self.history = []
 
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -63,6 +63,7 @@
     changeContext.latest = context.latest;
     changeContext.storeReachable = context.storeReachable;
     changeContext.recordedHolders = context.recordedHolders(database);
+    changeContext.hasAllMembers = context.hasAllServers;
     return changeContext;
 }
 
@@ -93,7 +94,7 @@
         return static_cast<std::size_t>(
                 std::ceil(static_cast<double>(instances) * m_policy.unreachableFraction));
     };
-    const bool isRemoved = primary == changeContext.members.end();
+    const bool isRemoved = primary == changeContext.members.end() && changeContext.hasAllMembers;
     const bool demoted = reports.demoted > 0;
     if (reports.unreachable == 0 && !isRemoved && !demoted) {
         state.reportedSince.reset();
--- a/sycamorespan/src/Failover/group_supervisor.h
+++ b/sycamorespan/src/Failover/group_supervisor.h
@@ -72,6 +72,8 @@
     bool storeReachable = false;
     /** \returns the members of the database that are recorded as possible holders of commits. */
     std::function<std::vector<log_holder>(const database_id &)> recordedHolders;
+    /** Whether \c servers has every running server. \sa server_roster::isComplete() */
+    bool hasAllServers = true;
 };
 
 /** \brief Watches the primaries of all databases and begins their changes while this instance is
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -618,7 +618,8 @@
     const auto isOldOrFenced = [&](const log_holder &holder) {
         return holder.server == m_oldPrimary || isFenced(holder, context);
     };
-    const bool everyReplicaFenced = std::ranges::all_of(m_holders, isOldOrFenced, keyOf);
+    const bool everyReplicaFenced =
+            context.hasAllMembers && std::ranges::all_of(m_holders, isOldOrFenced, keyOf);
     for (const auto &[id, member] : m_members) {
         if (id == m_oldPrimary || !member.status)
             continue;
@@ -670,6 +671,8 @@
     if (context.synchronousReplicas == 0 || !context.storeReachable || m_holders.empty())
         return std::nullopt;
     const bool oldIsReplica = m_steppedDown && hasOneIncarnation(m_oldPrimary);
+    if (!oldIsReplica && !context.hasAllMembers)
+        return std::nullopt;
     std::optional<freshness_floor> floor;
     for (const auto &[holder, state] : m_holders) {
         const auto *status = statusOf(holder.server);
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -108,6 +108,10 @@
     bool storeReachable = false;
     /** Members that were recorded in the store as possible holders of commits. */
     std::vector<log_holder> recordedHolders;
+    /** Whether \c members has every running member. Otherwise a replica that is not listed may
+     * confirm commits.
+     */
+    bool hasAllMembers = true;
 
     bool operator==(const change_context &) const = default;
 };
--- a/sycamorespan/src/Membership/server_roster.cpp
+++ b/sycamorespan/src/Membership/server_roster.cpp
@@ -12,6 +12,12 @@
     m_storeRecovered.reset();
 }
 
+void server_roster::onStoreUnobserved(time_point now)
+{
+    onStoreUnavailable(now);
+    m_isComplete = false;
+}
+
 void server_roster::onStoreAnswered(time_point now)
 {
     if (m_lastOutage && !m_storeRecovered)
@@ -80,6 +86,7 @@
         return now - since >= m_policy.registrationTimeout + m_policy.deliveryMargin;
     };
     const bool dropped = std::erase_if(m_entries, isExpired) > 0;
+    m_isComplete = m_isComplete || !afterOutage(now);
     m_changed = m_changed || dropped;
     m_listChanged = m_listChanged || dropped;
     return dropped;
--- a/sycamorespan/src/Membership/server_roster.h
+++ b/sycamorespan/src/Membership/server_roster.h
@@ -26,7 +26,8 @@
  *
  * An entry that the store removes while it is available is removed at once. During and shortly
  * after a store outage an entry may have expired because its server could not renew it. Such an
- * entry is kept until a running server would have registered again.
+ * entry is kept until a running server would have registered again. An entry that expired before
+ * the list was first read is not known, so that the list is incomplete until then.
  */
 class server_roster
 {
@@ -44,6 +45,10 @@
 
     /** \brief Handles a request to the store that failed or got no answer by \a now. */
     void onStoreUnavailable(time_point now);
+    /** \brief Handles the end of a time in which an outage of the store went unnoticed, because the
+     * list was not followed. The time before the start of the process is one.
+     */
+    void onStoreUnobserved(time_point now);
     /** \brief Handles an answer of the store at \a now. */
     void onStoreAnswered(time_point now);
 
@@ -65,6 +70,10 @@
     std::string draining() const;
     /** \returns whether the list has been read at least once. */
     bool isLoaded() const { return m_isLoaded; }
+    /** \returns whether the list has every running server. Entries may have expired in an outage
+     * that went unnoticed, and the list lacks them until these servers have registered again.
+     */
+    bool isComplete() const { return m_isLoaded && m_isComplete; }
 
 private:
     struct tracked_entry
@@ -80,6 +89,7 @@
     std::optional<time_point> m_lastOutage; ///< time of the last failed request to the store
     std::optional<time_point> m_storeRecovered; ///< time of the first answer after that
     bool m_isLoaded = false;
+    bool m_isComplete = true; ///< whether no server may lack an entry after an unnoticed outage
     bool m_changed = false;
     bool m_listChanged = false;
 };
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -228,6 +228,7 @@
     bool allReleased = true;
     bool quorumReleased = true; ///< without a quorum, views are extended for some time
     bool storeReachable = true;
+    bool hasAllServers = true; ///< whether the list of servers is known to be complete
     bool losesStoreAnswers = false;
     bool losesOrders = false;
 
@@ -279,7 +280,8 @@
                 clock(),
                 clock(),
                 storeReachable,
-                [this](const database_id &) { return m_recordedHolders; }};
+                [this](const database_id &) { return m_recordedHolders; },
+                hasAllServers};
     }
 
     void performAll(const change_outputs &outputs)
@@ -329,6 +331,8 @@
 
     void perform(const send_statement &action)
     {
+        if (!hasAllServers && !std::ranges::count(servers, action.server, &server_entry::id))
+            return; // the address of a server that was never listed is not known
         auto &target = members[action.server];
         if (target.isRemoved)
             m_supervisor.onMemberEnded(database, action.server, now);
@@ -718,6 +722,52 @@
     EXPECT_TRUE(simulation.promotedIncomplete.empty());
 }
 
+/** Guards against acknowledged commits that are lost because a supervisor starts after an outage of
+ * the store, in which entries expired, and replaces a working primary that is not listed yet.
+ */
+TEST(FailoverSynchronous, AWorkingPrimaryThatAnIncompleteListLacksIsNotReplaced)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    const auto servers = simulation.servers;
+    simulation.servers = {servers[2]};
+    simulation.hasAllServers = false;
+    simulation.replaceSupervisor();
+    simulation.notReceiving = {server_id("s3")};
+    for (int step = 0; step < 100; ++step) {
+        EXPECT_TRUE(simulation.commit("s1"));
+        simulation.advance(20ms);
+    }
+    simulation.servers = servers;
+    simulation.hasAllServers = true;
+    simulation.advance(3s);
+    EXPECT_TRUE(simulation.orders.empty());
+    EXPECT_TRUE(simulation.intentTimes.empty());
+    EXPECT_TRUE(simulation.isSteadyAt("s1"));
+}
+
+/** Guards against a promotion while a replica that confirmed commits is not listed yet. */
+TEST(FailoverSynchronous, AFailedPrimaryIsNotReplacedBeforeTheListOfReplicasIsComplete)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    const auto servers = simulation.servers;
+    simulation.servers = {servers[2]};
+    simulation.hasAllServers = false;
+    simulation.replaceSupervisor();
+    simulation.notReceiving = {server_id("s3")};
+    EXPECT_TRUE(simulation.commit("s1"));
+    simulation.stopFirstPrimary();
+    simulation.advance(5s);
+    EXPECT_TRUE(simulation.orders.empty()) << "s2 may hold commits that s3 lacks";
+    EXPECT_TRUE(simulation.floors.empty());
+    simulation.servers = servers;
+    simulation.hasAllServers = true;
+    simulation.advance(3s);
+    EXPECT_TRUE(simulation.isSteadyAt("s2"));
+    EXPECT_TRUE(simulation.promotedIncomplete.empty());
+}
+
 /** A draining replica alone confirms a commit and ends. Its supervisor is lost before a change of
  * primary begins, and the next one has never seen the replica.
  */
--- a/test/membership_roster.cpp
+++ b/test/membership_roster.cpp
@@ -54,6 +54,25 @@
     EXPECT_EQ(roster.entries().size(), 1U);
 }
 
+/** Guards against a list that is taken for complete although entries expired before it was read. */
+TEST(MembershipRoster, AListIsIncompleteUntilEveryServerCouldRegisterAfterAnUnnoticedOutage)
+{
+    server_roster roster({});
+    roster.onStoreUnobserved(start);
+    roster.onStoreAnswered(start + 1s);
+    roster.replace({server("s1"), server("s2")}, start + 1s);
+    roster.remove(server_id("s2"), start + 2s);
+    roster.tick(start + 3s);
+    EXPECT_FALSE(roster.isComplete());
+    EXPECT_EQ(roster.entries().size(), 2U) << "its entry may have expired in the outage";
+    roster.tick(start + 3200ms);
+    EXPECT_TRUE(roster.isComplete());
+    roster.onStoreUnavailable(start + 4s);
+    EXPECT_TRUE(roster.isComplete()) << "the entries that are known are kept";
+    roster.onStoreUnobserved(start + 5s);
+    EXPECT_FALSE(roster.isComplete());
+}
+
 TEST(MembershipRoster, NothingIsRemovedDuringAStoreOutage)
 {
     server_roster roster({});
--- /dev/null
+++ b/test/process_store_recovery.py
@@ -0,0 +1,120 @@
+"""Tests of running nodes whose store returns from an outage, or from an older copy of its content."""
+import asyncio
+import os
+import pathlib
+import sys
+import tempfile
+import time
+import unittest
+
+from loopback import HOST
+
+os.environ["SYCAMORESPAN_TEST_HOST"] = HOST
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins" / "users_platform"))
+from node_programs import Caller, Node  # noqa: E402
+from users_platform import Platform  # noqa: E402
+
+BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else pathlib.Path("build")
+PROGRAM = BUILD / "programs" / "node" / "sycamorespan-node"
+KEY = "a-secret-key-of-the-shop"
+START_BOUND_S = 15
+NODES = 3
+REGISTRATION_BOUND_S = 2  # members have registered again so long after an outage of the store
+
+
+class StoreRecoveryTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.platform = Platform(["db1", "db2"])
+        await self.platform.start()
+        await self.configure("db1", [KEY])
+        self.nodes = []
+        self.writers = []
+        self.acknowledged = []
+        for index in range(NODES):
+            self.add_node(index)
+        await self.until_ready()
+
+    async def asyncTearDown(self):
+        for writer in self.writers:
+            writer.cancel()
+        for node in self.nodes:
+            node.stop()
+        self.platform.heartbeat.cancel()
+        self.folder.cleanup()
+
+    def add_node(self, index):
+        node = Node(PROGRAM, self.platform, f"n{index}", "abc"[index % NODES], pathlib.Path(self.folder.name))
+        self.nodes.append(node)
+        return node
+
+    async def configure(self, database, keys):
+        await self.platform.configure({"sales": (database, "primary", 0), "other": ("db2", "primary", 0)},
+                                      {"shop": (keys, 1000, 1000), "desk": (["another-key"], 1000, 1000)})
+
+    async def until(self, condition, bound_s, what):
+        deadline = time.monotonic() + bound_s
+        while not (result := await asyncio.to_thread(condition)):
+            self.assertLess(time.monotonic(), deadline, f"not within {bound_s} s: {what}")
+            await asyncio.sleep(0.05)
+        return result
+
+    async def until_ready(self):
+        for node in self.nodes:
+            await self.until(node.is_ready, START_BOUND_S, f"{node.name} is ready")
+
+    def supervisor(self):
+        holder = self.platform.store.document("sycamorespan", "supervisor")["holder"]
+        return next(node for node in self.nodes if node.name == holder)
+
+    def group(self):
+        return self.platform.groups["db1"]
+
+    def log_lines(self, text):
+        return [line for node in self.nodes for line in node.lines() if text in line]
+
+    def keep_writing(self, node):
+        self.writers.append(asyncio.create_task(self.write_repeatedly(node)))
+
+    async def write_repeatedly(self, node):
+        caller = None
+        for number in range(1_000_000):
+            item = f"{node.name}-{number}"
+            try:
+                if not caller:
+                    caller = Caller()
+                    await caller.connect(node.ports[0], "sales", KEY)
+                if (await caller.ask(f"WRITE {item} v", item))[0].startswith("COMPLETE"):
+                    self.acknowledged.append(item)
+            except (OSError, TimeoutError):
+                caller = None
+            await asyncio.sleep(0.02)
+
+    def lost_writes(self):
+        held = {item for _, _, item, _ in self.group().primary().log}
+        return [item for item in self.acknowledged if item not in held]
+
+    async def test_a_supervisor_that_starts_after_an_outage_waits_for_all_members(self):
+        """Guards against acknowledged commits that are lost because entries had expired in the outage."""
+        for node in self.nodes:
+            self.keep_writing(node)
+        store, supervisor = self.platform.store, self.supervisor()
+        store.is_down = True
+        supervisor.process.kill()
+        supervisor.process.wait()
+        self.platform.removed = {"db1-1", "db1-2"}
+        await self.platform.register_all()
+        await asyncio.sleep(1)
+        supervisor.start()
+        store.is_down = False
+        await asyncio.sleep(REGISTRATION_BOUND_S * 0.7)
+        self.platform.removed = set()
+        await self.until_ready()
+        await asyncio.sleep(2)
+        self.assertEqual(self.platform.orders, [])
+        self.assertEqual(self.lost_writes(), [])
+        self.assertEqual(self.group().primary().id, "db1-1")
+
+
+if __name__ == "__main__":
+    unittest.main()
