--- a/programs/node/coordination_rows.cpp
+++ b/programs/node/coordination_rows.cpp
@@ -115,7 +115,8 @@
 {
     return json{{"holder", claim.holder.str()},
                 {"boot", claim.incarnation},
-                {"fence", claim.fencingToken}}
+                {"fence", claim.fencingToken},
+                {"era_began", claim.eraBegan.count()}}
             .dump();
 }
 
@@ -129,7 +130,7 @@
             .dump();
 }
 
-std::optional<primary_view> decodeView(std::string_view value, std::uint64_t revision)
+std::optional<primary_view> decodeView(std::string_view value, store_revision revision)
 {
     return decode<primary_view>(value, [&](const json &fields) -> std::optional<primary_view> {
         const auto phase = integerAt<int>(fields, "phase");
@@ -141,7 +142,7 @@
                             integerAt<term_number>(fields, "term"),
                             static_cast<view_phase>(phase),
                             fields.at("planned").get<bool>(),
-                            integerAt<std::uint64_t>(fields, "fence"),
+                            integerAt<fencing_token>(fields, "fence"),
                             holdersFromJson(fields.at("holders"))};
     });
 }
@@ -153,13 +154,15 @@
     });
 }
 
-std::optional<supervisor_claim> decodeClaim(std::string_view value, std::uint64_t revision)
+std::optional<supervisor_claim> decodeClaim(std::string_view value, store_revision revision)
 {
     return decode<supervisor_claim>(value, [&](const json &fields) {
-        return std::optional(supervisor_claim{revision,
-                                              instance_id(fields.at("holder").get<std::string>()),
-                                              integerAt<std::uint64_t>(fields, "boot"),
-                                              integerAt<std::uint64_t>(fields, "fence")});
+        supervisor_claim claim{revision, instance_id(fields.at("holder").get<std::string>()),
+                               integerAt<std::uint64_t>(fields, "boot"),
+                               integerAt<fencing_token>(fields, "fence")};
+        if (fields.contains("era_began")) // earlier releases do not write it
+            claim.eraBegan = reference_time(integerAt<std::int64_t>(fields, "era_began"));
+        return std::optional(std::move(claim));
     });
 }
 
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -3,7 +3,7 @@
 #include "programs/node/coordination_rows.h"
 
 #include "sycamorespan/src/Core/error.h"
-#include "sycamorespan/src/Core/json_integer.h"
+#include "sycamorespan/src/Core/json_revision.h"
 #include "sycamorespan/src/Core/overloaded.h"
 #include "sycamorespan/src/Net/clock.h"
 #include "sycamorespan/src/Net/http_message.h"
@@ -206,6 +206,7 @@
     m_dispatcher.setAccess(access_policy::forTimeout(m_settings.evacuationTimeout.value_or(0s)),
                            m_settings.areas);
     addFetchedDocuments();
+    m_store.onEra([this](store_era era) { enterStoreEra(era); });
     m_roster.onStoreUnobserved(m_startedAt);
     m_tickTimer.startRepeating(tickInterval);
     m_log.write(line_importance::state, "started",
@@ -377,6 +378,21 @@
     }
 }
 
+/** Handles the first era of the store, and each return of the store from an older copy. */
+void node::enterStoreEra(store_era era)
+{
+    const auto now = suspendAwareNow();
+    const auto former = std::exchange(m_storeEra, era);
+    if (former) {
+        m_roster.onStoreUnobserved(now);
+        m_roster.onStoreAnswered(now);
+        m_metrics.countStoreReturn();
+        m_log.write(line_importance::state, "store returned from an older copy",
+                    {{"era", std::to_string(era)}, {"former", std::to_string(*former)}}, now);
+    }
+    m_views.onStoreEra(era, now);
+}
+
 void node::useConfiguration(const std::shared_ptr<const service_directory> &directory)
 {
     const auto now = suspendAwareNow();
@@ -423,7 +439,7 @@
         m_roster.replace(entries, now);
     // A snapshot covers all changes up to its revision. A request for changes that returned no rows
     // must not raise the revision, because the other instances would fetch an update from here.
-    auto revision = isSnapshot ? content.revision : 0;
+    auto revision = isSnapshot ? content.revision : store_revision{};
     std::ranges::for_each(content.rows, [&](const platform::store_row &row) {
         revision = std::max(revision, row.revision);
     });
@@ -481,7 +497,7 @@
     report.flags = ownFlags(now);
     m_operatorRows.addTo(report.news);
     // The other instances would drop the servers that an incomplete list lacks.
-    report.news.serversRevision = m_roster.isComplete() ? m_serversRevision : 0;
+    report.news.serversRevision = m_roster.isComplete() ? m_serversRevision : store_revision{};
     report.loads = reportOf(m_dispatcher.memberLoads(now));
     return report;
 }
@@ -524,7 +540,7 @@
     try {
         const auto fields = json::parse(document);
         platform::store_rows content;
-        content.revision = toInteger<std::uint64_t>(fields.at("revision"));
+        content.revision = toRevision(fields.at("revision"));
         for (const auto &[id, text] : fields.at("servers").items())
             content.rows.push_back({{},
                                     id,
@@ -562,7 +578,7 @@
 {
     try {
         const auto fields = json::parse(document);
-        const auto revision = toInteger<std::uint64_t>(fields.at("revision"));
+        const auto revision = toRevision(fields.at("revision"));
         const auto now = suspendAwareNow();
         std::vector<instance_incarnation> instances;
         for (const auto &row : fields.at("instances")) {
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -70,6 +70,7 @@
     void applyServerRows(const platform::store_rows &content, bool isSnapshot);
     std::optional<server_entry> decodeServerRow(const platform::store_row &row, time_point now);
     void setStoreAvailable(bool answered);
+    void enterStoreEra(store_era era);
     void applyRoster();
     void useServers(time_point now);
 
@@ -128,7 +129,7 @@
     std::shared_ptr<const service_directory> m_directory;
     operator_rows m_operatorRows;
     std::map<std::string, std::string> m_encodedServers;
-    std::uint64_t m_serversRevision = 0;
+    store_revision m_serversRevision;
     table_follower m_configuration;
     table_follower m_servers;
     document_fetcher m_fetcher;
@@ -138,6 +139,7 @@
     shared_document m_instancesDocument;
     isolation_detector m_isolation;
     std::optional<bool> m_storeAvailable;
+    std::optional<store_era> m_storeEra;
 
     session_number m_lastSession = 0;
     std::deque<dispatch_output> m_outputs;
--- a/programs/node/node_metrics.h
+++ b/programs/node/node_metrics.h
@@ -57,6 +57,7 @@
     void setBrokerage(std::size_t links, std::size_t served);
     void countMalformedMessage() { m_malformed.Increment(); }
     /** \param list  name of the list that the entry belongs to */
+    void countStoreReturn() { m_storeReturns.Increment(); }
     void countRejectedEntry(const std::string &list)
     {
         m_rejectedEntries.Add({{"list", list}}).Increment();
@@ -91,6 +92,7 @@
     prometheus::Counter &m_openings;
     prometheus::Family<prometheus::Gauge> &m_memberState;
     prometheus::Counter &m_malformed;
+    prometheus::Counter &m_storeReturns;
     prometheus::Family<prometheus::Counter> &m_rejectedEntries;
     prometheus::Family<prometheus::Counter> &m_reports;
     prometheus::Counter &m_reportBytes;
--- a/programs/node/operator_rows.cpp
+++ b/programs/node/operator_rows.cpp
@@ -3,7 +3,7 @@
 #include "platform/documents.h"
 
 #include "sycamorespan/src/Core/error.h"
-#include "sycamorespan/src/Core/json_integer.h"
+#include "sycamorespan/src/Core/json_revision.h"
 #include "sycamorespan/src/Net/clock.h"
 
 #include <algorithm>
@@ -57,7 +57,7 @@
 {
     fetcher.add(configurationPath, {[this](const std::string &body) {
                                         if (!body.empty())
-                                            decodeConfiguration(body, 0);
+                                            decodeConfiguration(body, {});
                                     },
                                     readStore});
     fetcher.add(evacuationsPath,
@@ -80,7 +80,7 @@
     news.evacuationsRevision = m_evacuations.revision();
 }
 
-void operator_rows::decodeConfiguration(const std::string &document, std::uint64_t revision)
+void operator_rows::decodeConfiguration(const std::string &document, store_revision revision)
 {
     const auto now = suspendAwareNow();
     try {
@@ -93,7 +93,7 @@
         m_rejected.note(decoded.rejected, version, now);
     } catch (const decode_error &failure) {
         m_log.write(line_importance::state, "configuration could not be decoded",
-                    {{"error", failure.what()}, {"revision", std::to_string(revision)}}, now);
+                    {{"error", failure.what()}, {"revision", textOf(revision)}}, now);
         return;
     }
     m_log.write(line_importance::state, "configuration in force",
@@ -136,9 +136,8 @@
         std::set<data_centre_id> requested;
         for (const auto &name : fields.at("data_centres"))
             requested.emplace(name.get<std::string>());
-        changed = m_evacuations.replace(requested,
-                                        toInteger<std::uint64_t>(fields.at("known_through")),
-                                        toInteger<std::uint64_t>(fields.at("revision")));
+        changed = m_evacuations.replace(requested, toRevision(fields.at("known_through")),
+                                        toRevision(fields.at("revision")));
     } catch (const std::exception &failure) {
         m_log.write(line_importance::failure, "message from another instance could not be decoded",
                     {{"error", failure.what()}, {"path", evacuationsPath}}, suspendAwareNow());
@@ -154,7 +153,7 @@
     const auto current = m_evacuations.dataCentres();
     const auto fieldsOf = [this](const data_centre_id &dataCentre) {
         return event_fields{{"data_centre", dataCentre.str()},
-                            {"revision", std::to_string(m_evacuations.revision())}};
+                            {"revision", textOf(m_evacuations.revision())}};
     };
     for (const auto &dataCentre : current)
         if (m_announced.insert(dataCentre).second)
--- a/programs/node/rejected_entries.cpp
+++ b/programs/node/rejected_entries.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 void rejected_entries::note(const std::string &list, const std::string &entry,
-                            std::uint64_t revision, std::string_view cause, time_point now)
+                            store_revision revision, std::string_view cause, time_point now)
 {
     if (m_noted.size() >= maxNotedEntries)
         m_noted.clear();
@@ -23,13 +23,13 @@
     m_log.write(line_importance::failure, "entry of a list could not be decoded",
                 {{"list", list},
                  {"entry", entry},
-                 {"revision", std::to_string(revision)},
+                 {"revision", textOf(revision)},
                  {"error", std::string(cause)}},
                 now);
 }
 
 void rejected_entries::note(const std::vector<platform::rejected_entry> &entries,
-                            std::uint64_t revision, time_point now)
+                            store_revision revision, time_point now)
 {
     std::ranges::for_each(entries, [&](const platform::rejected_entry &each) {
         note(each.list, each.name, revision, each.cause, now);
--- a/programs/node/rejected_entries.h
+++ b/programs/node/rejected_entries.h
@@ -6,6 +6,8 @@
 #include "programs/node/event_log.h"
 #include "programs/node/node_metrics.h"
 
+#include "sycamorespan/src/Core/store_revision.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -29,16 +31,16 @@
     /** \brief Notes one entry. An entry that is read again in the same revision has no effect.
      * \param revision  revision of the row or version of the list
      */
-    void note(const std::string &list, const std::string &entry, std::uint64_t revision,
+    void note(const std::string &list, const std::string &entry, store_revision revision,
               std::string_view cause, time_point now);
     /** \brief Notes the entries of a document, or the fields of an entry. */
-    void note(const std::vector<platform::rejected_entry> &entries, std::uint64_t revision,
+    void note(const std::vector<platform::rejected_entry> &entries, store_revision revision,
               time_point now);
 
 private:
     event_log &m_log;
     node_metrics &m_metrics;
-    std::map<std::pair<std::string, std::string>, std::uint64_t> m_noted; ///< last revision
+    std::map<std::pair<std::string, std::string>, store_revision> m_noted; ///< last revision
 };
 
 } // namespace sycamorespan::node
--- a/programs/node/store_client.cpp
+++ b/programs/node/store_client.cpp
@@ -80,18 +80,33 @@
     return since && now >= *since ? std::optional(now - *since) : std::nullopt;
 }
 
+/** \returns whether the answer is of the newest era. */
+bool store_client::noteEra(const http_response &response)
+{
+    const auto era = platform::decodeEra(response);
+    if (!era)
+        return !m_era; // a store that names eras names one in each answer
+    if (m_era && *era <= *m_era)
+        return *era == *m_era;
+    m_era = era;
+    if (m_onEra)
+        m_guard.run("era of the store", [&] { m_onEra(*era); });
+    return true;
+}
+
 void store_client::finish(const http_outcome &outcome, time_point sent,
                           const answer_handler &onAnswer)
 {
     store_answer answer;
     answer.sent = sent;
     if (const auto *response = std::get_if<http_response>(&outcome)) {
-        answer.status = response->status;
+        const bool isOfNewestEra = noteEra(*response);
         const bool carriesRows = response->status == platform::store_status::ok
                                  || response->status == platform::store_status::conflict;
+        answer.status = carriesRows && !isOfNewestEra ? 0 : response->status;
         try {
-            if (carriesRows) {
-                answer.content = platform::decodeRows(response->body);
+            if (carriesRows && isOfNewestEra) {
+                answer.content = platform::decodeRows(response->body, era());
                 const auto now = suspendAwareNow();
                 m_clock.observe(sent, now, answer.content.clock);
                 m_lastAnswered = now;
--- a/programs/node/store_client.h
+++ b/programs/node/store_client.h
@@ -31,12 +31,15 @@
 
 /** \brief HTTP client of the platform's store. A process has one.
  *
- * Each answer also updates the reference clock.
+ * Each answer also updates the reference clock and tells the era of the store. An answer of an era
+ * before the newest known one counts as no answer: the store may have lost what it told or
+ * accepted.
  */
 class store_client
 {
 public:
     using answer_handler = std::function<void(const store_answer &)>;
+    using era_handler = std::function<void(store_era)>;
 
     store_client(ev::loop_ref loop, const endpoint &address, event_guard &guard);
 
@@ -55,6 +58,12 @@
     void readTable(const std::string &table, const http_timeouts &timeouts,
                    answer_handler onAnswer);
 
+    /** \brief Sets what is called with each newer era, before the answer that named it is handled.
+     */
+    void onEra(era_handler handler) { m_onEra = std::move(handler); }
+    /** \returns the newest known era of the store; 0 if it has named none. */
+    store_era era() const { return m_era.value_or(0); }
+
     const reference_clock &clock() const { return m_clock; }
 
     /** \returns when the last valid answer arrived; nothing before the first one. */
@@ -71,6 +80,7 @@
 private:
     void readPage(const std::string &table, const http_timeouts &timeouts, store_answer collected,
                   answer_handler onAnswer);
+    bool noteEra(const http_response &response);
     void finish(const http_outcome &outcome, time_point sent, const answer_handler &onAnswer);
 
     event_guard &m_guard;
@@ -78,6 +88,8 @@
     std::multiset<time_point> m_pendingSince;
     std::optional<time_point> m_unansweredSince; ///< start of the first call without an answer
     reference_clock m_clock;
+    std::optional<store_era> m_era;
+    era_handler m_onEra;
     std::optional<time_point> m_lastAnswered;
     std::uint64_t m_calls = 0;
     std::uint64_t m_failures = 0;
--- a/programs/node/table_follower.h
+++ b/programs/node/table_follower.h
@@ -38,7 +38,7 @@
     /** \brief Reads the table now, unless a read is under way. Called after a known change. */
     void refresh();
 
-    std::uint64_t revision() const { return m_revision; }
+    store_revision revision() const { return m_revision; }
     bool hasSnapshot() const { return m_hasSnapshot; }
     bool isFollowing() const { return m_isFollowing; }
 
@@ -57,7 +57,7 @@
     handlers m_handlers;
     backoff m_backoff;
     loop_timer m_retry;
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
     std::uint64_t m_followGeneration = 0; ///< number of the latest request for changes
     bool m_hasSnapshot = false;
     bool m_isFollowing = false;
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -132,6 +132,14 @@
     removeExpiredInstances(now);
 }
 
+void view_keeper::onStoreEra(store_era era, time_point now)
+{
+    performAll(m_supervision.onStoreEra(era), now);
+    m_formerRows.clear();
+    m_recordedHolders.clear();
+    m_rowsRequested = true;
+}
+
 /** Writes the row of this instance. The rows are read first, which tells whether the other
  * instances may know this one already. The store performs the writes of a restarted fleet one after
  * the other, but answers reads in parallel, so that each instance must write only once.
@@ -175,7 +183,7 @@
     m_nextRegistrationAt = {};
 }
 
-void view_keeper::noteRegistration(std::uint64_t revision, reference_time clock)
+void view_keeper::noteRegistration(store_revision revision, reference_time clock)
 {
     const auto now = suspendAwareNow();
     if (m_registeredAt == time_point())
@@ -183,7 +191,7 @@
     m_registeredRevision = revision;
     m_ledger.setRegisteredAt(clock);
     m_log.write(line_importance::state, "instance registered",
-                {{"revision", std::to_string(m_registeredRevision)}}, now);
+                {{"revision", textOf(m_registeredRevision)}}, now);
     // Only views that are confirmed after the registration may be used.
     m_rowsRequested = true;
     m_reads.resetInterval();
@@ -248,14 +256,18 @@
     std::vector<primary_view> views;
     std::vector<instance_incarnation> instances;
     std::map<database_id, recorded_holders> holders;
+    std::map<database_id, primary_view> formerRows;
     supervisor_claim claim;
-    std::optional<std::uint64_t> revisionOfRejectedClaim;
+    std::optional<store_revision> revisionOfRejectedClaim;
     for (const auto &row : answer.content.rows) {
         if (coordination_rows::isViewKey(row.key)) {
-            if (auto view = coordination_rows::decodeView(row.value, row.revision))
+            auto view = coordination_rows::decodeView(row.value, row.revision);
+            if (!view)
+                m_handlers.onRejectedRow(row);
+            else if (view->isOfPresentEra())
                 views.push_back(std::move(*view));
             else
-                m_handlers.onRejectedRow(row);
+                formerRows.insert_or_assign(view->database, *view);
         } else if (coordination_rows::isInstanceKey(row.key)) {
             if (auto incarnation = coordination_rows::decodeInstance(row.value))
                 instances.push_back(std::move(*incarnation));
@@ -279,6 +291,7 @@
     if (revisionOfRejectedClaim)
         claim = replaceableClaim(*revisionOfRejectedClaim, views);
     m_recordedHolders = std::move(holders);
+    m_formerRows = std::move(formerRows);
     m_rowsReadRevision = answer.content.revision;
     m_fleet.setInstances(instances, answer.content.clock, answer.content.revision, now);
     const bool registered =
@@ -288,7 +301,7 @@
             });
     const bool coversRegistration = answer.content.revision >= m_registeredRevision;
     if (!registered && !m_isRegistering && coversRegistration) {
-        m_registeredRevision = 0;
+        m_registeredRevision = {};
         m_ledger.setRegisteredAt(std::nullopt);
     }
     if (isFirstRead) {
@@ -311,7 +324,7 @@
  * claim can replace its row. Its token is the highest one with which a promotion may have been
  * ordered, because a view is written with the token before each order.
  */
-supervisor_claim view_keeper::replaceableClaim(std::uint64_t revision,
+supervisor_claim view_keeper::replaceableClaim(store_revision revision,
                                                const std::vector<primary_view> &views) const
 {
     auto token = claim().fencingToken;
@@ -376,6 +389,7 @@
     }
     std::ranges::transform(m_fleet.candidates(flags(now)), std::back_inserter(context.candidates),
                            &instance_incarnation::instance);
+    context.latest = m_store.clock().latest(now).value_or(reference_time{});
     context.isUnknownToOthers =
             m_isNewInstance.value_or(true) && now - m_registeredAt < newInstanceDelay;
     const auto proposal = m_supervision.propose(context, now);
@@ -409,12 +423,12 @@
             {},
             m_servers,
             m_ledger,
-            [this](const database_id &database, std::uint64_t revision) {
+            [this](const database_id &database, store_revision revision) {
                 const auto own = m_releases.find(database);
                 return own != m_releases.end() && own->second.released >= revision
                        && m_fleet.released(revision);
             },
-            [this](const database_id &database, std::uint64_t revision) {
+            [this](const database_id &database, store_revision revision) {
                 const auto own = m_releases.find(database);
                 return m_fleet.releasedByQuorum(
                         revision, own != m_releases.end() && own->second.released >= revision);
@@ -431,7 +445,11 @@
                 return known == m_recordedHolders.end() ? std::vector<log_holder>()
                                                         : known->second.holders;
             },
-            m_handlers.hasAllServers()};
+            m_handlers.hasAllServers(),
+            [this](const database_id &database) {
+                const auto known = m_formerRows.find(database);
+                return known == m_formerRows.end() ? std::nullopt : std::optional(known->second);
+            }};
 }
 
 bool view_keeper::suspectsPrimary(const database_id &database, const server_id &primary,
@@ -542,7 +560,8 @@
 void view_keeper::perform(const change_action::record_holders &action, time_point)
 {
     const auto known = m_recordedHolders.find(action.database);
-    const auto revision = known == m_recordedHolders.end() ? 0 : known->second.revision;
+    const auto revision =
+            known == m_recordedHolders.end() ? store_revision{} : known->second.revision;
     m_store.call(
             platform::writeRow({coordination_rows::table,
                                 coordination_rows::holdersKey(action.database),
@@ -765,10 +784,10 @@
 {
     auto &state = m_releases[view.database];
     if (view.revision > state.seen) {
-        if (state.seen != 0 || view.phase != view_phase::steady)
+        if (state.seen != store_revision{} || view.phase != view_phase::steady)
             m_log.write(line_importance::state, "primary view changed",
                         {{"database", view.database.str()},
-                         {"revision", std::to_string(view.revision)},
+                         {"revision", textOf(view.revision)},
                          {"primary", view.primary.str()},
                          {"term", std::to_string(view.term)},
                          {"phase", view.phase == view_phase::steady      ? "steady"
@@ -777,7 +796,12 @@
                         now);
         const bool startsRelease = state.seen == state.released;
         state.seen = view.revision;
-        if (startsRelease) {
+        // Nothing is to be released if the usable primary was published again.
+        const bool isSamePrimary = view.phase == view_phase::steady && state.isUsable
+                                   && state.primary == view.primary && state.term == view.term;
+        if (startsRelease && isSamePrimary)
+            state.released = state.seen;
+        if (startsRelease && !isSamePrimary) {
             state.startedAt = now;
             const auto releaseTimeout =
                     view.planned ? switchoverReleaseTimeout : failoverReleaseTimeout;
@@ -821,6 +845,8 @@
                     now);
     const bool isExtended = !state.isUsable || !state.usableUntil || *local != *state.usableUntil;
     state.isUsable = true;
+    state.primary = view.primary;
+    state.term = view.term;
     state.usableUntil = local;
     if (isExtended)
         m_handlers.onDispatch(m_dispatcher.setPrimary(
@@ -888,16 +914,16 @@
 /** \returns a revision such that this instance has released all views before it. A view of a
  * database that is not known here is released too, because it can't be in use.
  */
-std::uint64_t view_keeper::releasedThrough() const
+store_revision view_keeper::releasedThrough() const
 {
-    std::uint64_t newest = 0;
-    std::optional<std::uint64_t> oldestUnreleased;
+    store_revision newest;
+    std::optional<store_revision> oldestUnreleased;
     for (const auto &[database, state] : m_releases) {
         newest = std::max(newest, state.seen);
         if (state.released < state.seen)
             oldestUnreleased = std::min(oldestUnreleased.value_or(state.seen), state.seen);
     }
-    return oldestUnreleased ? *oldestUnreleased - 1 : newest;
+    return oldestUnreleased ? oldestUnreleased->previous() : newest;
 }
 
 void view_keeper::addToReport(instance_report &report, time_point now) const
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -46,6 +46,9 @@
     /** \brief Applies what another instance knows of views, floors and the supervisor. */
     void applyNews(const fleet_news &news, time_point now);
     void tick(time_point now);
+    /** \brief The store has answered in a newer era, in which rows of the former one may be lost.
+     */
+    void onStoreEra(store_era era, time_point now);
 
     /** \brief Keeps this instance from claiming the role of supervisor while it shuts down. */
     void stopElections() { m_isStopping = true; }
@@ -68,7 +71,7 @@
     bool hasReadRows() const { return m_rowsReadAt.has_value(); }
     /** \brief Has the rows read from the store soon. */
     void requestRows() { m_rowsRequested = true; }
-    bool isRegistered() const { return m_registeredRevision != 0; }
+    bool isRegistered() const { return m_registeredRevision != store_revision{}; }
     /** \returns whether every known database has a usable primary. */
     bool allViewsUsable(time_point now) const;
     /** \returns whether at least one known database has a usable primary. */
@@ -81,13 +84,15 @@
     /** Progress of this instance in releasing former views of a database. */
     struct release_state
     {
-        std::uint64_t released = 0; ///< all views before this revision are out of use here
-        std::uint64_t seen = 0; ///< newest revision that has been processed
+        store_revision released; ///< all views before this revision are out of use here
+        store_revision seen; ///< newest revision that has been processed
         time_point startedAt; ///< when the release of the former view started
         time_point deadline; ///< when work at the former primary is abandoned
         bool idleTransactionsEnded = false;
         bool isUsable = false;
         std::optional<time_point> usableUntil;
+        server_id primary; ///< primary that was usable last
+        term_number term = 0; ///< its term
     };
 
     /** Entry of a server that is in the list or was removed from it recently. */
@@ -112,20 +117,20 @@
     /** Record of the members of one database that may hold commits, with the row's revision. */
     struct recorded_holders
     {
-        std::uint64_t revision = 0;
+        store_revision revision;
         std::vector<log_holder> holders;
     };
 
     supervision_context supervisionContext(time_point now) const;
     void registerInstance(time_point now);
     void handleExistingRegistration(const store_answer &answer);
-    void noteRegistration(std::uint64_t revision, reference_time clock);
+    void noteRegistration(store_revision revision, reference_time clock);
     void readRows(time_point now);
     void applyRows(const store_answer &answer);
-    supervisor_claim replaceableClaim(std::uint64_t revision,
+    supervisor_claim replaceableClaim(store_revision revision,
                                       const std::vector<primary_view> &views) const;
     void applyAttestations(time_point now);
-    std::uint64_t releasedThrough() const;
+    store_revision releasedThrough() const;
     void applyClaimRow(const store_answer &answer);
     void elect(time_point now);
     void handleClaimAnswer(const store_answer &answer);
@@ -168,11 +173,13 @@
     std::map<server_id, listed_entry> m_knownServers; ///< also of recently removed members
     view_ledger m_ledger;
     std::map<database_id, recorded_holders> m_recordedHolders; ///< as last read or written
+    /** Rows of views that were written in a former era, as last read in the present one. */
+    std::map<database_id, primary_view> m_formerRows;
     supervision m_supervision;
     std::map<database_id, release_state> m_releases;
     std::map<server_id, control_connection> m_controls;
     std::vector<std::unique_ptr<member_channel>> m_closedChannels;
-    std::uint64_t m_registeredRevision = 0;
+    store_revision m_registeredRevision;
     time_point m_registeredAt;
     /** Whether the store had no row of this instance at its start; nothing while not known. */
     std::optional<bool> m_isNewInstance;
@@ -185,7 +192,7 @@
     std::set<database_id> m_suspectedDatabases; ///< their primaries are suspected to have failed
     row_read_schedule m_reads;
     std::optional<time_point> m_rowsReadAt; ///< when the rows were last read successfully
-    std::uint64_t m_rowsReadRevision = 0; ///< newest revision in the store at that time
+    store_revision m_rowsReadRevision; ///< newest revision in the store at that time
     time_point m_nextRegistrationAt;
     time_point m_startedAt;
     duration m_promotionTime;
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -53,10 +53,18 @@
     changeContext.foreignOrdersUntil = context.foreignOrdersUntil;
     std::ranges::copy_if(context.servers, std::back_inserter(changeContext.members),
                          [&](const server_entry &entry) { return entry.database == database; });
-    if (const auto *view = context.ledger.find(database)) {
+    const auto *view = context.ledger.find(database);
+    if (view && view->revision.era() == eraOf(context.claim.fencingToken)) {
         changeContext.view = *view;
-        changeContext.allReleased = context.viewsReleased(database, view->revision);
+        changeContext.allReleased =
+                !context.mayLackInstances && context.viewsReleased(database, view->revision);
         changeContext.quorumReleased = context.viewsReleasedByQuorum(database, view->revision);
+    } else {
+        const auto row = context.formerRow ? context.formerRow(database) : std::nullopt;
+        if (row)
+            changeContext.replacedRevision = row->revision;
+        changeContext.formerView =
+                view && (!row || view->term >= row->term) ? std::optional(*view) : row;
     }
     changeContext.synchronousReplicas = context.synchronousReplicas(database);
     changeContext.earliest = context.earliest;
@@ -157,7 +165,7 @@
     return outputs;
 }
 
-change_outputs group_supervisor::onViewWritten(const database_id &database, std::uint64_t revision,
+change_outputs group_supervisor::onViewWritten(const database_id &database, store_revision revision,
                                                reference_time committed,
                                                const supervision_context &context, time_point now)
 {
--- a/sycamorespan/src/Failover/group_supervisor.h
+++ b/sycamorespan/src/Failover/group_supervisor.h
@@ -58,11 +58,11 @@
     /** \returns whether every instance has released all views of the database that are older than
      * the revision.
      */
-    std::function<bool(const database_id &, std::uint64_t)> viewsReleased;
+    std::function<bool(const database_id &, store_revision)> viewsReleased;
     /** \returns whether a quorum of the instances has released all views of the database that are
      * older than the revision.
      */
-    std::function<bool(const database_id &, std::uint64_t)> viewsReleasedByQuorum;
+    std::function<bool(const database_id &, store_revision)> viewsReleasedByQuorum;
     /** \returns the peer reports about the primary of the database. */
     std::function<primary_reports(const database_id &)> reports;
     /** \returns how many replicas hold a commit of the database before it is acknowledged. */
@@ -74,6 +74,12 @@
     std::function<std::vector<log_holder>(const database_id &)> recordedHolders;
     /** Whether \c servers has every running server. \sa server_roster::isComplete() */
     bool hasAllServers = true;
+    /** \returns the row of a former era of the store that a view of the database replaces, as read
+     * in the present era; nothing if there is none.
+     */
+    std::function<std::optional<primary_view>(const database_id &)> formerRow = {};
+    /** Whether instances may use views of a former era without being registered in this one. */
+    bool mayLackInstances = false;
 };
 
 /** \brief Watches the primaries of all databases and begins their changes while this instance is
@@ -89,7 +95,7 @@
     change_outputs setSupervisor(bool isSupervisor);
 
     change_outputs tick(const supervision_context &context, time_point now);
-    change_outputs onViewWritten(const database_id &database, std::uint64_t revision,
+    change_outputs onViewWritten(const database_id &database, store_revision revision,
                                  reference_time committed, const supervision_context &context,
                                  time_point now);
     change_outputs onViewConflict(const database_id &database, time_point now);
--- a/sycamorespan/src/Failover/primary_view.cpp
+++ b/sycamorespan/src/Failover/primary_view.cpp
@@ -6,13 +6,24 @@
 
 namespace sycamorespan {
 
+namespace {
+
+std::uint64_t seedOf(store_revision revision)
+{
+    const auto number = revision.number();
+    return revision.era() == 0 ? number
+                               : XXH3_64bits_withSeed(&number, sizeof number, revision.era());
+}
+
+} // namespace
+
 std::uint64_t digestOf(const std::vector<primary_view> &views)
 {
     std::uint64_t digest = 0;
     std::ranges::for_each(views, [&](const primary_view &view) {
         const auto &name = view.database.str();
         // The sum doesn't depend on the order.
-        digest += XXH3_64bits_withSeed(name.data(), name.size(), view.revision);
+        digest += XXH3_64bits_withSeed(name.data(), name.size(), seedOf(view.revision));
     });
     return digest;
 }
--- a/sycamorespan/src/Failover/primary_view.h
+++ b/sycamorespan/src/Failover/primary_view.h
@@ -3,6 +3,8 @@
 
 #include "sycamorespan/src/Core/identifiers.h"
 #include "sycamorespan/src/Core/log_position.h"
+#include "sycamorespan/src/Core/store_revision.h"
+#include "sycamorespan/src/Failover/fencing_token.h"
 
 #include <cstdint>
 #include <vector>
@@ -29,18 +31,24 @@
 struct primary_view
 {
     database_id database;
-    std::uint64_t revision = 0; ///< revision of the row; rises with each write
+    store_revision revision; ///< revision of the row; rises with each write
     server_id primary; ///< in the phase ordered, the member to be promoted
     term_number term = 0; ///< term of the primary
     view_phase phase = view_phase::steady;
     bool planned = false; ///< switchover: statements in progress may end on the old primary
-    std::uint64_t fencingToken = 0; ///< fencing token of the supervisor that wrote the row
+    fencing_token fencingToken = 0; ///< fencing token of the supervisor that wrote the row
     /** Members that may hold acknowledged commits, stored while a change is in progress. A member
      * that was removed since may have been the only one to confirm a commit, and the next
      * supervisor may never have seen it.
      */
     std::vector<log_holder> holders{};
 
+    /** \returns whether the row was written in the era in which it was read. Another one comes from
+     * the copy from which the store returned: it may have been replaced before, and says nothing of
+     * the present.
+     */
+    bool isOfPresentEra() const { return eraOf(fencingToken) == revision.era(); }
+
     auto operator<=>(const primary_view &) const = default;
 };
 
--- a/sycamorespan/src/Failover/supervision.cpp
+++ b/sycamorespan/src/Failover/supervision.cpp
@@ -10,6 +10,7 @@
                          const election_policy &election, const supervision_policy &policy,
                          const view_policy &views, time_point now)
     : m_changePolicy(policy.change)
+    , m_viewPolicy(views)
     , m_election(self, incarnation, election, now)
     , m_supervisor(policy, views)
 { }
@@ -53,7 +54,7 @@
     const auto isForeignOrder = [this](const primary_view &view) {
         return view.phase == view_phase::ordered && view.fencingToken != newestClaim().fencingToken;
     };
-    if (std::ranges::any_of(views, isForeignOrder))
+    if (std::ranges::any_of(views, isForeignOrder) || isFirstOfEra(newestClaim().fencingToken))
         m_foreignOrdersUntil = *m_claimConfirmedAt + m_changePolicy.foreignOrderTimeout;
 }
 
@@ -71,7 +72,15 @@
     return outputs;
 }
 
-change_outputs supervision::onClaimReported(const instance_id &holder, std::uint64_t fencingToken,
+change_outputs supervision::onStoreEra(store_era era)
+{
+    change_outputs outputs;
+    m_election.onStoreEra(era);
+    updateRole(outputs);
+    return outputs;
+}
+
+change_outputs supervision::onClaimReported(const instance_id &holder, fencing_token fencingToken,
                                             time_point now)
 {
     change_outputs outputs;
@@ -86,7 +95,7 @@
     return m_election.propose(context, now);
 }
 
-change_outputs supervision::onClaimWritten(std::uint64_t revision, reference_time committed,
+change_outputs supervision::onClaimWritten(store_revision revision, reference_time committed,
                                            time_point now)
 {
     change_outputs outputs;
@@ -104,6 +113,13 @@
     context.mayOrder = m_hasReadRows && m_claimConfirmedAt && context.latest
                        && *context.latest <= *m_claimConfirmedAt + m_changePolicy.orderSendTimeout;
     context.foreignOrdersUntil = m_foreignOrdersUntil;
+    // Instances whose registration the store has lost are not waited for. By then each of them has
+    // registered again, or its views of the former era have expired.
+    const auto waitedFor = context.claim.eraBegan + m_viewPolicy.quorumExtension
+                           + m_viewPolicy.validity + m_viewPolicy.margin;
+    const bool isOfFirstEra = eraOf(context.claim.fencingToken) == 0;
+    context.mayLackInstances =
+            !isOfFirstEra && (!context.earliest || *context.earliest < waitedFor);
     return context;
 }
 
@@ -118,7 +134,7 @@
 /** \returns whether a call with this token belongs to the present claim. The answer to a call of a
  * former claim must not count for the changes that were begun since.
  */
-bool supervision::isOfOwnClaim(std::uint64_t fencingToken) const
+bool supervision::isOfOwnClaim(fencing_token fencingToken) const
 {
     return isSupervisor() && fencingToken == newestClaim().fencingToken;
 }
--- a/sycamorespan/src/Failover/supervision.h
+++ b/sycamorespan/src/Failover/supervision.h
@@ -18,7 +18,8 @@
  * - A promotion is ordered only within change_policy::orderSendTimeout of the last time at which
  *   the store is known to have held the claim.
  * - If the rows show an order of a former supervisor, the successor orders nothing until that order
- *   can no longer take effect.
+ *   can no longer take effect. The first supervisor in an era of the store always waits so long, as
+ *   the rows of such an order may be lost.
  */
 class supervision
 {
@@ -35,15 +36,20 @@
      */
     change_outputs onRowsRead(const supervisor_claim &claim, const std::vector<primary_view> &views,
                               reference_time clock, time_point now);
+    /** \brief The store has answered in \a era. In an era after that of its claim this instance is
+     * no longer the supervisor.
+     */
+    change_outputs onStoreEra(store_era era);
     /** \brief Another instance knows of a supervisor with this fencing token. */
-    change_outputs onClaimReported(const instance_id &holder, std::uint64_t fencingToken,
+    change_outputs onClaimReported(const instance_id &holder, fencing_token fencingToken,
                                    time_point now);
     /** \returns the claim to write now, or nothing. */
     std::optional<supervisor_claim> propose(const election_context &context, time_point now);
     /** \brief The proposed claim was written.
      *  \param committed  a reading of the store's clock after the write
      */
-    change_outputs onClaimWritten(std::uint64_t revision, reference_time committed, time_point now);
+    change_outputs onClaimWritten(store_revision revision, reference_time committed,
+                                  time_point now);
     /** \brief The row of the claim had changed. */
     void onClaimConflict(time_point now) { m_election.onConflict(now); }
     /** \brief The write of the claim had no answer. */
@@ -88,9 +94,10 @@
     void confirmClaim(reference_time clock);
     void checkForeignOrders(const std::vector<primary_view> &views);
     supervision_context withClaim(supervision_context context) const;
-    bool isOfOwnClaim(std::uint64_t fencingToken) const;
+    bool isOfOwnClaim(fencing_token fencingToken) const;
 
     change_policy m_changePolicy;
+    view_policy m_viewPolicy;
     supervisor_election m_election;
     group_supervisor m_supervisor;
     bool m_wasSupervisor = false;
--- a/sycamorespan/src/Failover/supervisor_election.cpp
+++ b/sycamorespan/src/Failover/supervisor_election.cpp
@@ -15,8 +15,8 @@
 
 bool supervisor_election::isSupervisor() const
 {
-    return m_newestClaim.fencingToken > 0 && m_newestClaim.holder == m_self
-           && m_newestClaim.incarnation == m_incarnation;
+    return m_newestClaim.fencingToken > 0 && eraOf(m_newestClaim.fencingToken) == m_era
+           && m_newestClaim.holder == m_self && m_newestClaim.incarnation == m_incarnation;
 }
 
 void supervisor_election::noteNewClaim(time_point now)
@@ -25,18 +25,33 @@
     m_claimSucceedsKnownOne = m_newestClaim.fencingToken > 0;
 }
 
+void supervisor_election::onStoreEra(store_era era)
+{
+    if (era <= m_era)
+        return;
+    m_era = era;
+    m_needsRead = true; // the row may have another revision
+}
+
 void supervisor_election::onClaim(const supervisor_claim &claim, time_point now)
 {
-    if (claim.fencingToken < m_newestClaim.fencingToken)
+    const bool isOfFormerEra = claim.revision != store_revision{} && claim.revision.era() < m_era;
+    if (isOfFormerEra)
+        return onHigherFencingToken(claim.holder, claim.fencingToken, now);
+    // The store may have lost the newest claim if that is of a former era.
+    const bool mayBeLost = eraOf(m_newestClaim.fencingToken) < m_era;
+    if (claim.fencingToken < m_newestClaim.fencingToken && !mayBeLost)
         return;
     if (claim.fencingToken > m_newestClaim.fencingToken)
         noteNewClaim(now);
-    m_newestClaim = claim;
+    if (claim.fencingToken >= m_newestClaim.fencingToken)
+        m_newestClaim = claim;
+    m_rowRevision = claim.revision;
     m_needsRead = false;
 }
 
 void supervisor_election::onHigherFencingToken(const instance_id &holder,
-                                               std::uint64_t fencingToken, time_point now)
+                                               fencing_token fencingToken, time_point now)
 {
     if (fencingToken <= m_newestClaim.fencingToken)
         return;
@@ -57,7 +72,7 @@
     if (context.isUnknownToOthers)
         return false;
     if (m_newestClaim.holder == m_self)
-        return true; // claimed by a former incarnation of this process, so no other supervisor
+        return true; // by a former incarnation or in a former era, so no other supervisor
     const auto timeSinceHeard = context.timeSinceHolderHeard.value_or(now - m_startedAt);
     if (context.holderShuttingDown)
         return rank == 0;
@@ -83,12 +98,15 @@
     m_awaitsRead = claims && m_needsRead;
     if (!claims || m_needsRead)
         return std::nullopt;
-    m_pending = supervisor_claim{m_newestClaim.revision, m_self, m_incarnation,
-                                 m_newestClaim.fencingToken + 1};
+    const bool isFirst =
+            eraOf(m_newestClaim.fencingToken) < m_era || m_newestClaim.fencingToken == 0;
+    m_pending = supervisor_claim{m_rowRevision, m_self, m_incarnation,
+                                 nextToken(m_newestClaim.fencingToken, m_era),
+                                 isFirst ? context.latest : m_newestClaim.eraBegan};
     return m_pending;
 }
 
-void supervisor_election::onWritten(std::uint64_t revision, time_point now)
+void supervisor_election::onWritten(store_revision revision, time_point now)
 {
     if (!m_pending)
         return;
--- a/sycamorespan/src/Failover/supervisor_election.h
+++ b/sycamorespan/src/Failover/supervisor_election.h
@@ -2,7 +2,9 @@
 #define SYCAMORESPAN_FAILOVER_SUPERVISOR_ELECTION_H
 
 #include "sycamorespan/src/Core/identifiers.h"
+#include "sycamorespan/src/Core/reference_clock.h"
 #include "sycamorespan/src/Core/time_types.h"
+#include "sycamorespan/src/Failover/fencing_token.h"
 
 #include <cstdint>
 #include <optional>
@@ -13,10 +15,12 @@
 /** \brief Supervisor claim: the row of the store that names the supervisor. */
 struct supervisor_claim
 {
-    std::uint64_t revision = 0; ///< revision of the row; 0 if no row exists
+    store_revision revision; ///< revision of the row; none if no row exists
     instance_id holder; ///< instance that is the supervisor
     std::uint64_t incarnation = 0; ///< incarnation of the supervisor's process
-    std::uint64_t fencingToken = 0; ///< fencing token; rises with each claim
+    fencing_token fencingToken = 0; ///< fencing token; rises with each claim
+    /** When the first claim in this era of the store was made, by the store's clock. */
+    reference_time eraBegan{};
 
     auto operator<=>(const supervisor_claim &) const = default;
 };
@@ -66,6 +70,8 @@
      * of a view.
      */
     bool isUnknownToOthers = false;
+    /** Upper bound on the reference time now. */
+    reference_time latest{};
     /** Instances with recent peer reports that could take over, including this one. The order is
      * the same on all instances.
      */
@@ -79,6 +85,10 @@
  * A claim is a compare-and-set on one row that also raises the fencing token, so that two claims
  * can't both succeed. The instance that wrote the claim acts as supervisor until it learns of a
  * higher fencing token. What is known of other claims never changes the token of the own one.
+ *
+ * A store that returns from an older copy may have lost the newest claims. No claim of a former era
+ * is valid in the next one: the supervisor claims again, with a token that contains the new era and
+ * so exceeds every token of former eras, including the lost ones.
  */
 class supervisor_election
 {
@@ -86,13 +96,16 @@
     supervisor_election(instance_id self, std::uint64_t incarnation, const election_policy &policy,
                         time_point now);
 
+    /** \brief The store has answered in \a era. An era that is not newer has no effect. */
+    void onStoreEra(store_era era);
+
     /** \brief Applies the row as read from the store. A row with a lower fencing token than the
      * highest known one was read before that one was written, and has no effect.
      */
     void onClaim(const supervisor_claim &claim, time_point now);
 
     /** \brief Another instance knows of a supervisor with a higher fencing token. */
-    void onHigherFencingToken(const instance_id &holder, std::uint64_t fencingToken,
+    void onHigherFencingToken(const instance_id &holder, fencing_token fencingToken,
                               time_point now);
 
     /** \returns the row to write now if the stored one still has the same revision, or nothing. */
@@ -101,7 +114,7 @@
     /** \brief The proposed claim was written. A claim with a higher fencing token that was learnt
      * meanwhile prevails.
      */
-    void onWritten(std::uint64_t revision, time_point now);
+    void onWritten(store_revision revision, time_point now);
     /** \brief The row had changed, so that the claim was rejected. The row must be read again. */
     void onConflict(time_point now);
     /** \brief The write had no answer and may have taken effect. The row must be read again. */
@@ -125,7 +138,9 @@
     std::uint64_t m_incarnation;
     election_policy m_policy;
     time_point m_startedAt;
+    store_era m_era = 0; ///< newest known era of the store
     supervisor_claim m_newestClaim;
+    store_revision m_rowRevision; ///< revision of the row as last read
     time_point m_claimLearntAt; ///< when the newest claim became known
     bool m_claimSucceedsKnownOne = false; ///< whether an earlier claim was known before
     std::optional<supervisor_claim> m_pending;
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -209,17 +209,20 @@
         each.statementSentAt = {};
     }
     updateMembers(context, now);
+    if (const auto &known = context.view ? context.view : context.formerView) {
+        std::ranges::for_each(known->holders, [&](const log_holder &holder) {
+            m_holders.try_emplace(holder, log_holder_state{now, false, {}});
+            m_members.try_emplace(holder.server).first->second.lastListedAt = now;
+        });
+    }
     if (!context.view) {
         enter(step::adopting, now);
         m_oldPrimary = {};
-        m_oldTerm = 0;
+        m_oldTerm = context.formerView ? context.formerView->term : 0;
+        m_oldPrimaryLed = false;
         adoptPrimary(context, now);
         return takeOutputs();
     }
-    std::ranges::for_each(context.view->holders, [&](const log_holder &holder) {
-        m_holders.try_emplace(holder, log_holder_state{now, false, {}});
-        m_members.try_emplace(holder.server).first->second.lastListedAt = now;
-    });
     m_oldTerm = context.view->term;
     m_oldPrimary = context.view->primary;
     m_oldPrimaryLed = context.view->phase == view_phase::steady;
@@ -267,7 +270,7 @@
 {
     enter(next, now);
     m_pendingView = {m_database,
-                     context.view ? context.view->revision : 0,
+                     context.view ? context.view->revision : context.replacedRevision,
                      primary,
                      term,
                      phase,
@@ -300,7 +303,7 @@
     return status && status->role == replication_role::primary && status->term > m_oldTerm;
 }
 
-change_outputs synchronous_change::onViewWritten(std::uint64_t revision, reference_time committed,
+change_outputs synchronous_change::onViewWritten(store_revision revision, reference_time committed,
                                                  const change_context &context, time_point now)
 {
     if (!m_isWriting)
@@ -436,6 +439,10 @@
            && *context.earliest > extendedUntil + m_views.validity + m_views.margin;
 }
 
+/** Publishes the primary of the newest term. It is known to be the newest one if all members have
+ * answered. One replica suffices for a while: a promotion either has paused every replica for its
+ * term, or has made the old primary a replica.
+ */
 void synchronous_change::adoptPrimary(const change_context &context, time_point now)
 {
     std::ranges::for_each(context.members, [&](const server_entry &entry) {
@@ -455,15 +462,47 @@
             bestTerm = member.status->term;
         }
     }
-    if (best && (answered == m_members.size() || now - m_stepBeganAt > m_policy.catchUpTimeout)) {
+    const auto waited = now - m_stepBeganAt;
+    const bool haveAllAnswered = answered == m_members.size();
+    const bool isNewestTerm = best && bestTerm + 1 >= nextTerm();
+    const bool haveEnoughAnswered =
+            haveAllAnswered
+            || (waited > m_policy.catchUpTimeout && (answered > 1 || !context.formerView));
+    if (isNewestTerm && haveEnoughAnswered) {
         m_oldPrimary = *best;
         noteEvent("current primary found",
                   {{"primary", best->str()}, {"term", std::to_string(bestTerm)}});
         return publish(*best, context, now);
     }
-    if (!best && answered > 0 && answered == m_members.size()
-        && now - m_stepBeganAt > m_policy.promotionTimeout)
-        write(view_phase::withdrawn, {}, nextTerm() - 1, context, step::writingIntent, now);
+    if (context.formerView) {
+        const bool isOverdue = waited > m_policy.adoptionTimeout;
+        if (isOverdue && !isNewestTerm && answered > 0 && !mayForeignOrderTakeEffect(context))
+            replaceUnknownPrimary(context, now);
+    } else if (!best && answered > 0 && haveAllAnswered && waited > m_policy.promotionTimeout) {
+        replaceUnknownPrimary(context, now);
+    }
+}
+
+/** Begins to replace a primary that was not found. It is the one of the former view if no member
+ * knows a later term; otherwise it is not known, and every member has to be fenced.
+ */
+void synchronous_change::replaceUnknownPrimary(const change_context &context, time_point now)
+{
+    const auto newestTerm = nextTerm() - 1;
+    if (context.formerView && newestTerm <= context.formerView->term) {
+        m_oldPrimary = context.formerView->primary;
+        m_oldPrimaryLed = context.formerView->phase == view_phase::steady;
+    }
+    m_oldTerm = newestTerm;
+    write(view_phase::withdrawn, m_oldPrimary, m_oldTerm, context, step::writingIntent, now);
+}
+
+/** \returns whether \a server is the primary that is to be replaced although it was not found. */
+bool synchronous_change::isUnknownPrimary(const server_id &server) const
+{
+    const auto *status = statusOf(server);
+    return m_oldPrimary.empty() && status && status->role == replication_role::primary
+           && status->term >= m_oldTerm;
 }
 
 /** Fences the old primary and reads positions until a member may be promoted. */
@@ -503,11 +542,17 @@
             sendStatement(id, member_statement::status{}, m_policy.statementInterval / 4, now);
             continue;
         }
+        if (member.status && member.status->role == replication_role::primary) {
+            // Only a replica can be paused.
+            sendStatement(id, member_statement::step_down{m_fencingTerm},
+                          m_policy.statementInterval, now);
+            continue;
+        }
+        m_paused.insert(id);
         if (member.status && member.status->pausedFor > m_oldTerm) {
             sendStatement(id, member_statement::status{}, m_policy.fencedQueryInterval, now);
             continue;
         }
-        m_paused.insert(id);
         sendStatement(id, member_statement::pause{m_fencingTerm}, m_policy.statementInterval, now);
     }
     renewFloor(context, now);
@@ -530,7 +575,8 @@
  */
 bool synchronous_change::mayKeepOldPrimary(time_point now) const
 {
-    return m_reason == change_reason::unreachable && !m_hasOrdered
+    return (m_reason == change_reason::unreachable || m_reason == change_reason::noView)
+           && !m_hasOrdered
            && (!m_oldKeptAt || *m_oldKeptAt >= m_beganAt
                || now - *m_oldKeptAt > m_policy.keepCooldown);
 }
@@ -759,6 +805,12 @@
         return takeOutputs();
     }
     member.lastListedAt = std::max(member.lastListedAt, now);
+    if (m_step == step::queryingStatus && isUnknownPrimary(server)) {
+        m_oldPrimary = server;
+        m_oldTerm = status->term;
+        m_oldPrimaryLed = true;
+        m_paused.erase(server);
+    }
     if (m_step == step::queryingStatus && isOldPrimaryRenamed(server))
         renameOldPrimary(server);
     if (m_step == step::queryingStatus && server == m_oldPrimary)
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -63,6 +63,8 @@
      */
     duration resumeTimeout = 1s;
     duration promotionTimeout = 4s; ///< timeout of a promotion; then another member is chosen
+    /** Time after which the primary of a former era of the store is replaced if it isn't found. */
+    duration adoptionTimeout = 2s;
     duration catchUpTimeout = 400ms; ///< timeout for a replica to receive the last commits
     /** Time for which a member that was removed from the list counts as a possible holder of
      * commits. While the old primary is listed, the change waits longer, because that primary's
@@ -99,7 +101,12 @@
     /** End of the time in which orders of former supervisors may take effect, if there are any. */
     std::optional<reference_time> foreignOrdersUntil;
     std::vector<server_entry> members; ///< listed members of the database
-    std::optional<primary_view> view; ///< newest known view
+    std::optional<primary_view> view; ///< newest known view of the present era of the store
+    /** Newest known view of a former era, if there is none of the present one. The primary may have
+     * changed since.
+     */
+    std::optional<primary_view> formerView;
+    store_revision replacedRevision; ///< revision of the row that holds a view of a former era
     std::size_t synchronousReplicas = 0; ///< replicas that hold a commit before it is acknowledged
     bool allReleased = false; ///< whether every instance has released all older views
     bool quorumReleased = false; ///< whether a quorum of the instances has
@@ -124,7 +131,7 @@
 struct write_view
 {
     primary_view view;
-    std::uint64_t claimRevision = 0;
+    store_revision claimRevision;
 
     auto operator<=>(const write_view &) const = default;
 };
@@ -136,7 +143,7 @@
 {
     database_id database;
     std::vector<log_holder> holders;
-    std::uint64_t claimRevision = 0;
+    store_revision claimRevision;
 
     auto operator<=>(const record_holders &) const = default;
 };
@@ -161,7 +168,7 @@
 {
     database_id database;
     server_id server;
-    std::uint64_t fencingToken = 0;
+    fencing_token fencingToken = 0;
 
     auto operator<=>(const order_promotion &) const = default;
 };
@@ -231,6 +238,11 @@
  * primary reported afterwards. This is established between changes, before one is needed. Until
  * then the store has a record of the member, because the next supervisor may never have seen it.
  *
+ * A store that returns from an older copy has lost the newest views, intents and orders, but not
+ * the terms of the members. The supervisor then looks for the member that leads the newest term and
+ * publishes it again. If none is found, the primary is replaced, from a view of a former era only
+ * if no member knows a later term than that view.
+ *
  * From step 2 on, no commit is acknowledged until the new primary is used. The positions that are
  * read then are published repeatedly as floors, so that replicas serve reads during the change.
  */
@@ -256,7 +268,7 @@
      *  \param revision   revision of the row after the write
      *  \param committed  a reading of the store's clock after the write
      */
-    change_outputs onViewWritten(std::uint64_t revision, reference_time committed,
+    change_outputs onViewWritten(store_revision revision, reference_time committed,
                                  const change_context &context, time_point now);
     change_outputs onViewConflict(time_point now);
     change_outputs onViewWriteUnknown(time_point now);
@@ -315,6 +327,8 @@
     void sendStatement(const server_id &server, outgoing_statement statement, duration interval,
                        time_point now);
     void adoptPrimary(const change_context &context, time_point now);
+    void replaceUnknownPrimary(const change_context &context, time_point now);
+    bool isUnknownPrimary(const server_id &server) const;
     bool mayForeignOrderTakeEffect(const change_context &context) const;
     void awaitForeignOrder(const change_context &context, time_point now);
     bool mayKeepOldPrimary(time_point now) const;
@@ -361,9 +375,9 @@
     time_point m_unresolvedReadAt;
     time_point m_notBefore;
     primary_view m_pendingView; ///< row that is being written
-    std::uint64_t m_pendingClaimRevision = 0; ///< revision of the claim that the write requires
+    store_revision m_pendingClaimRevision; ///< revision of the claim that the write requires
     std::optional<reference_time> m_intentAt;
-    std::uint64_t m_intentRevision = 0;
+    store_revision m_intentRevision;
     std::optional<reference_time> m_quorumReleasedAt; ///< upper bound on when a quorum had released
     server_id m_oldPrimary;
     term_number m_oldTerm = 0;
--- a/sycamorespan/src/Failover/view_ledger.cpp
+++ b/sycamorespan/src/Failover/view_ledger.cpp
@@ -13,14 +13,18 @@
 void view_ledger::applyWritten(const primary_view &view, reference_time committed)
 {
     apply(view);
-    auto &known = m_entries.at(view.database);
+    const auto known = m_entries.find(view.database);
     // An older revision doesn't confirm the newer one that is known.
-    if (known.view.revision == view.revision)
-        known.confirmed = std::max(known.confirmed.value_or(committed), committed);
+    if (known == m_entries.end() || known->second.view.revision != view.revision)
+        return;
+    auto &confirmed = known->second.confirmed;
+    confirmed = std::max(confirmed.value_or(committed), committed);
 }
 
 void view_ledger::apply(const primary_view &view)
 {
+    if (!view.isOfPresentEra())
+        return;
     auto &known = m_entries[view.database];
     if (known.view.revision >= view.revision)
         return;
--- a/sycamorespan/src/Failover/view_ledger.h
+++ b/sycamorespan/src/Failover/view_ledger.h
@@ -49,7 +49,9 @@
         : m_policy(policy)
     { }
 
-    /** \brief Applies all views that the store held when its clock read \a confirmed. */
+    /** \brief Applies all views that the store held when its clock read \a confirmed. Rows that
+     * were written in a former era of the store are no views.
+     */
     void applySnapshot(const std::vector<primary_view> &views, reference_time confirmed);
 
     /** \brief Applies one row that was written when the store's clock read \a committed, or
--- a/sycamorespan/src/Membership/evacuation_list.cpp
+++ b/sycamorespan/src/Membership/evacuation_list.cpp
@@ -5,23 +5,24 @@
 
 namespace sycamorespan {
 
-bool evacuation_list::replace(const std::set<data_centre_id> &evacuated, std::uint64_t knownThrough)
+bool evacuation_list::replace(const std::set<data_centre_id> &evacuated,
+                              store_revision knownThrough)
 {
     // The other instances fetch the list when its revision rises. A read that confirms what was
     // known must not make them do so; the first one may hold a withdrawal that others missed.
-    const bool isFirst = m_knownThrough == 0;
-    const bool changed = replace(evacuated, knownThrough, 0);
+    const bool isFirst = m_knownThrough == store_revision{};
+    const bool changed = replace(evacuated, knownThrough, store_revision{});
     if (changed || isFirst)
         m_revision = std::max(m_revision, knownThrough);
     return changed;
 }
 
-bool evacuation_list::replace(const std::set<data_centre_id> &evacuated, std::uint64_t knownThrough,
-                              std::uint64_t revision)
+bool evacuation_list::replace(const std::set<data_centre_id> &evacuated,
+                              store_revision knownThrough, store_revision revision)
 {
     if (knownThrough <= m_knownThrough)
         return false;
-    const bool isFirst = std::exchange(m_knownThrough, knownThrough) == 0;
+    const bool isFirst = std::exchange(m_knownThrough, knownThrough) == store_revision{};
     m_revision = std::max(m_revision, revision);
     const auto before = dataCentres();
     for (auto &[dataCentre, last] : m_changes)
@@ -35,7 +36,7 @@
     return dataCentres() != before;
 }
 
-bool evacuation_list::put(const data_centre_id &dataCentre, bool requested, std::uint64_t revision)
+bool evacuation_list::put(const data_centre_id &dataCentre, bool requested, store_revision revision)
 {
     auto &last = m_changes[dataCentre];
     if (revision <= std::max(last.revision, m_knownThrough))
--- a/sycamorespan/src/Membership/evacuation_list.h
+++ b/sycamorespan/src/Membership/evacuation_list.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMORESPAN_MEMBERSHIP_EVACUATION_LIST_H
 #define SYCAMORESPAN_MEMBERSHIP_EVACUATION_LIST_H
 
+#include "sycamorespan/src/Core/store_revision.h"
 #include "sycamorespan/src/Membership/server_entry.h"
 
 #include <algorithm>
@@ -22,26 +23,26 @@
     /** \brief Handles the complete list as it is in the store. \returns whether the list changed
      * \param knownThrough  revision up to which it includes every change
      */
-    bool replace(const std::set<data_centre_id> &evacuated, std::uint64_t knownThrough);
+    bool replace(const std::set<data_centre_id> &evacuated, store_revision knownThrough);
     /** \brief Handles the complete list of another instance. \returns whether the list changed
      * \param knownThrough  revision up to which it includes every change
      * \param revision      revision of its newest change
      */
-    bool replace(const std::set<data_centre_id> &evacuated, std::uint64_t knownThrough,
-                 std::uint64_t revision);
+    bool replace(const std::set<data_centre_id> &evacuated, store_revision knownThrough,
+                 store_revision revision);
     /** \brief Handles a request (\a requested), or its withdrawal, at \a revision.
      * \returns whether the list changed
      */
-    bool put(const data_centre_id &dataCentre, bool requested, std::uint64_t revision);
+    bool put(const data_centre_id &dataCentre, bool requested, store_revision revision);
 
     bool contains(const data_centre_id &dataCentre) const;
     /** \returns whether the request was in the first complete list: when it was made is unknown. */
     bool wasFoundAtStart(const data_centre_id &dataCentre) const;
     std::set<data_centre_id> dataCentres() const;
-    /** \returns the revision of the newest change; 0 if none is known. */
-    std::uint64_t revision() const { return m_revision; }
+    /** \returns the revision of the newest change; none if none is known. */
+    store_revision revision() const { return m_revision; }
     /** \returns the newest revision up to which every change is known. */
-    std::uint64_t knownThrough() const { return std::max(m_knownThrough, m_revision); }
+    store_revision knownThrough() const { return std::max(m_knownThrough, m_revision); }
 
     /** \returns \a entries with server_entry::isEvacuated set as the list says. */
     std::vector<server_entry> marked(std::vector<server_entry> entries) const;
@@ -50,15 +51,15 @@
     struct change
     {
         bool requested = false;
-        std::uint64_t revision = 0;
+        store_revision revision;
         bool wasFoundAtStart = false; ///< the request was in the first complete list
 
         auto operator<=>(const change &) const = default;
     };
 
     std::map<data_centre_id, change> m_changes; ///< the newest of each data centre
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_knownThrough = 0; ///< of the complete lists
+    store_revision m_revision;
+    store_revision m_knownThrough; ///< of the complete lists
 };
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Membership/fleet_messages.h
+++ b/sycamorespan/src/Membership/fleet_messages.h
@@ -18,7 +18,7 @@
 struct primary_observation
 {
     database_id database;
-    std::uint64_t viewRevision = 0; ///< revision of the view that names the primary
+    store_revision viewRevision; ///< revision of the view that names the primary
     std::uint32_t suspecting = 0; ///< instances that get no answer from the primary
     std::uint32_t demoted = 0; ///< instances to which the primary reported itself as a replica
     std::uint32_t answered = 0; ///< instances that recently got an answer from the primary
@@ -53,17 +53,17 @@
 struct fleet_news
 {
     std::uint64_t configurationVersion = 0; ///< version in force at the sender
-    std::uint64_t serversRevision = 0; ///< revision of its list of backend servers
+    store_revision serversRevision; ///< revision of its list of backend servers
     std::uint64_t instancesDigest = 0; ///< digest of its list of registered instances
     reference_time instancesReadAt{}; ///< when this list was read from the store
     std::uint64_t viewsDigest = 0; ///< digest of its primary views
     std::optional<reference_time> viewsConfirmed; ///< time up to which all of them are current
     std::vector<primary_view> views; ///< sent only to receivers with another digest
     instance_id supervisor; ///< supervisor, as far as the sender knows
-    std::uint64_t fencingToken = 0; ///< fencing token of that supervisor
+    fencing_token fencingToken = 0; ///< fencing token of that supervisor
     std::vector<floor_report> floors;
-    /** Revision of its list of evacuations; 0 from instances that know none. */
-    std::uint64_t evacuationsRevision = 0;
+    /** Revision of its list of evacuations; none from instances that know none. */
+    store_revision evacuationsRevision;
 
     bool operator==(const fleet_news &) const = default;
 };
@@ -97,7 +97,7 @@
     std::uint64_t instancesDigest = 0; ///< digest of the relay's list of instances
     std::uint64_t viewsDigest = 0; ///< views to which attestations refer
     std::optional<reference_time> attestedAt; ///< oldest attestation of those that attest
-    std::uint64_t releasedThrough = 0; ///< all instances have released all older views
+    store_revision releasedThrough; ///< all instances have released all older views
     std::vector<instance_entry> instances; ///< those with a recent report
     std::vector<primary_observation> observations; ///< sums over the instances
     std::vector<server_load_report> loads; ///< sums over the instances
@@ -113,7 +113,7 @@
     std::optional<reference_time> sentAt;
     fleet_news news;
     instance_flags flags;
-    std::uint64_t releasedThrough = 0; ///< the sender has released all views before this revision
+    store_revision releasedThrough; ///< the sender has released all views before this revision
     std::vector<primary_observation> observations;
     std::vector<server_load_report> loads;
 
--- a/sycamorespan/src/Membership/fleet_table.cpp
+++ b/sycamorespan/src/Membership/fleet_table.cpp
@@ -85,7 +85,7 @@
 // What is known of the other instances.
 
 void fleet_table::setInstances(const std::vector<instance_incarnation> &registered,
-                               reference_time readAt, std::uint64_t revision, time_point now)
+                               reference_time readAt, store_revision revision, time_point now)
 {
     if (readAt <= m_instancesReadAt)
         return;
@@ -570,7 +570,7 @@
             mappedOf);
 }
 
-bool fleet_table::released(std::uint64_t revision) const
+bool fleet_table::released(store_revision revision) const
 {
     return m_instancesRevision >= revision && allRegistered([&](const coverage &covered) {
                return covered.releasedThrough >= revision;
@@ -597,7 +597,7 @@
     return result;
 }
 
-bool fleet_table::releasedByQuorum(std::uint64_t revision, bool ownReleased) const
+bool fleet_table::releasedByQuorum(store_revision revision, bool ownReleased) const
 {
     if (m_instancesRevision < revision)
         return false;
@@ -653,7 +653,7 @@
 }
 
 fleet_observation fleet_table::observationOf(const database_id &database,
-                                             std::uint64_t viewRevision) const
+                                             store_revision viewRevision) const
 {
     fleet_observation sum;
     std::ranges::for_each(bestStates(), [&](const known_state *best) {
--- a/sycamorespan/src/Membership/fleet_table.h
+++ b/sycamorespan/src/Membership/fleet_table.h
@@ -96,7 +96,7 @@
      *  \param revision  newest revision in the store when they were read
      */
     void setInstances(const std::vector<instance_incarnation> &registered, reference_time readAt,
-                      std::uint64_t revision, time_point now);
+                      store_revision revision, time_point now);
 
     /** \brief Handles the report of an instance, for which this one acts as a relay.
      * \returns whether it is the first one of this incarnation
@@ -124,7 +124,7 @@
     const instance_incarnation &self() const { return m_self; }
     std::uint64_t instancesDigest() const { return m_instancesDigest; }
     reference_time instancesReadAt() const { return m_instancesReadAt; }
-    std::uint64_t instancesRevision() const { return m_instancesRevision; }
+    store_revision instancesRevision() const { return m_instancesRevision; }
     /** \returns whether \a news tells of a newer list of instances than the known one. */
     bool lacksInstances(const fleet_news &news) const;
     /** \returns the list of instances as it was read, for instances that lack it. */
@@ -156,11 +156,11 @@
     /** \returns whether every other registered instance has released all views before
      * \a revision. The list of instances must have been read since that revision was written.
      */
-    bool released(std::uint64_t revision) const;
+    bool released(store_revision revision) const;
     /** \returns whether a quorum has released all views before \a revision, of which this
      * instance is one if \a ownReleased.
      */
-    bool releasedByQuorum(std::uint64_t revision, bool ownReleased) const;
+    bool releasedByQuorum(store_revision revision, bool ownReleased) const;
     /** \returns a time until which a quorum, this instance included, attests that it knows no
      * change beyond the views of the digest; nothing if there is none.
      */
@@ -174,7 +174,7 @@
      * instances.
      */
     std::optional<reference_time> attestedAt(std::uint64_t viewsDigest) const;
-    fleet_observation observationOf(const database_id &database, std::uint64_t viewRevision) const;
+    fleet_observation observationOf(const database_id &database, store_revision viewRevision) const;
     /** \returns the statements that all instances but this one run on \a server. */
     std::size_t statementsOfOthers(const server_id &server) const;
     /** \returns what the instances have found of \a server; nothing if none found it unusual. */
@@ -215,7 +215,7 @@
     struct coverage
     {
         instance_flags flags;
-        std::uint64_t releasedThrough = 0;
+        store_revision releasedThrough;
         /** Digests of views, and times until which it attests them. Only attestations by instances
          * with the same list of instances count, because an instance that is not in the list does
          * not attest.
@@ -259,7 +259,7 @@
     std::vector<instance_incarnation> m_registered; ///< as read, with this instance
     std::uint64_t m_instancesDigest = 0;
     reference_time m_instancesReadAt{};
-    std::uint64_t m_instancesRevision = 0; ///< newest revision in the store when it was read
+    store_revision m_instancesRevision; ///< newest revision in the store when it was read
     std::map<instance_id, received_report> m_reports; ///< received as a relay
     std::map<std::pair<data_centre_id, std::uint64_t>, known_state> m_states; ///< by relay
     std::map<std::uint64_t, coverage> m_covered; ///< by incarnation
--- a/sycamorespan/src/Net/http_client.cpp
+++ b/sycamorespan/src/Net/http_client.cpp
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 #include <sys/socket.h>
@@ -59,6 +60,21 @@
     return close(socket);
 }
 
+/** \returns the header fields of the answer to a finished request, with names in lower case. */
+std::map<std::string, std::string> headersOf(CURL *request)
+{
+    std::map<std::string, std::string> headers;
+    constexpr int lastRequest = -1;
+    curl_header *header = nullptr;
+    while ((header = curl_easy_nextheader(request, CURLH_HEADER, lastRequest, header))) {
+        std::string name(header->name);
+        std::ranges::transform(name, name.begin(),
+                               [](unsigned char byte) { return std::tolower(byte); });
+        headers.insert_or_assign(std::move(name), header->value);
+    }
+    return headers;
+}
+
 long toMilliseconds(duration value)
 {
     return static_cast<long>(std::chrono::ceil<std::chrono::milliseconds>(value).count());
@@ -147,8 +163,8 @@
         char *contentType = nullptr;
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
         curl_easy_getinfo(easy, CURLINFO_CONTENT_TYPE, &contentType);
-        return http_response{static_cast<int>(status), contentType ? contentType : "",
-                             responseBody};
+        return http_response{static_cast<int>(status), contentType ? contentType : "", responseBody,
+                             headersOf(easy)};
     }
     long sentBytes = 0;
     curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sentBytes);
--- a/sycamorespan/src/Net/http_message.h
+++ b/sycamorespan/src/Net/http_message.h
@@ -1,6 +1,7 @@
 #ifndef SYCAMORESPAN_NET_HTTP_MESSAGE_H
 #define SYCAMORESPAN_NET_HTTP_MESSAGE_H
 
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +25,8 @@
     int status = 200;
     std::string contentType = "application/json";
     std::string body;
+    /** Header fields, with names in lower case. Set only in answers that a client receives. */
+    std::map<std::string, std::string> headers = {};
 };
 
 inline bool operator==(const http_request &left, const http_request &right)
--- a/test/failover_election.cpp
+++ b/test/failover_election.cpp
@@ -187,6 +187,33 @@
 }
 
 /** The claim was overwritten by another instance before its own answer arrived. */
+/** Guards against two instances that promote with one fencing token: the store has lost the claim
+ * of the second one, and the first one starts again.
+ */
+TEST(FailoverElection, AClaimAfterTheStoreReturnedExceedsTheLostOnes)
+{
+    const instance_id other("i2");
+    const supervisor_claim former{{1, 20}, self, 6, nextToken(0, 1)};
+    const supervisor_claim lost{{1, 25}, other, 9, nextToken(former.fencingToken, 1)};
+    const supervisor_claim restored{{2, 20}, self, 6, former.fencingToken};
+    supervisor_election restarted(self, 7, {}, start);
+    restarted.onStoreEra(2);
+    restarted.onClaim(restored, start);
+    supervisor_election supervisor(other, 9, {}, start);
+    supervisor.onStoreEra(1);
+    supervisor.onClaim(lost, start);
+    EXPECT_TRUE(supervisor.isSupervisor());
+    supervisor.onStoreEra(2);
+    EXPECT_FALSE(supervisor.isSupervisor()) << "its claim may be lost";
+    supervisor.onClaim(restored, start);
+    for (auto *each : {&restarted, &supervisor}) {
+        const auto claim = each->propose(electionContext(), start + 1s);
+        ASSERT_TRUE(claim);
+        EXPECT_GT(claim->fencingToken, lost.fencingToken);
+        EXPECT_EQ(claim->revision, restored.revision) << "so that one of the two claims fails";
+    }
+}
+
 TEST(FailoverElection, TheAnswerToAClaimDoesNotHideANewerClaim)
 {
     auto election = electionThatKnows(claimOfOther);
--- a/test/failover_supervision.cpp
+++ b/test/failover_supervision.cpp
@@ -90,8 +90,8 @@
                 {},
                 servers,
                 ledger,
-                [](const database_id &, std::uint64_t) { return true; },
-                [](const database_id &, std::uint64_t) { return true; },
+                [](const database_id &, store_revision) { return true; },
+                [](const database_id &, store_revision) { return true; },
                 [](const database_id &) {
                     return primary_reports{6, 0, 6, 0};
                 },
@@ -208,8 +208,10 @@
 class claim_simulation
 {
 public:
-    explicit claim_simulation(std::uint32_t seed)
+    /** \param storeReturns  whether the store may return from a copy that is some seconds old */
+    claim_simulation(std::uint32_t seed, bool storeReturns)
         : m_random(seed)
+        , m_storeReturns(storeReturns)
     {
         for (std::size_t number = 0; number < instanceCount; ++number) {
             m_instances.emplace_back();
@@ -217,12 +219,14 @@
         }
     }
 
-    void run()
+    void run(duration length)
     {
-        for (int step = 0; step < 500; ++step) {
+        for (const auto end = m_now + length; m_now < end;) {
             m_now += 20ms;
             if (chance(0.005))
                 m_primaryIsUp = false;
+            if (m_storeReturns)
+                copyOrReturn();
             deliver();
             for (std::size_t number = 0; number < instanceCount; ++number)
                 advance(number);
@@ -252,7 +256,8 @@
     }
 
     std::size_t orderCount() const { return m_accepted.size(); }
-    std::size_t supervisorCount() const { return static_cast<std::size_t>(m_claim.fencingToken); }
+    std::size_t supervisorCount() const { return m_claimCount; }
+    std::size_t returnCount() const { return m_era; }
 
 private:
     static constexpr std::size_t instanceCount = 3;
@@ -268,11 +273,21 @@
         std::optional<supervision> supervisor;
         std::uint64_t incarnation = 0;
         std::optional<view_ledger> ledger;
+        std::optional<primary_view> formerRow; ///< row of a former era, as last read
+        store_era era = 0; ///< newest known era of the store
         time_point frozenUntil;
         time_point cutUntil; ///< neither the store nor reports reach it before
         time_point nextRead;
     };
 
+    /** Content of the store. */
+    struct store_content
+    {
+        std::uint64_t revision = 1;
+        supervisor_claim claim;
+        primary_view row{database, 1, oldPrimary, 1, view_phase::steady, false, 0, {}};
+    };
+
     /** A message to an instance, or an effect at the store or the platform. */
     struct event
     {
@@ -292,6 +307,33 @@
         return duration(std::uniform_int_distribution<std::int64_t>(0, most.count())(m_random));
     }
 
+    /** Copies the content of the store now and then, and returns to the copy within some seconds.
+     */
+    void copyOrReturn()
+    {
+        if (!m_copy && chance(0.005)) {
+            m_copy = m_store;
+            m_returnsAt = m_now + delay(3s);
+        } else if (m_copy && m_now >= m_returnsAt) {
+            m_store = *std::exchange(m_copy, std::nullopt);
+            ++m_era;
+        }
+    }
+
+    /** An instance handles an answer of the store.
+     * \returns whether the answer is of the newest era that the instance knows
+     */
+    bool noteEra(std::size_t number, store_era era)
+    {
+        auto &each = m_instances[number];
+        if (era > each.era) {
+            each.era = era;
+            each.formerRow.reset();
+            performAll(number, each.supervisor->onStoreEra(era));
+        }
+        return era == each.era;
+    }
+
     void restart(std::size_t number)
     {
         auto &each = m_instances[number];
@@ -352,6 +394,7 @@
         election.storeReachable = true;
         election.candidates = {nameOf(number), instance_id("other")};
         election.timeSinceHolderHeard = chance(0.01) ? 10s : 0s;
+        election.latest = clock() + 2ms;
         if (const auto claim = each.supervisor->propose(election, m_now))
             writeClaim(number, *claim);
         performAll(number, each.supervisor->tick(context(number), m_now));
@@ -377,8 +420,8 @@
                 {},
                 m_servers,
                 *m_instances[number].ledger,
-                [](const database_id &, std::uint64_t) { return true; },
-                [](const database_id &, std::uint64_t) { return true; },
+                [](const database_id &, store_revision) { return true; },
+                [](const database_id &, store_revision) { return true; },
                 [this](const database_id &) {
                     return m_primaryIsUp ? primary_reports{3, 3, 0, 0}
                                          : primary_reports{3, 0, 3, 0};
@@ -387,7 +430,9 @@
                 clock() - 2ms,
                 clock() + 2ms,
                 true,
-                [](const database_id &) { return std::vector<log_holder>(); }};
+                [](const database_id &) { return std::vector<log_holder>(); },
+                true,
+                [this, number](const database_id &) { return m_instances[number].formerRow; }};
     }
 
     void performAll(std::size_t number, const change_outputs &outputs)
@@ -406,16 +451,23 @@
         schedule(readAt, std::nullopt, [this, number, incarnation = each.incarnation] {
             if (m_instances[number].incarnation != incarnation)
                 return;
-            const auto claim = m_claim;
-            const auto row = m_row;
+            auto claim = m_store.claim;
+            auto row = m_store.row;
+            if (claim.fencingToken > 0)
+                claim.revision = {m_era, claim.revision.number()};
+            row.revision = {m_era, row.revision.number()};
             const auto at = clock();
-            schedule(delay(500ms), number, [this, number, claim, row, at] {
+            schedule(delay(500ms), number, [this, number, claim, row, at, era = m_era] {
+                auto &reader = m_instances[number];
+                if (!noteEra(number, era))
+                    return;
                 std::vector<primary_view> rows;
-                if (row.revision > 0)
+                if (row.isOfPresentEra())
                     rows.push_back(row);
-                m_instances[number].ledger->applySnapshot(rows, at);
-                performAll(number,
-                           m_instances[number].supervisor->onRowsRead(claim, rows, at, m_now));
+                else
+                    reader.formerRow = row;
+                reader.ledger->applySnapshot(rows, at);
+                performAll(number, reader.supervisor->onRowsRead(claim, rows, at, m_now));
             });
         });
     }
@@ -433,7 +485,10 @@
                      if (isLost || m_instances[number].incarnation != incarnation)
                          return;
                      schedule(delay(400ms), number,
-                              [answer, succeeded, at = clock()] { answer(succeeded, at); });
+                              [this, number, answer, succeeded, at = clock(), era = m_era] {
+                                  const bool isKnown = noteEra(number, era);
+                                  answer(isKnown ? std::optional(succeeded) : std::nullopt, at);
+                              });
                  });
         if (isLost)
             schedule(1s, number, [answer, this] { answer(std::nullopt, clock()); });
@@ -441,14 +496,16 @@
 
     void writeClaim(std::size_t number, const supervisor_claim &claim)
     {
-        auto revision = std::make_shared<std::uint64_t>(0);
+        auto revision = std::make_shared<store_revision>();
         write(
                 number,
                 [this, claim, revision] {
-                    if (m_claim.revision != claim.revision)
+                    // The store compares only the numbers.
+                    if (m_store.claim.revision.number() != claim.revision.number())
                         return false;
-                    m_claim = claim;
-                    m_claim.revision = *revision = ++m_revision;
+                    m_store.claim = claim;
+                    m_store.claim.revision = *revision = {m_era, ++m_store.revision};
+                    ++m_claimCount;
                     return true;
                 },
                 [this, number, revision](std::optional<bool> succeeded, reference_time at) {
@@ -468,11 +525,11 @@
         write(
                 number,
                 [this, action, written] {
-                    if (m_row.revision != action.view.revision
-                        || m_claim.revision != action.claimRevision)
+                    if (m_store.row.revision.number() != action.view.revision.number()
+                        || m_store.claim.revision.number() != action.claimRevision.number())
                         return false;
-                    written->revision = ++m_revision;
-                    m_row = *written;
+                    written->revision = {m_era, ++m_store.revision};
+                    m_store.row = *written;
                     return true;
                 },
                 [this, number, action, written](std::optional<bool> succeeded, reference_time at) {
@@ -540,27 +597,34 @@
     std::deque<event> m_events;
     std::vector<server_entry> m_servers = threeServers();
     std::uint64_t m_incarnations = 0;
-    std::uint64_t m_revision = 1;
-    supervisor_claim m_claim;
-    primary_view m_row{database, 1, oldPrimary, 1, view_phase::steady, false, 0, {}};
+    bool m_storeReturns;
+    store_content m_store;
+    std::optional<store_content> m_copy;
+    time_point m_returnsAt;
+    store_era m_era = 0;
+    std::size_t m_claimCount = 0;
     server_id m_primary = oldPrimary;
     bool m_primaryIsUp = true;
     term_number m_term = 1;
     std::vector<accepted_order> m_accepted;
 };
 
-/** Claims, reports, reads, lost answers, freezes, cuts and restarts of three instances. The number
- * of schedules can be raised with SUPERVISION_SCHEDULES.
- */
-TEST(FailoverSupervision, NoTokenIsUsedTwiceAndTokensOnlyRise)
+/** \returns the number of schedules, which SUPERVISION_SCHEDULES can raise. */
+std::uint32_t scheduleCount()
 {
     const char *requested = std::getenv("SUPERVISION_SCHEDULES");
-    const std::uint32_t schedules = requested ? std::stoul(requested) : 5000;
+    return requested ? std::stoul(requested) : 5000;
+}
+
+/** Claims, reports, reads, lost answers, freezes, cuts and restarts of three instances. */
+TEST(FailoverSupervision, NoTokenIsUsedTwiceAndTokensOnlyRise)
+{
+    const auto schedules = scheduleCount();
     std::size_t orders = 0;
     std::size_t supervisors = 0;
     for (std::uint32_t seed = 1; seed <= schedules; ++seed) {
-        claim_simulation simulation(seed);
-        simulation.run();
+        claim_simulation simulation(seed, false);
+        simulation.run(10s);
         ASSERT_TRUE(simulation.ordersAreFenced())
                 << "seed " << seed << ": " << simulation.describe();
         orders += simulation.orderCount();
@@ -570,4 +634,24 @@
     EXPECT_GT(supervisors, schedules * 2) << "and changes of the supervisor";
 }
 
+/** Guards against two instances that promote with one token after the store has lost the newest
+ * claim. The same schedules, in which the store also returns from a copy that is some seconds old.
+ */
+TEST(FailoverSupervision, NoTokenIsUsedTwiceAfterTheStoreHasLostClaims)
+{
+    const auto schedules = scheduleCount();
+    std::size_t orders = 0;
+    std::size_t returns = 0;
+    for (std::uint32_t seed = 1; seed <= schedules; ++seed) {
+        claim_simulation simulation(seed, true);
+        simulation.run(30s);
+        ASSERT_TRUE(simulation.ordersAreFenced())
+                << "seed " << seed << ": " << simulation.describe();
+        orders += simulation.orderCount();
+        returns += simulation.returnCount();
+    }
+    EXPECT_GT(orders, schedules / 2) << "the schedules must cause orders";
+    EXPECT_GT(returns, schedules) << "and returns of the store";
+}
+
 } // namespace
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -126,6 +126,29 @@
         claim();
     }
 
+    /** Copies the content of the store. */
+    void copyStore() { m_copy = {m_row, m_claim, m_recordedHolders}; }
+
+    /** Lets the store return from the copy, in the next era. The supervisor claims again. */
+    void returnStore()
+    {
+        ++m_era;
+        m_row = m_copy.row;
+        m_row.revision = {m_era, m_row.revision.number()};
+        m_claim = m_copy.claim;
+        m_recordedHolders = m_copy.holders;
+        performAll(m_supervisor.onStoreEra(m_era));
+        claim();
+    }
+
+    /** Replaces the supervisor as replaceSupervisor() does, and forgets what all instances know. */
+    void restartAllInstances()
+    {
+        ledger = view_ledger(view_policy{});
+        m_usedPrimary.reset();
+        replaceSupervisor();
+    }
+
     /** Marks the member as draining. */
     void drain(const std::string &id)
     {
@@ -243,6 +266,13 @@
         time_point arrives;
     };
 
+    struct store_copy
+    {
+        primary_view row;
+        supervisor_claim claim;
+        std::vector<log_holder> holders;
+    };
+
     struct promotion
     {
         server_id server;
@@ -257,8 +287,20 @@
     /** Writes a claim for the present supervisor, which then reads the rows. */
     void claim()
     {
-        m_claim = {++m_revision, self, incarnation, m_claim.fencingToken + 1};
-        performAll(m_supervisor.onRowsRead(m_claim, {m_row}, clock(), now));
+        performAll(m_supervisor.onStoreEra(m_era));
+        const bool isFirst = eraOf(m_claim.fencingToken) < m_era;
+        m_claim = {{m_era, ++m_revision},
+                   self,
+                   incarnation,
+                   nextToken(m_claim.fencingToken, m_era),
+                   isFirst ? clock() : m_claim.eraBegan};
+        performAll(m_supervisor.onRowsRead(m_claim, presentRows(), clock(), now));
+    }
+
+    /** \returns the row, unless it was written in a former era. */
+    std::vector<primary_view> presentRows() const
+    {
+        return m_row.isOfPresentEra() ? std::vector{m_row} : std::vector<primary_view>();
     }
 
     supervision_context context() const
@@ -268,8 +310,8 @@
                 {},
                 servers,
                 ledger,
-                [this](const database_id &, std::uint64_t) { return allReleased; },
-                [this](const database_id &, std::uint64_t) { return quorumReleased; },
+                [this](const database_id &, store_revision) { return allReleased; },
+                [this](const database_id &, store_revision) { return quorumReleased; },
                 [this](const database_id &) {
                     const auto *known = view();
                     const bool missing = known && !members.at(known->primary).isUp;
@@ -281,7 +323,10 @@
                 clock(),
                 storeReachable,
                 [this](const database_id &) { return m_recordedHolders; },
-                hasAllServers};
+                hasAllServers,
+                [this](const database_id &) {
+                    return m_row.isOfPresentEra() ? std::nullopt : std::optional(m_row);
+                }};
     }
 
     void performAll(const change_outputs &outputs)
@@ -301,7 +346,7 @@
             return;
         }
         m_row = action.view;
-        m_row.revision = ++m_revision;
+        m_row.revision = {m_era, ++m_revision};
         if (action.view.phase == view_phase::withdrawn)
             intentTimes.push_back(clock());
         else if (action.view.phase == view_phase::steady)
@@ -324,9 +369,9 @@
     {
         if (!storeReachable)
             return;
-        if (m_row.revision > 0)
-            ledger.applySnapshot({m_row}, clock());
-        performAll(m_supervisor.onRowsRead(m_claim, {m_row}, clock(), now));
+        if (m_row.revision.number() > 0)
+            ledger.applySnapshot(presentRows(), clock());
+        performAll(m_supervisor.onRowsRead(m_claim, presentRows(), clock(), now));
     }
 
     void perform(const send_statement &action)
@@ -452,6 +497,8 @@
     term_number m_term = 1;
     primary_view m_row{database, 0, {}, 0, view_phase::steady, false, 0, {}};
     std::uint64_t m_revision = 0;
+    store_era m_era = 0;
+    store_copy m_copy;
     std::vector<log_holder> m_recordedHolders; ///< in the store
     std::vector<promotion> m_promotions;
     std::vector<delayed_answer> m_answers;
@@ -1100,6 +1147,96 @@
     EXPECT_EQ(simulation.view()->phase, view_phase::steady);
 }
 
+/** Guards against a former primary that leads again because the store has forgotten its successor.
+ */
+TEST(FailoverSynchronous, APrimaryThatTheStoreHasForgottenIsFoundAgain)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    simulation.copyStore();
+    simulation.stopFirstPrimary();
+    simulation.advance(3s);
+    ASSERT_TRUE(simulation.isSteadyAt("s2"));
+    simulation.restartMember(simulation.member("s1"));
+    simulation.returnStore();
+    simulation.restartAllInstances();
+    simulation.advance(1s);
+    EXPECT_TRUE(simulation.isSteadyAt("s2"));
+    EXPECT_EQ(simulation.view()->term, 2U);
+    EXPECT_EQ(simulation.orders.size(), 1U);
+}
+
+/** Guards against a change of primary that never ends after the store returned from a copy. */
+TEST(FailoverSynchronous, AChangeThatBecomesDueAfterTheStoreReturnedEnds)
+{
+    change_simulation simulation;
+    simulation.copyStore();
+    simulation.advance(1s);
+    ASSERT_TRUE(simulation.isSteadyAt("s1"));
+    simulation.returnStore();
+    simulation.advance(1s);
+    EXPECT_TRUE(simulation.commit("s1"));
+    simulation.drain("s1");
+    simulation.advance(6s);
+    EXPECT_TRUE(simulation.view()->phase == view_phase::steady && !simulation.isSteadyAt("s1"));
+    EXPECT_TRUE(simulation.promotedIncomplete.empty());
+}
+
+/** Guards against views of instances that the store has forgotten: they are not waited for, and may
+ * be in use for as long as a view can be extended.
+ */
+TEST(FailoverSynchronous, AnOrderSoonAfterTheStoreReturnedWaitsUntilFormerViewsHaveExpired)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    simulation.copyStore();
+    simulation.returnStore();
+    simulation.advance(1s);
+    simulation.drain("s1");
+    simulation.advanceUntil([&] { return !simulation.orders.empty(); });
+    EXPECT_GT(simulation.orderTimes.front() - simulation.intentTimes.front(),
+              view_policy{}.validity);
+}
+
+/** Guards against a database without a primary after the store has forgotten the last change, and
+ * all instances and the primary are lost.
+ */
+TEST(FailoverSynchronous, APrimaryThatNobodyKnowsAnyMoreIsReplaced)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    simulation.copyStore();
+    simulation.stopFirstPrimary();
+    simulation.advance(3s);
+    ASSERT_TRUE(simulation.isSteadyAt("s2"));
+    EXPECT_TRUE(simulation.commit("s2"));
+    simulation.restartMember(simulation.member("s1"));
+    simulation.member("s2").isUp = false;
+    simulation.returnStore();
+    simulation.restartAllInstances();
+    simulation.advance(4s);
+    EXPECT_EQ(simulation.orders.size(), 1U) << "s2 may hold commits that the others lack";
+    simulation.remove("s2");
+    simulation.advance(20s);
+    EXPECT_EQ(simulation.view()->phase, view_phase::steady);
+    EXPECT_FALSE(simulation.isSteadyAt("s2"));
+    EXPECT_TRUE(simulation.promotedIncomplete.empty());
+}
+
+TEST(FailoverSynchronous, APrimaryThatFailsAsTheStoreReturnsIsReplaced)
+{
+    change_simulation simulation;
+    simulation.advance(1s);
+    EXPECT_TRUE(simulation.commit("s1"));
+    simulation.copyStore();
+    simulation.member("s1").isUp = false;
+    simulation.returnStore();
+    simulation.restartAllInstances();
+    simulation.advance(10s);
+    EXPECT_TRUE(simulation.view()->phase == view_phase::steady && !simulation.isSteadyAt("s1"));
+    EXPECT_TRUE(simulation.promotedIncomplete.empty());
+}
+
 TEST(FailoverSynchronous, ALostAnswerOfTheStoreIsResolvedByReading)
 {
     change_simulation simulation;
--- a/test/failover_views.cpp
+++ b/test/failover_views.cpp
@@ -61,6 +61,26 @@
     EXPECT_EQ(ledger.find(database)->revision, 2U);
 }
 
+/** Guards against a former primary that is used again after the store returned from a copy. */
+TEST(FailoverViews, ARowOfAFormerEraIsNoView)
+{
+    auto ledger = registeredLedger();
+    auto known = steady(9, "s2");
+    known.revision = {1, 9};
+    known.fencingToken = nextToken(0, 1);
+    ledger.applySnapshot({known}, 10s);
+    auto restored = known;
+    restored.revision = {2, 5};
+    restored.primary = server_id("s1");
+    ledger.applySnapshot({restored}, 11s);
+    EXPECT_EQ(ledger.find(database)->primary, server_id("s2"));
+    EXPECT_EQ(ledger.confirmed(), reference_time(10s));
+    auto published = restored;
+    published.fencingToken = nextToken(known.fencingToken, 2);
+    ledger.applySnapshot({published}, 12s);
+    EXPECT_EQ(ledger.find(database)->primary, server_id("s1"));
+}
+
 TEST(FailoverViews, OneWrittenRowConfirmsNoOtherView)
 {
     const database_id second("db2");
