A follower reads its table again when the store has returned from a copy

What callers saw: some instances never applied a configuration that was written after the store had returned from an older copy.

Cause: a follower asked for changes after a version of the former era and dropped every read that was older than it, until the new versions had passed it. Changes below it were never delivered.

Change: a read of a later era replaces what is known, changes of another era than that of the version asked for make the follower read its table, and an older answer is followed by a pause. A follower that is behind the configuration of other instances for 500 ms fetches it from them.

Why it works: no version is compared with one of another era, so that the first answer of an era starts from its whole content.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -509,7 +509,8 @@
     m_views.applyNews(news, now);
     if (m_fleet.table().lacksInstances(news))
         m_fetcher.request(instancesPath, sender.address);
-    if (isFollowingStore() && m_views.storeReachable(now))
+    const bool isLeftBehind = m_operatorRows.isLeftBehind(news, now);
+    if (isFollowingStore() && m_views.storeReachable(now) && !isLeftBehind)
         return; // the pending requests to the store return the newer state
     m_operatorRows.requestNewer(news, m_fetcher, sender.address);
     if (news.serversRevision > m_serversRevision)
--- a/programs/node/operator_rows.cpp
+++ b/programs/node/operator_rows.cpp
@@ -18,6 +18,9 @@
 
 using nlohmann::json;
 
+/** Time within which the store tells its followers of a change: many round trips. */
+constexpr duration followerDelay = 500ms;
+
 } // namespace
 
 operator_rows::operator_rows(event_log &log, rejected_entries &rejected, bool followsEvacuations,
@@ -74,6 +77,14 @@
         fetcher.request(evacuationsPath, address);
 }
 
+bool operator_rows::isLeftBehind(const fleet_news &news, time_point now)
+{
+    if (news.configurationVersion <= (m_directory ? m_directory->version : 0))
+        return false;
+    m_newerReportedAt = m_newerReportedAt.value_or(now);
+    return now - *m_newerReportedAt > followerDelay;
+}
+
 void operator_rows::addTo(fleet_news &news) const
 {
     news.configurationVersion = m_directory ? m_directory->version : 0;
@@ -90,6 +101,7 @@
             return;
         m_directory = std::make_shared<service_directory>(std::move(decoded.directory));
         m_configuration = document;
+        m_newerReportedAt.reset();
         m_rejected.note(decoded.rejected, version, now);
     } catch (const decode_error &failure) {
         m_log.write(line_importance::state, "configuration could not be decoded",
--- a/programs/node/operator_rows.h
+++ b/programs/node/operator_rows.h
@@ -54,6 +54,11 @@
     /** \brief Has the documents fetched that are newer at another instance. */
     void requestNewer(const fleet_news &news, document_fetcher &fetcher,
                       const std::string &address) const;
+    /** \returns whether another instance has had a newer configuration for longer than the store
+     * takes to tell a follower of it. A store that returned from an older copy may have lost that
+     * one.
+     */
+    bool isLeftBehind(const fleet_news &news, time_point now);
     void addTo(fleet_news &news) const;
     /** \brief Logs once for each evacuation when nothing is sent to its members any more. */
     void tick(time_point now);
@@ -77,6 +82,7 @@
     handlers m_handlers;
     std::shared_ptr<const service_directory> m_directory;
     std::string m_configuration;
+    std::optional<time_point> m_newerReportedAt; ///< when a newer configuration was first reported
     evacuation_list m_evacuations;
     std::set<data_centre_id> m_announced; ///< evacuations whose beginning was logged
     std::set<data_centre_id> m_completed; ///< evacuations whose completion was logged
--- a/programs/node/table_follower.cpp
+++ b/programs/node/table_follower.cpp
@@ -70,13 +70,16 @@
     m_handlers.onStoreContact(answer.succeeded());
     if (!answer.succeeded())
         return retryLater();
-    m_backoff.reset();
     m_hasSnapshot = true;
-    if (answer.content.revision >= m_revision) {
-        m_revision = answer.content.revision;
-        // Rows that can't be handled must not end the following of the table.
-        m_guard.run("rows of a table", [&] { m_handlers.onSnapshot(answer.content); });
+    if (answer.content.revision < m_revision) {
+        if (!m_isWaitingForChanges)
+            retryLater(); // the store would answer the same again
+        return;
     }
+    m_backoff.reset();
+    m_revision = answer.content.revision;
+    // Rows that can't be handled must not end the following of the table.
+    m_guard.run("rows of a table", [&] { m_handlers.onSnapshot(answer.content); });
     if (m_isFollowing && !m_isWaitingForChanges)
         follow();
 }
@@ -106,6 +109,10 @@
     if (!answer.succeeded())
         return retryLater();
     m_backoff.reset();
+    // Changes after a number of a former era lack those that the store has given lower numbers
+    // since.
+    if (answer.content.revision.era() != m_revision.era())
+        return refresh();
     if (answer.content.revision >= m_revision) {
         m_revision = answer.content.revision;
         if (!answer.content.rows.empty())
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -20,6 +20,8 @@
         self.lost_answers = 0  # number of next transactions that are performed but not answered
         self.refused_addresses = set()  # addresses of instances to refuse; not evaluated
         self.page_rows = 500  # rows of one answer to a read
+        self.calls = 0
+        self.era = 1  # rises with each return from a copy
 
     def now_ms(self):
         return int((time.monotonic() - self.started) * 1000)
@@ -63,6 +65,19 @@
         known = self.rows.get((table, key))
         return json.loads(base64.b64decode(known[1])) if known else None
 
+    def copy(self):
+        """Returns a copy of the content, from which the store can return."""
+        return dict(self.rows), self.version, list(self.history)
+
+    async def return_from(self, copied):
+        """Loses everything since the copy. Calls that wait get no answer."""
+        rows, self.version, history = copied
+        self.rows, self.history = dict(rows), list(history)
+        self.era += 1
+        self.is_down = False
+        async with self.changed:
+            self.changed.notify_all()
+
     def forget_history(self):
         self.history = []
 
@@ -76,11 +91,14 @@
                 for key, (version, value) in sorted(latest.items(), key=lambda item: item[1][0])]
 
     async def feed(self, table, after, wait_s):
+        if after > self.version:
+            return 410, {"error": "the version does not exist"}
+        era = self.era
         oldest = self.history[0][0] if self.history else self.version + 1
         if after + 1 < oldest and after < self.version:
             return 410, {"error": "the history is gone"}
         deadline = time.monotonic() + wait_s
-        while not (rows := self.changes(table, after)):
+        while self.era == era and not (rows := self.changes(table, after)):
             left = deadline - time.monotonic()
             if left <= 0:
                 break
@@ -91,9 +109,16 @@
                         await self.changed.wait()
                 except TimeoutError:
                     pass
+        if self.era != era:
+            return None
         return 200, {"rows": rows, "ver": self.version, "now_ms": self.now_ms()}
 
     async def answer(self, method, path, query, body):
+        self.calls += 1
+        result = await self.perform(method, path, query, body)
+        return result and (*result, {"Store-Era": self.era})
+
+    async def perform(self, method, path, query, body):
         if self.is_down:
             return 503, {"error": "down"}
         if (method, path) == ("POST", "/api/rows-tx"):
@@ -118,8 +143,8 @@
 
 
 async def serve_http(host, port, handler):
-    """Starts an HTTP server. handler(method, path, query, headers, body) returns a status and a document,
-    or None to close the connection without an answer."""
+    """Starts an HTTP server. handler(method, path, query, headers, body) returns a status, a document and
+    optionally a dictionary of headers, or None to close the connection without an answer."""
 
     async def handle(reader, writer):
         try:
@@ -135,9 +160,12 @@
                 answer = await handler(method, parts.path, query, headers, body)
                 if answer is None:
                     break
-                text = json.dumps(answer[1]).encode()
-                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-                             b"Content-Length: %d\r\n\r\n" % (answer[0], len(text)) + text)
+                status, document, *extra = answer
+                text = json.dumps(document).encode()
+                fields = {"Content-Type": "application/json", "Content-Length": len(text),
+                          **(extra[0] if extra else {})}
+                lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+                writer.write(f"HTTP/1.1 {status} X\r\n{lines}\r\n".encode() + text)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
--- a/test/process_store_recovery.py
+++ b/test/process_store_recovery.py
@@ -19,6 +19,9 @@
 KEY = "a-secret-key-of-the-shop"
 START_BOUND_S = 15
 NODES = 3
+AWAY_S = 0.8
+CONFIGURATION_BOUND_S = 5
+CALLS_IN_CALM = 25  # a second, of all instances
 REGISTRATION_BOUND_S = 2  # members have registered again so long after an outage of the store
 
 
@@ -115,6 +118,75 @@
         self.assertEqual(self.lost_writes(), [])
         self.assertEqual(self.group().primary().id, "db1-1")
 
+    async def return_store(self, copied):
+        """The store is unavailable for a moment and returns from the copy. The operator writes again."""
+        self.platform.store.is_down = True
+        await asyncio.sleep(AWAY_S)
+        await self.platform.store.return_from(copied)
+        await self.platform.register_all()
+        await self.platform.store.put("op", "config", self.platform.configuration)
+
+    async def pass_version(self, version):
+        """Writes rows that nobody reads until the store has given out the version again."""
+        while self.platform.store.version < version:
+            await self.platform.store.put("unrelated", "row", {"version": self.platform.store.version})
+
+    async def refusals(self, node, database, key):
+        """Returns whether a session with the key is refused."""
+        answer = await Caller().connect(node.ports[0], database, key)
+        return not answer[0].startswith("READY")
+
+    async def test_a_change_of_configuration_after_the_store_returned_reaches_all_instances(self):
+        """Guards against changes between the copy and a follower's former version that it never reads."""
+        await asyncio.sleep(1)
+        store = self.platform.store
+        copied = store.copy()
+        await self.pass_version(store.version + 50)
+        lost = store.version
+        store.is_down = True
+        await asyncio.sleep(AWAY_S)
+        await store.return_from(copied)
+        await self.configure("db2", [])
+        await self.pass_version(lost + 1)
+        await asyncio.sleep(CONFIGURATION_BOUND_S)
+        for node in self.nodes:
+            self.assertTrue(await self.refusals(node, "sales", KEY), node.name)
+            caller = Caller()
+            await caller.connect(node.ports[0], "sales", "another-key")
+            self.assertRegex((await caller.ask("WRITE x 1"))[0], r"COMPLETE db2-")
+
+    async def test_an_instance_that_starts_after_the_store_returned_takes_the_configuration_in_force(self):
+        """Guards against a withdrawn key that is accepted again because the store has lost its withdrawal."""
+        copied = self.platform.store.copy()
+        await self.configure("db1", [])
+        for node in self.nodes:
+            deadline = time.monotonic() + CONFIGURATION_BOUND_S
+            while not await self.refusals(node, "sales", KEY):
+                self.assertLess(time.monotonic(), deadline, node.name)
+                await asyncio.sleep(0.05)
+        supervisor = self.supervisor()
+        self.platform.store.is_down = True
+        await asyncio.sleep(AWAY_S)
+        await self.platform.store.return_from(copied)
+        supervisor.process.kill()
+        supervisor.process.wait()
+        supervisor.start()
+        await self.until_ready()
+        await asyncio.sleep(CONFIGURATION_BOUND_S)
+        self.assertTrue(await self.refusals(supervisor, "sales", KEY))
+
+    async def test_no_version_is_asked_for_again_without_a_pause_while_the_store_is_behind(self):
+        """Guards against followers that ask a store that is behind their version hundreds of times a second."""
+        await asyncio.sleep(1)
+        store = self.platform.store
+        copied = store.copy()
+        await self.pass_version(store.version + 500)
+        await self.return_store(copied)
+        await asyncio.sleep(1)
+        calls = store.calls
+        await asyncio.sleep(3)
+        self.assertLess(store.calls - calls, CALLS_IN_CALM * 3)
+
 
 if __name__ == "__main__":
     unittest.main()
