A registration counts only in the era in which the store is known to hold it

The reading instance had joined shortly before the store returned from an older copy.

Cause: the store had lost the row of that instance, and the instance did not notice, as it reads the rows only while nobody confirms its views. No change of primary waited for it, but it went on with views that others confirmed.

Change: the token of the supervisor tells of a new era; an instance then reads the rows once and writes its own if it is missing. Confirmations of a later era than that of the registration extend no lease.

Why it works: a view is used either on a lease that ends 2.5 s after the last confirmation of the former era, which changes of the new era wait for, or while the list that changes wait for has the instance.

--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -146,7 +146,8 @@
  */
 void view_keeper::registerInstance(time_point now)
 {
-    if (m_isRegistering || now < m_nextRegistrationAt || m_isStopping || !m_rowsReadAt)
+    const bool hasReadRowsOfEra = m_rowsReadAt && m_rowsReadRevision.era() == m_store.era();
+    if (m_isRegistering || now < m_nextRegistrationAt || m_isStopping || !hasReadRowsOfEra)
         return;
     m_isRegistering = true;
     m_nextRegistrationAt = now + registrationRetryDelay;
@@ -189,7 +190,7 @@
     if (m_registeredAt == time_point())
         m_registeredAt = now;
     m_registeredRevision = revision;
-    m_ledger.setRegisteredAt(clock);
+    m_ledger.setRegisteredAt(clock, revision.era());
     m_log.write(line_importance::state, "instance registered",
                 {{"revision", textOf(m_registeredRevision)}}, now);
     // Only views that are confirmed after the registration may be used.
@@ -255,6 +256,7 @@
     m_rowsReadAt = now;
     std::vector<primary_view> views;
     std::vector<instance_incarnation> instances;
+    std::optional<store_revision> ownRevision; ///< of the row of this instance
     std::map<database_id, recorded_holders> holders;
     std::map<database_id, primary_view> formerRows;
     supervisor_claim claim;
@@ -269,10 +271,15 @@
             else
                 formerRows.insert_or_assign(view->database, *view);
         } else if (coordination_rows::isInstanceKey(row.key)) {
-            if (auto incarnation = coordination_rows::decodeInstance(row.value))
-                instances.push_back(std::move(*incarnation));
-            else
+            auto incarnation = coordination_rows::decodeInstance(row.value);
+            if (!incarnation) {
                 m_handlers.onRejectedRow(row);
+                continue;
+            }
+            if (incarnation->instance == m_self.instance
+                && incarnation->incarnation == m_self.incarnation)
+                ownRevision = row.revision;
+            instances.push_back(std::move(*incarnation));
         } else if (const auto database = coordination_rows::databaseOfHoldersKey(row.key)) {
             auto decoded = coordination_rows::decodeHolders(row.value);
             if (!decoded)
@@ -294,16 +301,7 @@
     m_formerRows = std::move(formerRows);
     m_rowsReadRevision = answer.content.revision;
     m_fleet.setInstances(instances, answer.content.clock, answer.content.revision, now);
-    const bool registered =
-            std::ranges::any_of(instances, [&](const instance_incarnation &incarnation) {
-                return incarnation.instance == m_self.instance
-                       && incarnation.incarnation == m_self.incarnation;
-            });
-    const bool coversRegistration = answer.content.revision >= m_registeredRevision;
-    if (!registered && !m_isRegistering && coversRegistration) {
-        m_registeredRevision = {};
-        m_ledger.setRegisteredAt(std::nullopt);
-    }
+    updateRegistration(ownRevision, answer);
     if (isFirstRead) {
         const bool hasFormerRow =
                 std::ranges::find(instances, m_self.instance, &instance_incarnation::instance)
@@ -320,6 +318,25 @@
         m_handlers.onUpdate(report_cause::requested); // the other instances need the confirmation
 }
 
+/** Applies what a read of the rows tells of the row of this instance. A store that returned from an
+ * older copy has the row or has lost it; leases that began before run on in either case.
+ */
+void view_keeper::updateRegistration(const std::optional<store_revision> &ownRevision,
+                                     const store_answer &answer)
+{
+    const auto &read = answer.content;
+    const bool isOfFormerEra = m_registeredRevision != store_revision{} && !isRegistered();
+    if (ownRevision && isOfFormerEra) {
+        m_registeredRevision = *ownRevision;
+        m_ledger.setRegisteredAt(read.clock, ownRevision->era());
+    }
+    if (ownRevision || m_isRegistering || read.revision < m_registeredRevision)
+        return;
+    m_registeredRevision = {};
+    if (!isOfFormerEra)
+        m_ledger.setRegisteredAt(std::nullopt);
+}
+
 /** \returns a claim of no instance in place of one that could not be decoded, so that the next
  * claim can replace its row. Its token is the highest one with which a promotion may have been
  * ordered, because a view is written with the token before each order.
@@ -345,6 +362,8 @@
                                   [this](const primary_view &view) { m_ledger.apply(view); });
     }
     performAll(m_supervision.onClaimReported(news.supervisor, news.fencingToken, now), now);
+    // The store may have lost the row of this instance, which no other instance writes again.
+    m_rowsRequested = m_rowsRequested || eraOf(news.fencingToken) > m_store.era();
     const auto latest = m_store.clock().latest(now);
     if (latest) {
         std::ranges::for_each(news.floors, [&](const floor_report &each) {
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -71,7 +71,12 @@
     bool hasReadRows() const { return m_rowsReadAt.has_value(); }
     /** \brief Has the rows read from the store soon. */
     void requestRows() { m_rowsRequested = true; }
-    bool isRegistered() const { return m_registeredRevision != store_revision{}; }
+    /** \returns whether the store is known to hold the row of this instance. */
+    bool isRegistered() const
+    {
+        return m_registeredRevision != store_revision{}
+               && m_registeredRevision.era() == m_store.era();
+    }
     /** \returns whether every known database has a usable primary. */
     bool allViewsUsable(time_point now) const;
     /** \returns whether at least one known database has a usable primary. */
@@ -127,6 +132,8 @@
     void noteRegistration(store_revision revision, reference_time clock);
     void readRows(time_point now);
     void applyRows(const store_answer &answer);
+    void updateRegistration(const std::optional<store_revision> &ownRevision,
+                            const store_answer &answer);
     supervisor_claim replaceableClaim(store_revision revision,
                                       const std::vector<primary_view> &views) const;
     void applyAttestations(time_point now);
--- a/sycamorespan/src/Failover/view_ledger.cpp
+++ b/sycamorespan/src/Failover/view_ledger.cpp
@@ -19,6 +19,25 @@
         return;
     auto &confirmed = known->second.confirmed;
     confirmed = std::max(confirmed.value_or(committed), committed);
+    renewLease(known->second);
+}
+
+void view_ledger::setRegisteredAt(std::optional<reference_time> time, store_era era)
+{
+    m_registration = time ? std::optional(registration{*time, era}) : std::nullopt;
+    for (auto &[database, known] : m_entries) {
+        if (!m_registration)
+            known.leasedAt.reset();
+        renewLease(known);
+    }
+}
+
+/** Counts the last confirmation if the instance was registered then, in the era of the view. */
+void view_ledger::renewLease(entry &known) const
+{
+    if (m_registration && m_registration->era == known.view.revision.era() && known.confirmed
+        && *known.confirmed >= m_registration->at)
+        known.leasedAt = std::max(known.leasedAt.value_or(*known.confirmed), *known.confirmed);
 }
 
 void view_ledger::apply(const primary_view &view)
@@ -89,14 +108,12 @@
 {
     const auto known = m_entries.find(database);
     if (known == m_entries.end() || known->second.view.phase != view_phase::steady
-        || !known->second.confirmed)
-        return std::nullopt;
-    if (!m_registeredAt || *known->second.confirmed < *m_registeredAt)
+        || !known->second.leasedAt)
         return std::nullopt;
-    const auto confirmed = *known->second.confirmed;
+    const auto leasedAt = *known->second.leasedAt;
     const auto byQuorum =
-            std::min(known->second.attestedByQuorum, confirmed + m_policy.quorumExtension);
-    return std::max({confirmed, known->second.attested, byQuorum}) + m_policy.validity;
+            std::min(known->second.attestedByQuorum, leasedAt + m_policy.quorumExtension);
+    return std::max({leasedAt, known->second.attested, byQuorum}) + m_policy.validity;
 }
 
 } // namespace sycamorespan
--- a/sycamorespan/src/Failover/view_ledger.h
+++ b/sycamorespan/src/Failover/view_ledger.h
@@ -75,8 +75,11 @@
     /** \brief Sets when this instance was registered in the store; nothing if it isn't. A change
      * does not wait for an instance that was registered after its intent, so that only views that
      * were confirmed since the registration may be used.
+     * \param era  era in which the store is known to hold the registration. A store that returned
+     *             from an older copy may have lost it, so that confirmations of a later era extend
+     * no lease. Leases that began before run on.
      */
-    void setRegisteredAt(std::optional<reference_time> time) { m_registeredAt = time; }
+    void setRegisteredAt(std::optional<reference_time> time, store_era era = 0);
 
     /** \returns the digest of all known views. */
     std::uint64_t digest() const;
@@ -104,12 +107,23 @@
     {
         primary_view view;
         std::optional<reference_time> confirmed;
+        /** The last confirmation while this instance was registered, from which its lease counts.
+         */
+        std::optional<reference_time> leasedAt;
         reference_time attested{}; ///< by all instances
         reference_time attestedByQuorum{};
     };
 
+    struct registration
+    {
+        reference_time at{};
+        store_era era = 0;
+    };
+
+    void renewLease(entry &known) const;
+
     view_policy m_policy;
-    std::optional<reference_time> m_registeredAt;
+    std::optional<registration> m_registration;
     std::map<database_id, entry> m_entries;
 };
 
--- a/test/failover_views.cpp
+++ b/test/failover_views.cpp
@@ -81,6 +81,29 @@
     EXPECT_EQ(ledger.find(database)->primary, server_id("s1"));
 }
 
+/** Guards against stale reads by an instance whose registration the store has lost: no change of
+ * primary waits for it, so that it must not go on with its view beyond the lease that it has.
+ */
+TEST(FailoverViews, ALeaseIsNotExtendedWhileTheRegistrationMayBeLost)
+{
+    view_ledger ledger(policy);
+    ledger.setRegisteredAt(1s, 1);
+    auto view = steady(9);
+    view.revision = {1, 9};
+    view.fencingToken = nextToken(0, 1);
+    ledger.applySnapshot({view}, 10s);
+    view.revision = {2, 12};
+    view.fencingToken = nextToken(0, 2);
+    ledger.applySnapshot({view}, 12s);
+    EXPECT_EQ(ledger.usableUntil(database), 10s + policy.validity) << "the lease runs on";
+    ledger.setRegisteredAt(13s, 2);
+    EXPECT_EQ(ledger.usableUntil(database), 10s + policy.validity);
+    ledger.applySnapshot({view}, 14s);
+    EXPECT_EQ(ledger.usableUntil(database), 14s + policy.validity);
+    ledger.setRegisteredAt(std::nullopt);
+    EXPECT_FALSE(ledger.usableUntil(database));
+}
+
 TEST(FailoverViews, OneWrittenRowConfirmsNoOtherView)
 {
     const database_id second("db2");
--- a/test/process_store_recovery.py
+++ b/test/process_store_recovery.py
@@ -19,6 +19,7 @@
 KEY = "a-secret-key-of-the-shop"
 START_BOUND_S = 15
 NODES = 3
+CHANGE_BOUND_S = 11  # time limit that the users set for a change of primary
 AWAY_S = 0.8
 CONFIGURATION_BOUND_S = 5
 CALLS_IN_CALM = 25  # a second, of all instances
@@ -175,6 +176,50 @@
         await asyncio.sleep(CONFIGURATION_BOUND_S)
         self.assertTrue(await self.refusals(supervisor, "sales", KEY))
 
+    async def test_an_instance_that_the_store_has_forgotten_registers_again(self):
+        """Guards against stale reads by an instance that no change of primary waits for."""
+        store = self.platform.store
+        copied = store.copy()
+        await self.pass_version(store.version + 100)
+        added = self.add_node(NODES)
+        await self.until_ready()
+        await asyncio.sleep(1)
+        await self.return_store(copied)
+        await self.until(lambda: store.document("sycamorespan", f"instance/{added.name}"), REGISTRATION_BOUND_S + 1,
+                         "the row of the added instance is written again")
+
+    async def test_statements_go_on_and_primaries_change_after_the_store_returned(self):
+        """Guards against a database without a primary: rows of views are lost, and their versions given out again."""
+        store = self.platform.store
+        copied = store.copy()
+        self.platform.draining.add("db1-1")
+        await self.until(lambda: self.group().primary() and self.group().primary().id != "db1-1", CHANGE_BOUND_S,
+                         "the primary is replaced")
+        await asyncio.sleep(1)
+        for node in self.nodes:
+            self.keep_writing(node)
+        await asyncio.sleep(1)
+        await self.return_store(copied)
+        before = len(self.acknowledged)
+        await asyncio.sleep(1)
+        self.assertGreater(len(self.acknowledged), before, "writes go on")
+        await asyncio.sleep(1)
+        second = self.group().primary().id
+        self.platform.draining.add(second)
+        await self.until(lambda: self.group().primary() and self.group().primary().id not in ("db1-1", second),
+                         CHANGE_BOUND_S, "the primary is replaced after the return")
+        self.nodes[1].process.kill()
+        self.nodes[1].process.wait()
+        self.nodes[1].start()
+        await self.until_ready()
+        for node in self.nodes:
+            caller = Caller()
+            await caller.connect(node.ports[0], "sales", KEY)
+            self.assertRegex((await caller.ask("WRITE x 1"))[0], "COMPLETE")
+        self.assertEqual(self.lost_writes(), [])
+        tokens = [order[2] for order in self.platform.orders]
+        self.assertEqual(tokens, sorted(tokens))
+
     async def test_no_version_is_asked_for_again_without_a_pause_while_the_store_is_behind(self):
         """Guards against followers that ask a store that is behind their version hundreds of times a second."""
         await asyncio.sleep(1)
