A member whose drain was called off is used again

What callers saw: after a member's entry had gone from draining back to ready, the instances that had seen it drain refused every write of that database while it was the primary, for good. The supervisor counts it as ready and may promote it; only restarted instances used it.

Cause: the dispatcher keeps the beginning of a drain for the life of the member's connections and never clears it.

Change: a member that is ready again is not draining. If it drains again within 3 s, the first beginning counts: a store that returned from an older copy reports the former state until the member checks in, which must not extend its notice.

Measured: both new tests of DispatchSetupRefusals pass. With the clearing taken out, as before, the first one fails: a write after the drain period is never sent.

--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -47,8 +47,7 @@
         if (known != m_pools.end() && !sameIncarnation)
             removePool(entry.id, now); // a new incarnation keeps no connections of the previous one
         auto &pool = m_pools.try_emplace(entry.id, entry).first->second;
-        if (entry.state == server_state::draining && !pool.drainingSince())
-            pool.setDrainingSince(now);
+        pool.noteState(entry.state, m_policy.stateSettlingTime, now);
         pool.setEntry(entry);
         stateOf(entry.database).members.insert(entry.id);
     });
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -57,6 +57,10 @@
      * 7 s that a draining server gives.
      */
     duration drainingPrimaryUsePeriod = 5250ms;
+    /** Time within which a server corrects an entry that the store returned from an older copy: two
+     * intervals at which servers check in.
+     */
+    duration stateSettlingTime = 3s;
     /** Cost of a member in another data centre, the duration of a round trip to it. */
     duration otherDataCentrePenalty = 1ms;
     /** Connections that an instance may hold to a member where its fair share is below
--- a/sycamorespan/src/Dispatch/member_pool.cpp
+++ b/sycamorespan/src/Dispatch/member_pool.cpp
@@ -169,4 +169,17 @@
     m_positionObservedAt = now;
 }
 
+void member_pool::noteState(server_state state, duration settlingTime, time_point now)
+{
+    if (state == server_state::ready) {
+        if (m_drainingSince && !m_readyAgainAt)
+            m_readyAgainAt = now;
+        return;
+    }
+    const bool isNewDrain = m_readyAgainAt && now - *m_readyAgainAt > settlingTime;
+    if (!m_drainingSince || isNewDrain)
+        m_drainingSince = now;
+    m_readyAgainAt.reset();
+}
+
 } // namespace sycamorespan
--- a/sycamorespan/src/Dispatch/member_pool.h
+++ b/sycamorespan/src/Dispatch/member_pool.h
@@ -137,8 +137,16 @@
     void setSlotsOccupiedByOthers(std::size_t slots) { m_slotsOccupiedByOthers = slots; }
     std::size_t slotsOccupiedByOthers() const { return m_slotsOccupiedByOthers; }
 
-    std::optional<time_point> drainingSince() const { return m_drainingSince; }
-    void setDrainingSince(time_point now) { m_drainingSince = now; }
+    /** \brief Notes the state that the member reports. Of a drain that is called off for less than
+     * \a settlingTime the beginning is kept: a store that returned from an older copy reports the
+     * former state for a moment.
+     */
+    void noteState(server_state state, duration settlingTime, time_point now);
+    /** \returns when the member began to drain; nothing if it is ready. */
+    std::optional<time_point> drainingSince() const
+    {
+        return m_readyAgainAt ? std::nullopt : m_drainingSince;
+    }
 
 private:
     server_entry m_entry;
@@ -156,6 +164,7 @@
     time_point m_avoidedUntil;
     std::size_t m_slotsOccupiedByOthers = 0;
     std::optional<time_point> m_drainingSince;
+    std::optional<time_point> m_readyAgainAt; ///< when its last drain was called off
 };
 
 } // namespace sycamorespan
--- a/test/dispatch_setup_refusals.cpp
+++ b/test/dispatch_setup_refusals.cpp
@@ -294,6 +294,53 @@
     EXPECT_EQ(harness.sentCount(), sent);
 }
 
+/** Guards against databases that refuse writes for good: the supervisor counts a primary whose
+ * drain was called off as ready, so that the instances must use it too.
+ */
+TEST(DispatchSetupRefusals, AMemberWhoseDrainIsCalledOffIsUsedAgain)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    const auto setState = [&](server_state state) {
+        harness.servers.front().state = state;
+        harness.collect(harness.subject.setServers(harness.servers, harness.now));
+    };
+    setState(server_state::draining);
+    harness.advance(1s);
+    setState(server_state::ready);
+    harness.advance(dispatch_policy().drainingPrimaryUsePeriod);
+    const auto sent = harness.sentCount();
+    harness.request(1, "WRITE x 1");
+    EXPECT_GT(harness.sentCount(), sent);
+    harness.answer(harness.lastSent().connection);
+    setState(server_state::draining);
+    harness.advance(1s);
+    harness.request(1, "WRITE x 2");
+    EXPECT_GT(harness.sentCount(), sent + 1) << "a new drain has a period of its own";
+}
+
+/** Guards against statements at a server that has ended: an older copy of its entry is no reason to
+ * use it for longer than its notice.
+ */
+TEST(DispatchSetupRefusals, AnOlderEntryThatIsSoonCorrectedDoesNotExtendADrain)
+{
+    dispatch_harness harness;
+    harness.connect(1);
+    const auto setState = [&](server_state state) {
+        harness.servers.front().state = state;
+        harness.collect(harness.subject.setServers(harness.servers, harness.now));
+    };
+    setState(server_state::draining);
+    harness.advance(4s);
+    setState(server_state::ready);
+    harness.advance(1s);
+    setState(server_state::draining);
+    harness.advance(dispatch_policy().drainingPrimaryUsePeriod - 4s);
+    const auto sent = harness.sentCount();
+    harness.request(1, "WRITE x 1");
+    EXPECT_EQ(harness.sentCount(), sent);
+}
+
 TEST(DispatchSetupRefusals, AnOpenTransactionMayEndAtADrainingMember)
 {
     dispatch_harness harness;
