--- a/standins/users_platform/member.py
+++ b/standins/users_platform/member.py
@@ -74,6 +74,7 @@
             if other is not member:
                 common = len([1 for a, b in zip(other.log, member.log) if a == b])
                 other.log = other.log[:common]
+                other.applied = min(other.applied, common)
                 other.role = "replica"
         member.replicate()
 
--- a/test/process_soak.py
+++ b/test/process_soak.py
@@ -44,6 +44,7 @@
 START_BOUND_S, RECOVERY_BOUND_S, ANSWER_BOUND_S = 15, 15, 5
 NO_EFFECT_ERRORS = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "CONNLIMIT")  # the write has no effect
 CATCH_UP_DELAY_S = 0.05
+AWAY_S = 0.5  # time for which the store is away before it returns from a copy
 
 
 class Link:
@@ -327,6 +328,14 @@
             store.is_down = True
             await asyncio.sleep(length)
             store.is_down = False
+        elif kind == "store returns":
+            copied = store.copy()
+            await asyncio.sleep(length)
+            store.is_down = True
+            await asyncio.sleep(AWAY_S)
+            await store.return_from(copied)
+            await self.platform.register_all()
+            await store.put("op", "config", self.platform.configuration)
         elif kind == "lost answers":
             store.lost_answers += 2
         elif kind == "history":
@@ -364,7 +373,7 @@
     async def inject_faults(self):
         kinds = ["kill", "kill all", "stop", "stops in series", "signals in series", "configurations in series",
                  "configurations in series", "reload", "freeze", "freeze", "crash", "crash",
-                 "replication stopped", "store down", "lost answers", "history", "reset connections",
+                 "replication stopped", "store down", "store returns", "store returns", "lost answers", "history", "reset connections",
                  "block connections", "reset", "drop all", "drop requests", "drop answers", "delay"]
         end = time.monotonic() + self.seconds
         running = []
