--- a/sycamorespan/src/Core/json_revision.h
+++ b/sycamorespan/src/Core/json_revision.h
@@ -9,6 +9,7 @@
 /** \brief Converts a revision to a number, or to an array of era and number if the store names its
  * era. Called by nlohmann::json.
  */
+// NOLINTNEXTLINE(readability-identifier-naming): nlohmann::json prescribes the name.
 inline void to_json(nlohmann::json &value, const store_revision &revision)
 {
     if (revision.era() == 0)
