--- a/review/12/case.py
+++ b/review/12/case.py
@@ -90,7 +90,7 @@
                     client.close()
                 except (OSError, asyncio.TimeoutError, IndexError):
                     pass
-                outcomes.append((sent, answer.startswith("COMPLETE"), answer))
+                outcomes.append((sent, answer.startswith("COMPLETE"), answer, f"{node.name} {route}: {text}"))
                 await asyncio.sleep(PAUSE_S)
 
         for node in nodes:
@@ -122,6 +122,10 @@
         record(f"from {RECOVERY_S} s after that on {after[0]} of {after[1]} requests were served")
         record(f"last answers: {sorted({each[2].split('.')[0][:90] for each in outcomes[-30:]})}")
         record(f"promotions ordered: {len(platform.orders)}; primary now: {group.primary() and group.primary().id}")
+        for sent, _, answer, request in outcomes:
+            record.file.write(f"{sent - record.start:8.3f} sent to {request} | answered {answer[:100]}\n")
+        for member in group.members.values():
+            record(f"{member.id} ran {len(member.runs)} statements")
         if interleaving.is_armed or before[0] * 4 < before[1]:
             raise RuntimeError("no view was written, or too little was served before the final fault")
         return BROKEN if after[0] * 4 < after[1] else HELD
