--- a/review/standins-3/memory_limit.py
+++ b/review/standins-3/memory_limit.py
@@ -49,3 +49,38 @@
 
 def start(*coroutines):
     return [asyncio.create_task(each) for each in coroutines]
+
+
+ENDS = 3  # of a process, on each of MACHINES machines: the rule Fault
+MACHINES = 2
+RESTART_S = 0.5  # the platform starts a process that ended again after a short delay
+
+
+async def end_repeatedly(record, nodes, database, key, burden):
+    """Burdens one machine after the other, up to ENDS times each. burden(node, limit) returns when it is over.
+
+    Returns whether processes ended ENDS times on all machines, of which there are MACHINES.
+    """
+    ends = {node.name: 0 for node in nodes}
+    for node in nodes:
+        while ends[node.name] < ENDS:
+            limit, bystander = MemoryLimit(record, node), Bystander(record)
+            tasks = start(limit.watch(), bystander.run(node.front, database, key))
+            try:
+                await asyncio.sleep(0.5)
+                await burden(node, limit)
+                await asyncio.sleep(1)
+                limit.check()
+            finally:
+                for task in tasks:
+                    task.cancel()
+            record(f"{node.name}: peak {limit.peak:.0f} MiB of {node.memory_mb}; {bystander.served} reads of the "
+                   "bystander served")
+            if not limit.killed and node.process.poll() is None:
+                break
+            ends[node.name] += 1
+            record(f"{node.name}: its process has ended {ends[node.name]} times")
+            await asyncio.sleep(RESTART_S)
+            node.start()
+            await node.await_ready()
+    return len(ends) == MACHINES and all(count == ENDS for count in ends.values())
