A withdrawn key ends the transactions that rest on it

Cause: the key was compared with the directory only where an operation begins. A new directory was applied to nothing that was open or waiting.

Change: with each directory, work whose workspace the caller's key has left ends. A waiting statement is rejected, a transaction between two statements is rolled back at once; what a member or broker has in hand is answered first. The check is repeated wherever a statement is sent again. The next statement reads ABORTED, as nothing is kept; the one after that AUTHFAIL. A statement that waits for the rate of a removed workspace no longer waits for its time limit.

Why it works: an operation keeps the workspace as which it began, so that a difference from the key's present one shows a withdrawal at any later moment.

--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -362,6 +362,16 @@
     m_log.write(line_importance::failure, "statement repeated", fields, suspendAwareNow());
 }
 
+void node::perform(const dispatch_action::record_withdrawal &action)
+{
+    m_log.write(line_importance::state, "work ended because its key was withdrawn",
+                {{"workspace", action.workspace.str()},
+                 {"transactions", std::to_string(action.transactions)},
+                 {"statements", std::to_string(action.statements)},
+                 {"configuration_version", std::to_string(m_directory->version)}},
+                suspendAwareNow());
+}
+
 // Rows of the store.
 
 void node::setStoreAvailable(bool answered)
--- a/programs/node/node.h
+++ b/programs/node/node.h
@@ -64,6 +64,7 @@
     void perform(const dispatch_action::answer_hand_over &action);
     void perform(const dispatch_action::record_outcome &action);
     void perform(const dispatch_action::record_step &action);
+    void perform(const dispatch_action::record_withdrawal &action);
 
     // Rows of the store.
     void useConfiguration(const std::shared_ptr<const service_directory> &directory);
--- a/sycamorespan/src/Dispatch/dispatch_action.h
+++ b/sycamorespan/src/Dispatch/dispatch_action.h
@@ -178,6 +178,16 @@
     bool operator==(const record_step &) const = default;
 };
 
+/** \brief Reports the work of a workspace that ended because keys were withdrawn from it. */
+struct record_withdrawal
+{
+    workspace_id workspace;
+    std::size_t transactions = 0; ///< that were rolled back between two statements
+    std::size_t statements = 0; ///< that were rejected while they waited
+
+    auto operator<=>(const record_withdrawal &) const = default;
+};
+
 } // namespace dispatch_action
 
 using dispatch_output =
@@ -188,7 +198,7 @@
                      dispatch_action::settle_admission, dispatch_action::cancel_admission,
                      dispatch_action::hand_over, dispatch_action::end_hand_over,
                      dispatch_action::answer_hand_over, dispatch_action::record_outcome,
-                     dispatch_action::record_step>;
+                     dispatch_action::record_step, dispatch_action::record_withdrawal>;
 
 using dispatch_outputs = std::vector<dispatch_output>;
 
--- a/sycamorespan/src/Dispatch/dispatcher.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher.cpp
@@ -27,6 +27,7 @@
             workspaces.begin(), workspaces.end(), 0.0,
             [](double rates, const auto &each) { return rates + each.second.ratePerSecond; });
     m_meanRate = sum > 0 ? sum / static_cast<double>(workspaces.size()) : 1;
+    endWorkWithoutKey(now);
     for (auto &[key, state] : m_databases)
         dispatchQueue(state, now);
     return takeOutputs();
--- a/sycamorespan/src/Dispatch/dispatcher.h
+++ b/sycamorespan/src/Dispatch/dispatcher.h
@@ -158,7 +158,12 @@
 
     // State of the system.
 
-    /** \brief Replaces routes, keys and database settings. */
+    /** \brief Replaces routes, keys and database settings.
+     *
+     * What runs for a workspace to which the caller's key no longer belongs ends: a statement that
+     * waits is rejected, one that a member or broker has is answered, and a transaction is rolled
+     * back.
+     */
     dispatch_outputs setDirectory(std::shared_ptr<const service_directory> directory,
                                   time_point now);
     /** \brief Sets how evacuations are applied, and the area of each data centre. It must precede
@@ -399,7 +404,14 @@
                 time_point now);
     void processFailedTransaction(caller &from, const caller_request &request, time_point now);
     void refuseForShutdown(caller &from, const caller_request &request, time_point now);
+    std::optional<workspace_id> workspaceOf(const std::string &key,
+                                            const service_route &route) const;
     bool checkAccess(caller &from, time_point now);
+    bool holdsKey(const caller &from) const;
+    void endWorkWithoutKey(time_point now);
+    void endStatementWithoutKey(caller &from, time_point now);
+    void rollBackWithoutKey(caller &from, time_point now);
+    void refuseRolledBack(caller &from, bool isCommit, time_point now);
     void startJob(caller &from, const caller_request &request, statement_access access,
                   bool isCommit, time_point now);
     void enqueue(caller &from, time_point now);
--- a/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_brokers.cpp
@@ -194,6 +194,7 @@
     }
     record(from, ended, "completed", {}, {}, now);
     reply(from, answer.answer, now);
+    rollBackWithoutKey(from, now);
     if (from.isDisconnected)
         removeCaller(from.number, now);
     else
@@ -227,6 +228,8 @@
         from.job.reset();
         return removeCaller(from.number, now);
     }
+    if (!holdsKey(from))
+        return endStatementWithoutKey(from, now);
     recordStep(from, std::move(step), {}, why);
     from.job->avoidsBroker = true;
     from.hasWritten = false;
--- a/sycamorespan/src/Dispatch/dispatcher_callers.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_callers.cpp
@@ -32,9 +32,6 @@
 /** Reason of refusals while the instance shuts down. */
 const std::string shutdownReason = "the instance is shutting down; retry at another instance";
 
-/** Workspace of callers of open routes whose key belongs to no workspace. */
-const workspace_id anonymousWorkspace("-");
-
 /** \returns the size of a statement's text, without the name of a prepared statement. */
 std::size_t textBytes(const caller_request &request)
 {
@@ -84,8 +81,8 @@
                                            "database \"" + databaseName + "\" does not exist"}});
         return takeOutputs();
     }
-    const auto owner = m_directory->keyOwners.find(key);
-    if (owner == m_directory->keyOwners.end() && !route->second.allowsAnonymous) {
+    auto workspace = workspaceOf(key, route->second);
+    if (!workspace) {
         m_outputs.push_back(reject_caller{
                 session, {statement_error::unknownKey, "the key is not granted to any workspace"}});
         return takeOutputs();
@@ -99,7 +96,7 @@
     added.databaseName = std::move(databaseName);
     added.key = std::move(key);
     added.route = route->second;
-    added.workspace = owner == m_directory->keyOwners.end() ? anonymousWorkspace : owner->second;
+    added.workspace = std::move(*workspace);
     added.lastActive = now;
     m_outputs.push_back(accept_caller{session});
     return takeOutputs();
@@ -138,6 +135,13 @@
 {
     if (from.state == session_state::failedTransaction)
         return processFailedTransaction(from, request, now);
+    if (from.state == session_state::idle && !checkAccess(from, now))
+        return;
+    const bool endsTransaction = std::holds_alternative<caller_statement::rollback>(request.parsed);
+    if (from.rolledBack && !endsTransaction) {
+        const bool isCommit = std::holds_alternative<caller_statement::commit>(request.parsed);
+        return refuseRolledBack(from, isCommit, now);
+    }
     std::visit([&](const auto &parsed) { handle(from, request, parsed, now); }, request.parsed);
 }
 
@@ -171,8 +175,6 @@
 {
     if (from.state == session_state::inTransaction)
         return reject(from, statement_error::malformed, "a transaction is open already", now);
-    if (!checkAccess(from, now))
-        return;
     if (m_acceptedWork != accepted_work::all)
         return refuseForShutdown(from, request, now);
     from.state = session_state::inTransaction;
@@ -266,33 +268,15 @@
         closeSession(from);
 }
 
-/** Checks the session's route and key again, so that a changed directory applies to its next
- * operation. Rejects the statement and closes the session if either is no longer valid.
- */
-bool dispatcher::checkAccess(caller &from, time_point now)
+/** Tells the caller that its transaction was rolled back, with the first statement after that. */
+void dispatcher::refuseRolledBack(caller &from, bool isCommit, time_point now)
 {
-    const auto route = m_directory->routes.find(from.databaseName);
-    if (route == m_directory->routes.end()) {
-        reject(from, statement_error::unknownDatabase,
-               "database \"" + from.databaseName + "\" does not exist any more", now);
-        closeSession(from);
-        return false;
-    }
-    from.route = route->second;
-    if (from.served)
-        return true; // the caller's own instance has checked the key
-    const auto owner = m_directory->keyOwners.find(from.key);
-    if (owner != m_directory->keyOwners.end()) {
-        from.workspace = owner->second;
-        return true;
-    }
-    if (from.route.allowsAnonymous) {
-        from.workspace = anonymousWorkspace;
-        return true;
-    }
-    reject(from, statement_error::unknownKey, "the key was withdrawn", now);
-    closeSession(from);
-    return false;
+    from.rolledBack = false;
+    if (isCommit)
+        endTransaction(from, now);
+    else
+        from.state = session_state::failedTransaction;
+    reject(from, statement_error::aborted, "the transaction was rolled back; retry it", now);
 }
 
 void dispatcher::startJob(caller &from, const caller_request &request, statement_access access,
@@ -301,19 +285,8 @@
     const bool inTransaction = from.state == session_state::inTransaction;
     if (inTransaction && !isCommit && m_acceptedWork != accepted_work::all) {
         releaseBound(from, now);
-        from.rolledBack = true;
+        return refuseRolledBack(from, isCommit, now);
     }
-    if (from.rolledBack) {
-        from.rolledBack = false;
-        if (isCommit)
-            endTransaction(from, now);
-        else
-            from.state = session_state::failedTransaction;
-        return reject(from, statement_error::aborted, "the transaction was rolled back; retry it",
-                      now);
-    }
-    if (!inTransaction && !checkAccess(from, now))
-        return;
     if (!inTransaction && m_acceptedWork == accepted_work::none)
         return refuseForShutdown(from, request, now);
     if (inTransaction && from.readOnly && access == statement_access::write) {
--- a/sycamorespan/src/Dispatch/dispatcher_members.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_members.cpp
@@ -134,6 +134,8 @@
 void dispatcher::retryOrReject(caller &from, const server_id &server, const rejected &why, bool ran,
                                time_point now)
 {
+    if (!holdsKey(from))
+        return endStatementWithoutKey(from, now);
     auto &job = *from.job;
     const auto least = fromSeconds(meanStatementTime(from) / 2);
     const bool isBusy = why.code == statement_error::busy;
@@ -362,6 +364,7 @@
     }
     record(from, ended, "completed", {}, server, now);
     reply(from, answer, now);
+    rollBackWithoutKey(from, now);
     auto &state = group(from);
     if (from.isDisconnected)
         removeCaller(from.number, now);
--- a/sycamorespan/src/Dispatch/dispatcher_placement.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_placement.cpp
@@ -551,6 +551,8 @@
     auto *connection = pool ? pool->find(from.boundConnection) : nullptr;
     if (!connection)
         return onConnectionLost(from, from.boundServer, "the connection to the member broke", now);
+    if (!holdsKey(from))
+        return endStatementWithoutKey(from, now);
     if (isHeldBack(from, *pool, *connection, now))
         return;
     auto &job = *from.job;
--- a/sycamorespan/src/Dispatch/dispatcher_setup.cpp
+++ b/sycamorespan/src/Dispatch/dispatcher_setup.cpp
@@ -131,6 +131,8 @@
     const auto &database = m_databases.at(from.route.database);
     if (from.isDisconnected)
         return "the caller has left";
+    if (!holdsKey(from))
+        return "the key was withdrawn";
     if (connection.requiresPrimary
         && !(isPrimaryViewValid(database, now) && isPrimary(database, server)))
         return "the primary is being changed";
--- a/test/dispatch_harness.h
+++ b/test/dispatch_harness.h
@@ -30,8 +30,7 @@
         : subject(policy, data_centre_id("a"),
                   state == start_state::starting ? time_point(1h) : time_point())
     {
-        auto directory = std::make_shared<service_directory>();
-        directory->version = 1;
+        directory.version = 1;
         service_route route;
         route.database = database;
         route.reads = reads;
@@ -39,12 +38,12 @@
         route.latencyObjective = 400ms;
         if (reads != consistency::latest)
             route.maxStaleness = 1500ms;
-        directory->routes.emplace("sales", route);
-        directory->keyOwners.emplace(callerKey, workspace);
-        directory->workspaces[workspace] = {100, 100};
-        directory->databases[database] = {32, 1};
-        directory->transactionIdleTimeout = 3s;
-        collect(subject.setDirectory(directory, now));
+        directory.routes.emplace("sales", route);
+        directory.keyOwners.emplace(callerKey, workspace);
+        directory.workspaces[workspace] = {100, 100};
+        directory.databases[database] = {32, 1};
+        directory.transactionIdleTimeout = 3s;
+        applyDirectory();
         servers = {entry("s1", "a"), entry("s2", "b"), entry("s3", "c")};
         servers.front().role = replication_role::primary;
         collect(subject.setServers(servers, now));
@@ -63,6 +62,12 @@
         return result;
     }
 
+    /** \brief Brings the changed directory into force. */
+    void applyDirectory()
+    {
+        collect(subject.setDirectory(std::make_shared<service_directory>(directory), now));
+    }
+
     void connect(session_number session)
     {
         collect(subject.callerConnected(session, "sales", callerKey, now));
@@ -172,6 +177,7 @@
 
     time_point now{1h};
     dispatcher subject;
+    service_directory directory;
     std::vector<server_entry> servers;
     std::vector<dispatch_output> outputs;
     bool admitsAutomatically = true;
--- a/test/process_node.py
+++ b/test/process_node.py
@@ -20,10 +20,11 @@
 
 BUILD = pathlib.Path(sys.argv.pop(1)) if len(sys.argv) > 1 else pathlib.Path("build")
 PROGRAM = BUILD / "programs" / "node" / "sycamorespan-node"
-KEY = "a-secret-key-of-the-shop"
+KEY, SECOND_KEY = "a-secret-key-of-the-shop", "another-key-of-the-shop"
 START_BOUND_S = 10
 CHANGE_BOUND_S = 11  # time limit that the users set for a change of primary
 CONFIGURATION_BOUND_S = 5
+CONFIGURATION_APPLY_S = 3  # bounds.config_apply_ms
 STOP_BOUND_S = 6
 
 
@@ -44,11 +45,11 @@
         self.platform.heartbeat.cancel()
         self.folder.cleanup()
 
-    async def configure(self, keys, rate=1000):
+    async def configure(self, keys, rate=1000, idle_ms=3000):
         await self.platform.configure(
             {"sales": ("db1", "primary", 0), "browse": ("db1", "bounded_stale", 1500),
              "recall": ("db1", "read_own", 2500)},
-            {"shop": (keys, rate, rate)})
+            {"shop": (keys, rate, rate)}, idle_ms)
 
     async def until(self, condition, bound_s, what):
         deadline = time.monotonic() + bound_s
@@ -69,9 +70,9 @@
         for node in self.nodes:
             await self.until(node.is_ready, START_BOUND_S, f"{node.name} is ready again")
 
-    async def session(self, database="sales", node=0):
+    async def session(self, database="sales", node=0, key=KEY):
         caller = Caller()
-        self.assertEqual(await caller.connect(self.nodes[node].ports[0], database, KEY), ["READY I -"])
+        self.assertEqual(await caller.connect(self.nodes[node].ports[0], database, key), ["READY I -"])
         return caller
 
     async def write_until_accepted(self, caller, item, bound_s):
@@ -160,6 +161,28 @@
             self.assertLess(time.monotonic(), deadline)
             await asyncio.sleep(0.1)
 
+    async def test_open_transactions_end_with_their_key(self):
+        """Guards against statements and a COMMIT that run for seconds after their key was withdrawn."""
+        idle_ms = 10_000  # ends no transaction here
+        await self.configure([KEY, SECOND_KEY], idle_ms=idle_ms)
+        await asyncio.sleep(1)
+        ended = [await self.session("sales", 0), await self.session("sales", 1), await self.session("recall", 0)]
+        kept = await self.session("sales", 0, SECOND_KEY)
+        for number, caller in enumerate([*ended, kept]):
+            self.assertEqual(await caller.ask("BEGIN"), ["COMPLETE -", "READY T -"])
+            self.assertTrue((await caller.ask(f"WRITE withdrawn{number} 1"))[0].startswith("COMPLETE"))
+        await self.configure([SECOND_KEY], idle_ms=idle_ms)
+        await asyncio.sleep(CONFIGURATION_APPLY_S)
+        for caller in ended[:2]:
+            self.assertEqual((await caller.ask("COMMIT"))[0].split()[:2], ["ERROR", "ABORTED"])
+        self.assertEqual((await ended[2].ask("READ x"))[0].split()[:2], ["ERROR", "ABORTED"])
+        self.assertEqual(await ended[2].ask("ROLLBACK"), ["COMPLETE -", "READY I -"])
+        for caller in ended:
+            self.assertEqual((await caller.ask("READ x"))[0].split()[:2], ["ERROR", "AUTHFAIL"])
+        self.assertTrue((await kept.ask("COMMIT"))[0].startswith("COMPLETE"))
+        values = [self.platform.groups["db1"].primary().value(f"withdrawn{number}") for number in range(4)]
+        self.assertEqual(values, ["none", "none", "none", "1"])
+
     async def test_rate_limit_applies_across_instances(self):
         rate = 20
         await self.configure([KEY], rate)
--- a/test/process_soak.py
+++ b/test/process_soak.py
@@ -25,15 +25,16 @@
 os.environ["SYCAMORESPAN_TEST_HOST"] = HOST
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins" / "users_platform"))
 from node_programs import Caller, Node  # noqa: E402
-from statement_checks import Sent, StatementChecker, describe, keep_calling, shorten  # noqa: E402
+from statement_checks import (LegalCaller, Sent, StatementChecker, describe, keep_calling,  # noqa: E402
+                              shorten)
 from users_platform import Platform  # noqa: E402
 
 CI_SEEDS = [1, 2]
 REGRESSION_SEEDS = []  # seeds that have failed before, each with a line on the cause
 CI_SECONDS = 6
 
-KEY, SMALL_KEY = "key-of-the-shop", "key-of-the-small-shop"
-INSTANCES, WRITERS, LEGAL_CALLERS = 3, 4, 8
+KEY, SMALL_KEY, GUEST_KEY = "key-of-the-shop", "key-of-the-small-shop", "key-of-the-guest"
+INSTANCES, WRITERS, LEGAL_CALLERS, GUEST_CALLERS = 3, 4, 8, 2
 MAXIMUM_INSTANCES = 140
 SCARCE, AMPLE = 8, 32  # connections that a member accepts; brokers are used where they are scarce
 LOST_ANSWER_RATE, LEAVING_RATE = 0.002, 0.02  # of the statements at members, and of callers
@@ -42,6 +43,7 @@
 # Rate limit of the workspace "small" and the excess that the users allow.
 SMALL_RATE, SMALL_BURST, QUOTA_WINDOW_S, QUOTA_OVERAGE, QUOTA_SLACK = 20, 20, 5, 0.1, 20
 START_BOUND_S, RECOVERY_BOUND_S, ANSWER_BOUND_S = 15, 15, 5
+CONFIGURATION_APPLY_S = 3  # after which an acknowledged configuration is in force
 NO_EFFECT_ERRORS = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "CONNLIMIT")  # the write has no effect
 CATCH_UP_DELAY_S = 0.05
 AWAY_S = 0.5  # time for which the store is away before it returns from a copy
@@ -152,7 +154,7 @@
             member.random.seed(f"{self.seed}-{member.id}")
             member.setup_refusal_rate = self.random.choice((0, 0.1, 0.3))
             member.lost_answer_rate = LOST_ANSWER_RATE
-        await self.configure(AMPLE, has_spare_route=False)
+        await self.configure(AMPLE, has_spare_route=False, has_guest=True)
         self.store_links, self.nodes = [], []
         for index in range(self.instances):
             link = Link(lambda: self.platform.store_port)
@@ -162,14 +164,15 @@
                                    link.port))
         await self.until_ready(START_BOUND_S)
 
-    async def configure(self, connections, has_spare_route):
+    async def configure(self, connections, has_spare_route, has_guest, idle_ms=3000):
         routes = {"sales": ("db1", "primary", 0), "browse": ("db1", "bounded_stale", STALENESS_S * 1000),
                   "recall": ("db1", "read_own", 2500)}
         if has_spare_route:
             routes["spare"] = ("db1", "primary", 0)
         await self.platform.configure(
-            routes, {"shop": ([KEY], 5000, 5000), "small": ([SMALL_KEY], SMALL_RATE, SMALL_BURST)},
-            connections=connections)
+            routes, {"shop": ([KEY], 5000, 5000), "small": ([SMALL_KEY], SMALL_RATE, SMALL_BURST),
+                     "guest": ([GUEST_KEY] if has_guest else [], 5000, 5000)},
+            idle_ms, connections)
 
     async def until_ready(self, bound_s):
         deadline = time.monotonic() + bound_s
@@ -262,11 +265,11 @@
 
         await asyncio.gather(*(self.repeat_in_sessions("browse", SMALL_KEY, step) for _ in range(3)))
 
-    def call_legally(self, number):
-        draw = random.Random(f"{self.seed}-{number}")
+    def call_legally(self, number, workspace="shop", key=KEY):
+        draw = random.Random(f"{self.seed}-{number}-{workspace}")
         return keep_calling(
-            draw, self.checker, "shop",
-            lambda: (draw.choice(self.nodes).ports[0], draw.choice(("sales", "browse", "recall", "spare")), KEY),
+            draw, self.checker, workspace,
+            lambda: (draw.choice(self.nodes).ports[0], draw.choice(("sales", "browse", "recall", "spare")), key),
             lambda: not self.running, LEAVING_RATE, 0.02)
 
     # Faults. Each lasts for a limited time and is then undone. Faults can overlap.
@@ -306,7 +309,8 @@
             await self.restart(node, process)
         elif kind == "configurations in series":
             for _ in range(4):
-                await self.configure(self.random.choice((SCARCE, AMPLE)), self.random.random() < 0.5)
+                await self.configure(self.random.choice((SCARCE, AMPLE)), self.random.random() < 0.5,
+                                     self.random.random() < 0.5)
                 await asyncio.sleep(length / 4)
         elif kind == "freeze":
             process = node.process
@@ -418,6 +422,36 @@
         if missing:
             self.recorder.violations.append(f"no service within {RECOVERY_BOUND_S} s: {answer[0]}")
 
+    async def guest_transaction(self, node):
+        """Returns a guest's session with an open transaction that a member has begun."""
+        deadline = time.monotonic() + RECOVERY_BOUND_S
+        while time.monotonic() < deadline:
+            guest = LegalCaller(self.random, self.checker, "guest")
+            try:
+                if (await guest.connect(node.ports[0], "sales", GUEST_KEY) and await guest.begin()
+                        and await guest.run("READ", "READ guest", "guest") == "ROW"):
+                    return guest
+                guest.writer.close()
+            except (OSError, asyncio.TimeoutError):
+                pass
+            await asyncio.sleep(0.1)
+        self.recorder.violations.append(f"{node.name} began no transaction with a granted key")
+        return None
+
+    async def check_withdrawal(self):
+        """Withdraws a key inside open transactions, once all faults are over."""
+        idle_ms = 10_000  # ends no transaction here
+        await self.configure(AMPLE, has_spare_route=False, has_guest=True, idle_ms=idle_ms)
+        await asyncio.sleep(CONFIGURATION_APPLY_S)
+        guests = [(node, await self.guest_transaction(node)) for node in self.nodes[:INSTANCES]]
+        await self.configure(AMPLE, has_spare_route=False, has_guest=False, idle_ms=idle_ms)
+        await asyncio.sleep(CONFIGURATION_APPLY_S)
+        for node, guest in guests:
+            outcome = guest and await guest.run("READ", "READ guest", "guest")
+            if outcome in ("ROW", "COMPLETE"):
+                self.recorder.violations.append(f"{node.name} ran a statement of an open transaction "
+                                                f"{CONFIGURATION_APPLY_S} s after its key was withdrawn")
+
     def check_members(self):
         violations = self.recorder.violations
         primary = self.platform.groups["db1"].primary()
@@ -449,9 +483,11 @@
         callers = [self.write_and_read(number, routes[number]) for number in range(WRITERS)]
         callers += [self.read("sales", 0), self.read("browse", STALENESS_S)]
         callers += [self.call_legally(number) for number in range(LEGAL_CALLERS)]
+        callers += [self.call_legally(number, "guest", GUEST_KEY) for number in range(GUEST_CALLERS)]
         tasks = [asyncio.create_task(each) for each in (*callers, self.exceed_rate())]
         await self.inject_faults()
         await self.check_recovery()
+        await self.check_withdrawal()
         self.running = False
         await asyncio.wait(tasks, timeout=ANSWER_BOUND_S + 1)
         self.check_members()
--- a/test/statement_checks.py
+++ b/test/statement_checks.py
@@ -257,6 +257,8 @@
         caller = LegalCaller(random, checker, workspace)
         try:
             goes_on = await caller.connect(*address())
+            if not goes_on:
+                await asyncio.sleep(PAUSE_S)  # the key may be granted again
             while goes_on and not is_over():
                 if random.random() < leaving_rate:
                     await caller.leave()
