--- a/programs/agent/quota_relay_task.cpp
+++ b/programs/agent/quota_relay_task.cpp
@@ -34,9 +34,13 @@
     const auto *result = std::get_if<table_result>(&outcome);
     if (result == nullptr)
         return failedAnswer(request.request, request.key);
-    const auto kind = result->succeeded ? share_outcome::written : share_outcome::conflict;
-    return {request.request, request.key, kind, static_cast<std::uint64_t>(result->revision),
-            std::nullopt};
+    if (!result->succeeded)
+        return {request.request, request.key, share_outcome::conflict, 0, std::nullopt};
+    if (result->results.empty() || result->results.back().rows.empty())
+        return failedAnswer(request.request, request.key);
+    const auto &row = result->results.back().rows.front();
+    return {request.request, request.key, share_outcome::written,
+            static_cast<std::uint64_t>(row.revision), std::nullopt};
 }
 
 } // namespace
@@ -61,7 +65,9 @@
     if (!request.key.starts_with(shareKeyPrefix))
         return;
     const auto revision = static_cast<table_revision>(request.revision);
-    m_table.run({{{request.key, revision}}, {table_put{request.key, request.value}}, {}},
+    m_table.run({{{request.key, revision}},
+                 {table_put{request.key, request.value}, table_get{request.key}},
+                 {}},
                 [from, request](const auto &outcome) { from.send(writeAnswer(request, outcome)); });
 }
 
--- a/programs/node/coordination_rows.cpp
+++ b/programs/node/coordination_rows.cpp
@@ -130,7 +130,7 @@
             .dump();
 }
 
-std::optional<primary_view> decodeView(std::string_view value, store_revision revision)
+std::optional<primary_view> decodeView(std::string_view value, row_revision revision)
 {
     return decode<primary_view>(value, [&](const json &fields) -> std::optional<primary_view> {
         const auto phase = integerAt<int>(fields, "phase");
@@ -154,7 +154,7 @@
     });
 }
 
-std::optional<supervisor_claim> decodeClaim(std::string_view value, store_revision revision)
+std::optional<supervisor_claim> decodeClaim(std::string_view value, row_revision revision)
 {
     return decode<supervisor_claim>(value, [&](const json &fields) {
         supervisor_claim claim{revision, instance_id(fields.at("holder").get<std::string>()),
--- a/programs/node/coordination_rows.h
+++ b/programs/node/coordination_rows.h
@@ -34,9 +34,9 @@
 std::string encode(const instance_incarnation &incarnation);
 
 /** \returns nothing when \a value has an unknown format, such as one of a later version. */
-std::optional<primary_view> decodeView(std::string_view value, store_revision revision);
+std::optional<primary_view> decodeView(std::string_view value, row_revision revision);
 std::optional<std::vector<log_holder>> decodeHolders(std::string_view value);
-std::optional<supervisor_claim> decodeClaim(std::string_view value, store_revision revision);
+std::optional<supervisor_claim> decodeClaim(std::string_view value, row_revision revision);
 std::optional<instance_incarnation> decodeInstance(std::string_view value);
 
 } // namespace coordination_rows
--- a/programs/node/node.cpp
+++ b/programs/node/node.cpp
@@ -125,7 +125,7 @@
               {[this](dispatch_outputs outputs) { apply(std::move(outputs)); },
                [this](report_cause cause) { m_fleet.requestReports(cause); },
                [this](const platform::store_row &row) {
-                   m_rejectedEntries.note("coordination rows", row.key, row.revision,
+                   m_rejectedEntries.note("coordination rows", row.key, storeAfter(row.revision),
                                           "not a valid row", suspendAwareNow());
                },
                [this] { return isFollowingStore() && m_roster.isComplete(); }})
@@ -420,10 +420,10 @@
         return std::nullopt;
     try {
         const auto decoded = platform::decodeServerEntry(row.key, row.value);
-        m_rejectedEntries.note(decoded.rejected, row.revision, now);
+        m_rejectedEntries.note(decoded.rejected, storeAfter(row.revision), now);
         return decoded.entry;
     } catch (const decode_error &failure) {
-        m_rejectedEntries.note("servers", row.key, row.revision, failure.what(), now);
+        m_rejectedEntries.note("servers", row.key, storeAfter(row.revision), failure.what(), now);
         return std::nullopt;
     }
 }
@@ -451,7 +451,7 @@
     // must not raise the revision, because the other instances would fetch an update from here.
     auto revision = isSnapshot ? content.revision : store_revision{};
     std::ranges::for_each(content.rows, [&](const platform::store_row &row) {
-        revision = std::max(revision, row.revision);
+        revision = std::max(revision, storeAfter(row.revision));
     });
     if (revision > m_serversRevision) {
         m_serversRevision = revision;
@@ -551,13 +551,10 @@
     try {
         const auto fields = json::parse(document);
         platform::store_rows content;
-        content.revision = toRevision(fields.at("revision"));
+        content.revision = toRevision<store_revision>(fields.at("revision"));
         for (const auto &[id, text] : fields.at("servers").items())
-            content.rows.push_back({{},
-                                    id,
-                                    text.is_string() ? text.get<std::string>() : "",
-                                    content.revision,
-                                    false});
+            content.rows.push_back(
+                    {{}, id, text.is_string() ? text.get<std::string>() : "", {}, false});
         if (content.revision > m_serversRevision)
             applyServerRows(content, true);
     } catch (const std::exception &failure) {
@@ -589,7 +586,7 @@
 {
     try {
         const auto fields = json::parse(document);
-        const auto revision = toRevision(fields.at("revision"));
+        const auto revision = toRevision<store_revision>(fields.at("revision"));
         const auto now = suspendAwareNow();
         std::vector<instance_incarnation> instances;
         for (const auto &row : fields.at("instances")) {
--- a/programs/node/operator_rows.cpp
+++ b/programs/node/operator_rows.cpp
@@ -44,7 +44,7 @@
         if (isSnapshot && (isUsable || m_evacuations.contains(dataCentre)))
             requested.insert(dataCentre);
         if (!isSnapshot && isUsable)
-            changed |= m_evacuations.put(dataCentre, !row.deleted, row.revision);
+            changed |= m_evacuations.put(dataCentre, !row.deleted, storeAfter(row.revision));
     }
     if (isSnapshot && m_followsEvacuations)
         changed = m_evacuations.replace(requested, content.revision);
@@ -91,7 +91,7 @@
     news.evacuationsRevision = m_evacuations.revision();
 }
 
-void operator_rows::decodeConfiguration(const std::string &document, store_revision revision)
+void operator_rows::decodeConfiguration(const std::string &document, row_revision revision)
 {
     const auto now = suspendAwareNow();
     try {
@@ -122,7 +122,7 @@
     const bool isObject = json::parse(row.value, nullptr, false).is_object();
     if (isObject && !dataCentre.empty())
         return true;
-    m_rejected.note("evacuations", row.key, row.revision,
+    m_rejected.note("evacuations", row.key, storeAfter(row.revision),
                     isObject ? "names no data centre" : "not a JSON object", suspendAwareNow());
     return false;
 }
@@ -148,8 +148,9 @@
         std::set<data_centre_id> requested;
         for (const auto &name : fields.at("data_centres"))
             requested.emplace(name.get<std::string>());
-        changed = m_evacuations.replace(requested, toRevision(fields.at("known_through")),
-                                        toRevision(fields.at("revision")));
+        changed = m_evacuations.replace(requested,
+                                        toRevision<store_revision>(fields.at("known_through")),
+                                        toRevision<store_revision>(fields.at("revision")));
     } catch (const std::exception &failure) {
         m_log.write(line_importance::failure, "message from another instance could not be decoded",
                     {{"error", failure.what()}, {"path", evacuationsPath}}, suspendAwareNow());
--- a/programs/node/operator_rows.h
+++ b/programs/node/operator_rows.h
@@ -72,7 +72,7 @@
 
 private:
     void applyEvacuations(const std::string &document, const std::function<void()> &readStore);
-    void decodeConfiguration(const std::string &document, store_revision revision);
+    void decodeConfiguration(const std::string &document, row_revision revision);
     bool isValid(const data_centre_id &dataCentre, const platform::store_row &row);
     void announceEvacuations();
 
--- a/programs/node/rejected_entries.h
+++ b/programs/node/rejected_entries.h
@@ -29,7 +29,7 @@
     { }
 
     /** \brief Notes one entry. An entry that is read again in the same revision has no effect.
-     * \param revision  revision of the row or version of the list
+     * \param revision  of the store after the row, or the list, was written
      */
     void note(const std::string &list, const std::string &entry, store_revision revision,
               std::string_view cause, time_point now);
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -177,7 +177,7 @@
         const auto written = coordination_rows::decodeInstance(row.value);
         if (written && written->incarnation == m_self.incarnation) {
             m_isNewInstance = true;
-            return noteRegistration(row.revision, answer.content.clock);
+            return noteRegistration(answer.content.revision, answer.content.clock);
         }
     }
     m_isNewInstance = false;
@@ -189,10 +189,10 @@
     const auto now = suspendAwareNow();
     if (m_registeredAt == time_point())
         m_registeredAt = now;
-    m_registeredRevision = revision;
+    m_registeredAtRevision = revision;
     m_ledger.setRegisteredAt(clock, revision.era());
-    m_log.write(line_importance::state, "instance registered",
-                {{"revision", textOf(m_registeredRevision)}}, now);
+    m_log.write(line_importance::state, "instance registered", {{"revision", textOf(revision)}},
+                now);
     // Only views that are confirmed after the registration may be used.
     m_rowsRequested = true;
     m_reads.resetInterval();
@@ -203,10 +203,31 @@
 {
     if (!isRegistered())
         return done();
-    m_store.call(platform::deleteRow(coordination_rows::table,
-                                     coordination_rows::instanceKey(m_self.instance),
-                                     m_registeredRevision),
-                 readTimeout, [done = std::move(done)](const store_answer &) { done(); });
+    removeRegistration(m_self, std::move(done));
+}
+
+/** Deletes the row of an incarnation, unless it is that of a later one, then calls \a done, also
+ * after a failure.
+ */
+void view_keeper::removeRegistration(const instance_incarnation &incarnation,
+                                     std::function<void()> done)
+{
+    const auto key = coordination_rows::instanceKey(incarnation.instance);
+    m_store.call(platform::readRow(coordination_rows::table, key), readTimeout,
+                 [this, incarnation, done = std::move(done)](const store_answer &answer) {
+                     const auto isOf = [&](const platform::store_row &row) {
+                         const auto found = coordination_rows::decodeInstance(row.value);
+                         return found && found->instance == incarnation.instance
+                                && found->incarnation == incarnation.incarnation;
+                     };
+                     const auto &rows = answer.content.rows;
+                     const auto row = std::ranges::find_if(rows, isOf);
+                     if (row == rows.end())
+                         return done();
+                     m_store.call(
+                             platform::deleteRow(coordination_rows::table, row->key, row->revision),
+                             readTimeout, [done](const store_answer &) { done(); });
+                 });
 }
 
 /** Reads the rows when they are due, to confirm the views or to learn what they hold. */
@@ -222,7 +243,7 @@
     context.isUrgent =
             isSupervisor() && std::ranges::any_of(m_ledger.views(), [this](const auto &view) {
                 return view.phase == view_phase::withdrawn
-                       && view.revision > m_fleet.instancesRevision();
+                       && storeAfter(view.revision) > m_fleet.instancesRevision();
             });
     // Before the first view is written, a read that found none counts as its confirmation.
     if (m_rowsReadAt && m_ledger.views().empty())
@@ -249,6 +270,32 @@
                       });
 }
 
+/** Reads the row of one view. If it fails, the change of primary repeats the action. */
+void view_keeper::perform(const change_action::read_view &action, time_point)
+{
+    const auto key = coordination_rows::viewKey(action.database);
+    m_store.call(platform::readRow(coordination_rows::table, key), readTimeout,
+                 [this, key](const store_answer &answer) {
+                     const auto now = suspendAwareNow();
+                     for (const auto &row : answer.content.rows)
+                         if (row.key == key)
+                             applyViewRow(row, answer, now);
+                     supervise(now);
+                 });
+}
+
+/** Applies the row of a view that an answer of the store carries. */
+void view_keeper::applyViewRow(const platform::store_row &row, const store_answer &answer,
+                               time_point now)
+{
+    const auto view = coordination_rows::decodeView(row.value, row.revision);
+    if (!view)
+        return m_handlers.onRejectedRow(row);
+    m_ledger.applyRead(*view, answer.content.clock, answer.content.revision);
+    applyViews(now);
+    m_handlers.onUpdate(report_cause::requested);
+}
+
 void view_keeper::applyRows(const store_answer &answer)
 {
     const auto now = suspendAwareNow();
@@ -256,11 +303,11 @@
     m_rowsReadAt = now;
     std::vector<primary_view> views;
     std::vector<instance_incarnation> instances;
-    std::optional<store_revision> ownRevision; ///< of the row of this instance
+    bool hasOwnRow = false;
     std::map<database_id, recorded_holders> holders;
     std::map<database_id, primary_view> formerRows;
     supervisor_claim claim;
-    std::optional<store_revision> revisionOfRejectedClaim;
+    std::optional<row_revision> revisionOfRejectedClaim;
     for (const auto &row : answer.content.rows) {
         if (coordination_rows::isViewKey(row.key)) {
             auto view = coordination_rows::decodeView(row.value, row.revision);
@@ -276,16 +323,12 @@
                 m_handlers.onRejectedRow(row);
                 continue;
             }
-            if (incarnation->instance == m_self.instance
-                && incarnation->incarnation == m_self.incarnation)
-                ownRevision = row.revision;
+            hasOwnRow = hasOwnRow
+                        || (incarnation->instance == m_self.instance
+                            && incarnation->incarnation == m_self.incarnation);
             instances.push_back(std::move(*incarnation));
         } else if (const auto database = coordination_rows::databaseOfHoldersKey(row.key)) {
-            auto decoded = coordination_rows::decodeHolders(row.value);
-            if (!decoded)
-                m_handlers.onRejectedRow(row);
-            holders[*database] = {row.revision,
-                                  std::move(decoded).value_or(std::vector<log_holder>())};
+            holders[*database] = decodeHolders(row);
         } else if (row.key == coordination_rows::claimKey) {
             if (const auto decoded = coordination_rows::decodeClaim(row.value, row.revision)) {
                 claim = *decoded;
@@ -301,7 +344,7 @@
     m_formerRows = std::move(formerRows);
     m_rowsReadRevision = answer.content.revision;
     m_fleet.setInstances(instances, answer.content.clock, answer.content.revision, now);
-    updateRegistration(ownRevision, answer);
+    updateRegistration(hasOwnRow, answer);
     if (isFirstRead) {
         const bool hasFormerRow =
                 std::ranges::find(instances, m_self.instance, &instance_incarnation::instance)
@@ -311,7 +354,9 @@
         m_nextRegistrationAt = {};
         registerInstance(now);
     }
-    m_ledger.applySnapshot(views, answer.content.clock);
+    std::ranges::for_each(views, [&](const primary_view &view) {
+        m_ledger.applyRead(view, answer.content.clock, answer.content.revision);
+    });
     performAll(m_supervision.onRowsRead(claim, views, answer.content.clock, now), now);
     applyViews(now);
     if (isSupervisor())
@@ -321,18 +366,17 @@
 /** Applies what a read of the rows tells of the row of this instance. A store that returned from an
  * older copy has the row or has lost it; leases that began before run on in either case.
  */
-void view_keeper::updateRegistration(const std::optional<store_revision> &ownRevision,
-                                     const store_answer &answer)
+void view_keeper::updateRegistration(bool hasOwnRow, const store_answer &answer)
 {
     const auto &read = answer.content;
-    const bool isOfFormerEra = m_registeredRevision != store_revision{} && !isRegistered();
-    if (ownRevision && isOfFormerEra) {
-        m_registeredRevision = *ownRevision;
-        m_ledger.setRegisteredAt(read.clock, ownRevision->era());
+    const bool isOfFormerEra = m_registeredAtRevision != store_revision{} && !isRegistered();
+    if (hasOwnRow && isOfFormerEra) {
+        m_registeredAtRevision = read.revision;
+        m_ledger.setRegisteredAt(read.clock, read.revision.era());
     }
-    if (ownRevision || m_isRegistering || read.revision < m_registeredRevision)
+    if (hasOwnRow || m_isRegistering || read.revision < m_registeredAtRevision)
         return;
-    m_registeredRevision = {};
+    m_registeredAtRevision = {};
     if (!isOfFormerEra)
         m_ledger.setRegisteredAt(std::nullopt);
 }
@@ -341,7 +385,7 @@
  * claim can replace its row. Its token is the highest one with which a promotion may have been
  * ordered, because a view is written with the token before each order.
  */
-supervisor_claim view_keeper::replaceableClaim(store_revision revision,
+supervisor_claim view_keeper::replaceableClaim(row_revision revision,
                                                const std::vector<primary_view> &views) const
 {
     auto token = claim().fencingToken;
@@ -425,8 +469,7 @@
     const auto now = suspendAwareNow();
     m_isClaiming = false;
     if (answer.succeeded()) {
-        performAll(m_supervision.onClaimWritten(answer.content.revision, answer.content.clock, now),
-                   now);
+        performAll(m_supervision.onClaimWritten(answer.content.clock, now), now);
         m_handlers.onUpdate(report_cause::requested);
     } else if (answer.status == platform::store_status::conflict) {
         m_supervision.onClaimConflict(now);
@@ -442,12 +485,12 @@
             {},
             m_servers,
             m_ledger,
-            [this](const database_id &database, store_revision revision) {
+            [this](const database_id &database, row_revision revision) {
                 const auto own = m_releases.find(database);
                 return own != m_releases.end() && own->second.released >= revision
                        && m_fleet.released(revision);
             },
-            [this](const database_id &database, store_revision revision) {
+            [this](const database_id &database, row_revision revision) {
                 const auto own = m_releases.find(database);
                 return m_fleet.releasedByQuorum(
                         revision, own != m_releases.end() && own->second.released >= revision);
@@ -559,16 +602,14 @@
             writeTimeout, [this, view](const store_answer &answer) {
                 const auto now = suspendAwareNow();
                 if (answer.succeeded()) {
-                    auto written = view;
-                    written.revision = answer.content.revision;
-                    m_ledger.applyWritten(written, answer.content.clock);
-                    applyViews(now);
-                    m_handlers.onUpdate(report_cause::requested);
-                    performAll(m_supervision.onViewWritten(written, answer.content.clock,
+                    performAll(m_supervision.onViewWritten(view, answer.content.clock,
                                                            supervisionContext(now), now),
                                now);
                 } else if (answer.status == platform::store_status::conflict) {
                     applyClaimRow(answer);
+                    for (const auto &row : answer.content.rows)
+                        if (row.key == coordination_rows::viewKey(view.database))
+                            applyViewRow(row, answer, now);
                     performAll(m_supervision.onViewConflict(view, now), now);
                 } else {
                     performAll(m_supervision.onViewWriteUnknown(view, now), now);
@@ -579,23 +620,45 @@
 void view_keeper::perform(const change_action::record_holders &action, time_point)
 {
     const auto known = m_recordedHolders.find(action.database);
-    const auto revision =
-            known == m_recordedHolders.end() ? store_revision{} : known->second.revision;
-    m_store.call(
-            platform::writeRow({coordination_rows::table,
-                                coordination_rows::holdersKey(action.database),
-                                coordination_rows::encode(action.holders), revision},
-                               {{coordination_rows::table, coordination_rows::claimKey,
-                                 action.claimRevision}}),
-            writeTimeout, [this, action](const store_answer &answer) {
-                if (answer.succeeded()) {
-                    m_recordedHolders[action.database] = {answer.content.revision, action.holders};
-                    return;
-                }
-                if (answer.status == platform::store_status::conflict)
-                    applyClaimRow(answer);
-                m_rowsRequested = true;
-            });
+    const auto revision = known == m_recordedHolders.end() ? std::optional(row_revision())
+                                                           : known->second.revision;
+    if (!revision)
+        return readHolders(action.database); // the change of primary repeats the action
+    m_store.call(platform::writeRow({coordination_rows::table,
+                                     coordination_rows::holdersKey(action.database),
+                                     coordination_rows::encode(action.holders), *revision},
+                                    {{coordination_rows::table, coordination_rows::claimKey,
+                                      action.claimRevision}}),
+                 writeTimeout, [this, action](const store_answer &answer) {
+                     if (answer.succeeded()) {
+                         m_recordedHolders[action.database] = {std::nullopt, action.holders};
+                         return readHolders(action.database);
+                     }
+                     if (answer.status == platform::store_status::conflict)
+                         applyClaimRow(answer);
+                     m_rowsRequested = true;
+                 });
+}
+
+/** Reads the record of the members of a database that may hold commits. */
+void view_keeper::readHolders(const database_id &database)
+{
+    const auto key = coordination_rows::holdersKey(database);
+    m_store.call(platform::readRow(coordination_rows::table, key), readTimeout,
+                 [this, database, key](const store_answer &answer) {
+                     for (const auto &row : answer.content.rows)
+                         if (row.key == key)
+                             m_recordedHolders[database] = decodeHolders(row);
+                 });
+}
+
+/** \returns the record of a row; that of no member if it could not be decoded. */
+view_keeper::recorded_holders view_keeper::decodeHolders(const platform::store_row &row)
+{
+    auto decoded = coordination_rows::decodeHolders(row.value);
+    if (!decoded)
+        m_handlers.onRejectedRow(row);
+    return {row.revision, std::move(decoded).value_or(std::vector<log_holder>())};
 }
 
 /** Learns from a rejected write whether another instance has claimed the role of supervisor. */
@@ -803,7 +866,7 @@
 {
     auto &state = m_releases[view.database];
     if (view.revision > state.seen) {
-        if (state.seen != store_revision{} || view.phase != view_phase::steady)
+        if (state.seen != row_revision{} || view.phase != view_phase::steady)
             m_log.write(line_importance::state, "primary view changed",
                         {{"database", view.database.str()},
                          {"revision", textOf(view.revision)},
@@ -906,26 +969,13 @@
     const auto expired = m_fleet.expiredRegistrations(now);
     if (expired.empty() || m_reads.isReading())
         return;
-    const auto &incarnation = expired.front();
-    m_store.call(platform::readRows(coordination_rows::table,
-                                    coordination_rows::instanceKey(incarnation.instance),
-                                    coordination_rows::instanceKey(incarnation.instance) + '0'),
-                 readTimeout, [this, incarnation](const store_answer &answer) {
-                     for (const auto &row : answer.content.rows) {
-                         const auto found = coordination_rows::decodeInstance(row.value);
-                         if (found && found->instance == incarnation.instance
-                             && found->incarnation == incarnation.incarnation)
-                             m_store.call(platform::deleteRow(coordination_rows::table, row.key,
-                                                              row.revision),
-                                          readTimeout, [](const store_answer &) {});
-                     }
-                 });
+    removeRegistration(expired.front(), [] {});
 }
 
 instance_flags view_keeper::flags(time_point now) const
 {
     // A new incarnation does not know what the former one has released until it has read the rows.
-    const bool knowsRows = isRegistered() && m_rowsReadRevision >= m_registeredRevision;
+    const bool knowsRows = isRegistered() && m_rowsReadRevision >= m_registeredAtRevision;
     return {knowsRows && m_supervision.mayAttest() && !m_isClaiming, storeReachable(now),
             m_isStopping, true};
 }
@@ -933,10 +983,10 @@
 /** \returns a revision such that this instance has released all views before it. A view of a
  * database that is not known here is released too, because it can't be in use.
  */
-store_revision view_keeper::releasedThrough() const
+row_revision view_keeper::releasedThrough() const
 {
-    store_revision newest;
-    std::optional<store_revision> oldestUnreleased;
+    row_revision newest;
+    std::optional<row_revision> oldestUnreleased;
     for (const auto &[database, state] : m_releases) {
         newest = std::max(newest, state.seen);
         if (state.released < state.seen)
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -74,8 +74,8 @@
     /** \returns whether the store is known to hold the row of this instance. */
     bool isRegistered() const
     {
-        return m_registeredRevision != store_revision{}
-               && m_registeredRevision.era() == m_store.era();
+        return m_registeredAtRevision != store_revision{}
+               && m_registeredAtRevision.era() == m_store.era();
     }
     /** \returns whether every known database has a usable primary. */
     bool allViewsUsable(time_point now) const;
@@ -89,8 +89,8 @@
     /** Progress of this instance in releasing former views of a database. */
     struct release_state
     {
-        store_revision released; ///< all views before this revision are out of use here
-        store_revision seen; ///< newest revision that has been processed
+        row_revision released; ///< all views before this revision are out of use here
+        row_revision seen; ///< newest revision that has been processed
         time_point startedAt; ///< when the release of the former view started
         time_point deadline; ///< when work at the former primary is abandoned
         bool idleTransactionsEnded = false;
@@ -122,7 +122,7 @@
     /** Record of the members of one database that may hold commits, with the row's revision. */
     struct recorded_holders
     {
-        store_revision revision;
+        std::optional<row_revision> revision; ///< none: not known since the last write
         std::vector<log_holder> holders;
     };
 
@@ -132,12 +132,11 @@
     void noteRegistration(store_revision revision, reference_time clock);
     void readRows(time_point now);
     void applyRows(const store_answer &answer);
-    void updateRegistration(const std::optional<store_revision> &ownRevision,
-                            const store_answer &answer);
-    supervisor_claim replaceableClaim(store_revision revision,
+    void updateRegistration(bool hasOwnRow, const store_answer &answer);
+    supervisor_claim replaceableClaim(row_revision revision,
                                       const std::vector<primary_view> &views) const;
     void applyAttestations(time_point now);
-    store_revision releasedThrough() const;
+    row_revision releasedThrough() const;
     void applyClaimRow(const store_answer &answer);
     void elect(time_point now);
     void handleClaimAnswer(const store_answer &answer);
@@ -147,6 +146,11 @@
     void perform(const change_action::write_view &action, time_point now);
     void perform(const change_action::record_holders &action, time_point now);
     void perform(const change_action::read_views &action, time_point now);
+    void perform(const change_action::read_view &action, time_point now);
+    void applyViewRow(const platform::store_row &row, const store_answer &answer, time_point now);
+    void readHolders(const database_id &database);
+    recorded_holders decodeHolders(const platform::store_row &row);
+    void removeRegistration(const instance_incarnation &incarnation, std::function<void()> done);
     void perform(const change_action::send_statement &action, time_point now);
     void perform(const change_action::order_promotion &action, time_point now);
     void perform(const change_action::publish_floor &action, time_point now);
@@ -186,7 +190,10 @@
     std::map<database_id, release_state> m_releases;
     std::map<server_id, control_connection> m_controls;
     std::vector<std::unique_ptr<member_channel>> m_closedChannels;
-    store_revision m_registeredRevision;
+    /** Revision at which the store is known to have held the row of this instance; none if it isn't
+     * known to hold it.
+     */
+    store_revision m_registeredAtRevision;
     time_point m_registeredAt;
     /** Whether the store had no row of this instance at its start; nothing while not known. */
     std::optional<bool> m_isNewInstance;
--- a/standins/users_platform/store.py
+++ b/standins/users_platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import random
 import time
 import urllib.parse
 
@@ -22,6 +23,10 @@
         self.page_rows = 500  # rows of one answer to a read
         self.calls = 0
         self.era = 1  # rises with each return from a copy
+        # The answer to a transaction names the newest version, which another writer may have raised since.
+        self.other_writer = None  # performs one transaction
+        self.interleaving_rate = 0.1  # of the transactions, before whose answer other_writer() is called
+        self.random = random.Random(1)
 
     def now_ms(self):
         return int((time.monotonic() - self.started) * 1000)
@@ -124,6 +129,8 @@
         if (method, path) == ("POST", "/api/rows-tx"):
             request = json.loads(body)
             conflict = await self.write(request["expect"], request["set_keys"], request["remove"])
+            if conflict is None and self.other_writer and self.random.random() < self.interleaving_rate:
+                await self.other_writer()
             if self.lost_answers > 0:
                 self.lost_answers -= 1
                 return None
--- a/standins/users_platform/users_platform.py
+++ b/standins/users_platform/users_platform.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import os
 import time
@@ -19,6 +20,8 @@
 class Platform:
     def __init__(self, databases, members_each=3, data_centres=("a", "b", "c")):
         self.store = Store()
+        self.store.other_writer = self.check_in
+        self.check_ins = collections.Counter()  # by member
         self.groups = {name: Group(name) for name in databases}
         self.data_centres = data_centres
         self.draining = set()
@@ -62,7 +65,17 @@
         return {"backend": member.group.name, "address": f"{HOST}:{member.listed_port or member.port}",
                 "zone": self.data_centres[index % len(self.data_centres)], "version": "v1",
                 "capacity": 5, "state": "draining" if member.id in self.draining else "ready",
-                "warmup_left_ms": 0, "db_role": member.role, "born": 1000 + index}
+                "warmup_left_ms": 0, "db_role": member.role, "born": 1000 + index,
+                "seq": self.check_ins[member.id]}
+
+    async def check_in(self):
+        """Writes the entry of one listed member, as members do now and then."""
+        listed = [(index, member) for group in self.groups.values()
+                  for index, member in enumerate(group.members.values()) if ("servers", member.id) in self.store.rows]
+        if listed:
+            index, member = self.store.random.choice(listed)
+            self.check_ins[member.id] += 1
+            await self.store.put("servers", member.id, self.entry(member, index))
 
     async def register_all(self):
         for group in self.groups.values():
--- a/sycamorespan/src/Core/json_revision.h
+++ b/sycamorespan/src/Core/json_revision.h
@@ -9,8 +9,9 @@
 /** \brief Converts a revision to a number, or to an array of era and number if the store names its
  * era. Called by nlohmann::json.
  */
+template<typename Subject>
 // NOLINTNEXTLINE(readability-identifier-naming): nlohmann::json prescribes the name.
-inline void to_json(nlohmann::json &value, const store_revision &revision)
+void to_json(nlohmann::json &value, const basic_revision<Subject> &revision)
 {
     if (revision.era() == 0)
         value = revision.number();
@@ -21,7 +22,8 @@
 /** \throws decode_error when \a value is no revision
  * \throws nlohmann::json::exception when it lacks a number
  */
-inline store_revision toRevision(const nlohmann::json &value)
+template<typename Revision>
+Revision toRevision(const nlohmann::json &value)
 {
     if (!value.is_array())
         return toInteger<std::uint64_t>(value);
--- a/sycamorespan/src/Failover/group_supervisor.cpp
+++ b/sycamorespan/src/Failover/group_supervisor.cpp
@@ -165,12 +165,11 @@
     return outputs;
 }
 
-change_outputs group_supervisor::onViewWritten(const database_id &database, store_revision revision,
+change_outputs group_supervisor::onViewWritten(const database_id &database,
                                                reference_time committed,
                                                const supervision_context &context, time_point now)
 {
-    return stateOf(database).change.onViewWritten(revision, committed, contextOf(database, context),
-                                                  now);
+    return stateOf(database).change.onViewWritten(committed, contextOf(database, context), now);
 }
 
 change_outputs group_supervisor::onViewConflict(const database_id &database, time_point now)
--- a/sycamorespan/src/Failover/group_supervisor.h
+++ b/sycamorespan/src/Failover/group_supervisor.h
@@ -58,11 +58,11 @@
     /** \returns whether every instance has released all views of the database that are older than
      * the revision.
      */
-    std::function<bool(const database_id &, store_revision)> viewsReleased;
+    std::function<bool(const database_id &, row_revision)> viewsReleased;
     /** \returns whether a quorum of the instances has released all views of the database that are
      * older than the revision.
      */
-    std::function<bool(const database_id &, store_revision)> viewsReleasedByQuorum;
+    std::function<bool(const database_id &, row_revision)> viewsReleasedByQuorum;
     /** \returns the peer reports about the primary of the database. */
     std::function<primary_reports(const database_id &)> reports;
     /** \returns how many replicas hold a commit of the database before it is acknowledged. */
@@ -95,9 +95,8 @@
     change_outputs setSupervisor(bool isSupervisor);
 
     change_outputs tick(const supervision_context &context, time_point now);
-    change_outputs onViewWritten(const database_id &database, store_revision revision,
-                                 reference_time committed, const supervision_context &context,
-                                 time_point now);
+    change_outputs onViewWritten(const database_id &database, reference_time committed,
+                                 const supervision_context &context, time_point now);
     change_outputs onViewConflict(const database_id &database, time_point now);
     change_outputs onViewWriteUnknown(const database_id &database, time_point now);
     change_outputs onMemberAnswered(const database_id &database, const server_id &server,
--- a/sycamorespan/src/Failover/primary_view.cpp
+++ b/sycamorespan/src/Failover/primary_view.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-std::uint64_t seedOf(store_revision revision)
+std::uint64_t seedOf(row_revision revision)
 {
     const auto number = revision.number();
     return revision.era() == 0 ? number
--- a/sycamorespan/src/Failover/primary_view.h
+++ b/sycamorespan/src/Failover/primary_view.h
@@ -31,7 +31,7 @@
 struct primary_view
 {
     database_id database;
-    store_revision revision; ///< revision of the row; rises with each write
+    row_revision revision; ///< revision of the row; rises with each write
     server_id primary; ///< in the phase ordered, the member to be promoted
     term_number term = 0; ///< term of the primary
     view_phase phase = view_phase::steady;
--- a/sycamorespan/src/Failover/supervision.cpp
+++ b/sycamorespan/src/Failover/supervision.cpp
@@ -95,11 +95,10 @@
     return m_election.propose(context, now);
 }
 
-change_outputs supervision::onClaimWritten(store_revision revision, reference_time committed,
-                                           time_point now)
+change_outputs supervision::onClaimWritten(reference_time committed, time_point now)
 {
     change_outputs outputs;
-    m_election.onWritten(revision, now);
+    m_election.onWritten(now);
     updateRole(outputs);
     confirmClaim(committed);
     outputs.push_back(change_action::read_views{});
@@ -145,8 +144,8 @@
     if (!isOfOwnClaim(written.fencingToken))
         return {};
     confirmClaim(committed);
-    return m_supervisor.onViewWritten(written.database, written.revision, committed,
-                                      withClaim(std::move(context)), now);
+    return m_supervisor.onViewWritten(written.database, committed, withClaim(std::move(context)),
+                                      now);
 }
 
 change_outputs supervision::onViewConflict(const primary_view &rejected, time_point now)
--- a/sycamorespan/src/Failover/supervision.h
+++ b/sycamorespan/src/Failover/supervision.h
@@ -48,8 +48,7 @@
     /** \brief The proposed claim was written.
      *  \param committed  a reading of the store's clock after the write
      */
-    change_outputs onClaimWritten(store_revision revision, reference_time committed,
-                                  time_point now);
+    change_outputs onClaimWritten(reference_time committed, time_point now);
     /** \brief The row of the claim had changed. */
     void onClaimConflict(time_point now) { m_election.onConflict(now); }
     /** \brief The write of the claim had no answer. */
@@ -65,7 +64,7 @@
 
     change_outputs tick(supervision_context context, time_point now);
     /** \brief The view was written together with the check of the claim.
-     *  \param written    the row with its new revision
+     *  \param written    the view, with the revision that it has replaced
      *  \param committed  a reading of the store's clock after the write
      */
     change_outputs onViewWritten(const primary_view &written, reference_time committed,
--- a/sycamorespan/src/Failover/supervisor_election.cpp
+++ b/sycamorespan/src/Failover/supervisor_election.cpp
@@ -35,7 +35,7 @@
 
 void supervisor_election::onClaim(const supervisor_claim &claim, time_point now)
 {
-    const bool isOfFormerEra = claim.revision != store_revision{} && claim.revision.era() < m_era;
+    const bool isOfFormerEra = claim.revision != row_revision{} && claim.revision.era() < m_era;
     if (isOfFormerEra)
         return onHigherFencingToken(claim.holder, claim.fencingToken, now);
     // The store may have lost the newest claim if that is of a former era.
@@ -106,13 +106,17 @@
     return m_pending;
 }
 
-void supervisor_election::onWritten(store_revision revision, time_point now)
+void supervisor_election::onWritten(time_point now)
 {
     if (!m_pending)
         return;
     auto written = *std::exchange(m_pending, std::nullopt);
-    written.revision = revision;
-    onClaim(written, now);
+    if (written.fencingToken <= m_newestClaim.fencingToken)
+        return;
+    noteNewClaim(now);
+    written.revision = {};
+    m_newestClaim = std::move(written);
+    m_needsRead = true;
 }
 
 void supervisor_election::onConflict(time_point now)
--- a/sycamorespan/src/Failover/supervisor_election.h
+++ b/sycamorespan/src/Failover/supervisor_election.h
@@ -15,7 +15,7 @@
 /** \brief Supervisor claim: the row of the store that names the supervisor. */
 struct supervisor_claim
 {
-    store_revision revision; ///< revision of the row; none if no row exists
+    row_revision revision; ///< revision of the row; none if no row exists or it was not read
     instance_id holder; ///< instance that is the supervisor
     std::uint64_t incarnation = 0; ///< incarnation of the supervisor's process
     fencing_token fencingToken = 0; ///< fencing token; rises with each claim
@@ -112,9 +112,9 @@
     std::optional<supervisor_claim> propose(const election_context &context, time_point now);
 
     /** \brief The proposed claim was written. A claim with a higher fencing token that was learnt
-     * meanwhile prevails.
+     * meanwhile prevails. The row must be read to learn its revision.
      */
-    void onWritten(store_revision revision, time_point now);
+    void onWritten(time_point now);
     /** \brief The row had changed, so that the claim was rejected. The row must be read again. */
     void onConflict(time_point now);
     /** \brief The write had no answer and may have taken effect. The row must be read again. */
@@ -140,7 +140,7 @@
     time_point m_startedAt;
     store_era m_era = 0; ///< newest known era of the store
     supervisor_claim m_newestClaim;
-    store_revision m_rowRevision; ///< revision of the row as last read
+    row_revision m_rowRevision; ///< revision of the row as last read
     time_point m_claimLearntAt; ///< when the newest claim became known
     bool m_claimSucceedsKnownOne = false; ///< whether an earlier claim was known before
     std::optional<supervisor_claim> m_pending;
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -99,6 +99,7 @@
     m_step = step::none;
     m_isWriting = false;
     m_writeUnresolved = false;
+    m_writtenAt.reset();
     m_paused.clear();
     m_hasMergedRecord = false;
     return takeOutputs();
@@ -303,42 +304,56 @@
     return status && status->role == replication_role::primary && status->term > m_oldTerm;
 }
 
-change_outputs synchronous_change::onViewWritten(store_revision revision, reference_time committed,
+change_outputs synchronous_change::onViewWritten(reference_time committed,
                                                  const change_context &context, time_point now)
 {
     if (!m_isWriting)
         return takeOutputs();
     m_isWriting = false;
+    m_writeUnresolved = true;
+    m_writtenAt = committed;
+    m_unresolvedReadAt = now;
+    // The claim may be confirmed too long ago by the time when the row is read.
+    if (m_step == step::writingOrder)
+        orderPromotion(context, now);
+    m_outputs.push_back(read_view{m_database});
+    return takeOutputs();
+}
+
+/** Sends the order that was written, unless another supervisor may already assume that it will not
+ * be sent.
+ */
+void synchronous_change::orderPromotion(const change_context &context, time_point now)
+{
+    if (!context.mayOrder) {
+        noteEvent("promotion order discarded because the claim was not confirmed in time");
+        return enter(step::queryingStatus, now);
+    }
+    enter(step::confirming, now);
+    m_orderedAt = now;
+    m_hasOrdered = true;
+    if (!m_firstOrderedAt)
+        m_firstOrderedAt = now;
+    m_outputs.push_back(order_promotion{m_database, m_chosen, context.claim.fencingToken});
+}
+
+/** Takes the next step once the known view is the one that was written. */
+void synchronous_change::continueAfterWrite(reference_time committed, const change_context &context,
+                                            time_point now)
+{
     switch (m_step) {
     case step::writingIntent:
         m_intentAt = committed;
-        m_intentRevision = revision;
         m_quorumReleasedAt.reset();
         enter(step::queryingStatus, now);
-        queryStatus(context, now);
-        break;
+        return queryStatus(context, now);
     case step::writingOrder:
-        m_intentRevision = revision;
-        if (!context.mayOrder) {
-            // Another supervisor may already assume that this order will not be sent.
-            noteEvent("promotion order discarded because the claim was not confirmed in time");
-            enter(step::queryingStatus, now);
-            break;
-        }
-        enter(step::confirming, now);
-        m_orderedAt = now;
-        m_hasOrdered = true;
-        if (!m_firstOrderedAt)
-            m_firstOrderedAt = now;
-        m_outputs.push_back(order_promotion{m_database, m_chosen, context.claim.fencingToken});
-        break;
+        return orderPromotion(context, now);
     case step::publishing:
-        finish(context, now);
-        break;
+        return finish(context, now);
     default:
-        break;
+        return;
     }
-    return takeOutputs();
 }
 
 change_outputs synchronous_change::onViewConflict(time_point now)
@@ -361,26 +376,32 @@
     m_isWriting = false;
     m_writeUnresolved = true;
     m_unresolvedReadAt = now;
-    m_outputs.push_back(read_views{});
+    m_outputs.push_back(read_view{m_database});
     return takeOutputs();
 }
 
-/** Resolves a write without an answer, which may have taken effect or may still do so. */
+/** \returns whether the row that was written last may have become \a view. */
+bool synchronous_change::isPendingView(const primary_view &view) const
+{
+    return view.fencingToken == m_pendingView.fencingToken && view.phase == m_pendingView.phase
+           && view.primary == m_pendingView.primary;
+}
+
+/** Waits until the known view shows a write. One without an answer may have taken effect or may
+ * still do so.
+ */
 void synchronous_change::resolveWrite(const change_context &context, time_point now)
 {
-    const bool written = context.view && context.view->revision > m_pendingView.revision
-                         && context.view->fencingToken == m_pendingView.fencingToken
-                         && context.view->phase == m_pendingView.phase
-                         && context.view->primary == m_pendingView.primary;
-    if (written && context.latest) {
+    const bool isReplaced = context.view && context.view->revision > m_pendingView.revision;
+    const auto committed = m_writtenAt ? m_writtenAt : context.latest;
+    if (isReplaced && isPendingView(*context.view) && committed) {
         m_writeUnresolved = false;
-        m_isWriting = true;
-        const auto more = onViewWritten(context.view->revision, *context.latest, context, now);
-        m_outputs.insert(m_outputs.end(), more.begin(), more.end());
-        return;
+        m_writtenAt.reset();
+        return continueAfterWrite(*committed, context, now);
     }
-    if (context.view && context.view->revision > m_pendingView.revision) {
+    if (isReplaced && !isPendingView(*context.view)) {
         m_writeUnresolved = false;
+        m_writtenAt.reset();
         enter(step::none, now);
         m_notBefore = now + m_policy.writeRetryInterval;
         return;
@@ -388,7 +409,7 @@
     if (now - m_unresolvedReadAt < m_policy.storeReadInterval)
         return;
     m_unresolvedReadAt = now;
-    if (now - m_stepBeganAt > m_policy.writeRetryInterval) {
+    if (!m_writtenAt && now - m_stepBeganAt > m_policy.writeRetryInterval) {
         // Repeating the write is safe: both carry the same revision, so at most one can succeed.
         m_writeUnresolved = false;
         m_isWriting = true;
@@ -396,7 +417,7 @@
         m_outputs.push_back(write_view{m_pendingView, m_pendingClaimRevision});
         return;
     }
-    m_outputs.push_back(read_views{});
+    m_outputs.push_back(read_view{m_database});
 }
 
 void synchronous_change::sendStatement(const server_id &server, outgoing_statement statement,
@@ -764,9 +785,13 @@
     std::ranges::for_each(m_holders, queryAgain, keyOf);
 }
 
-/** Takes the actions that the current step allows now. */
+/** Takes the actions that the current step allows now. None is taken on a view that may have been
+ * replaced by a write of this change.
+ */
 void synchronous_change::advance(const change_context &context, time_point now)
 {
+    if (mayHaveWritten())
+        return;
     switch (m_step) {
     case step::adopting:
         return adoptPrimary(context, now);
@@ -976,8 +1001,6 @@
     }
     if (m_writeUnresolved)
         resolveWrite(context, now);
-    if (m_isWriting || m_writeUnresolved)
-        return takeOutputs();
     advance(context, now);
     return takeOutputs();
 }
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -106,7 +106,7 @@
      * changed since.
      */
     std::optional<primary_view> formerView;
-    store_revision replacedRevision; ///< revision of the row that holds a view of a former era
+    row_revision replacedRevision; ///< revision of the row that holds a view of a former era
     std::size_t synchronousReplicas = 0; ///< replicas that hold a commit before it is acknowledged
     bool allReleased = false; ///< whether every instance has released all older views
     bool quorumReleased = false; ///< whether a quorum of the instances has
@@ -131,7 +131,7 @@
 struct write_view
 {
     primary_view view;
-    store_revision claimRevision;
+    row_revision claimRevision;
 
     auto operator<=>(const write_view &) const = default;
 };
@@ -143,7 +143,7 @@
 {
     database_id database;
     std::vector<log_holder> holders;
-    store_revision claimRevision;
+    row_revision claimRevision;
 
     auto operator<=>(const record_holders &) const = default;
 };
@@ -154,6 +154,14 @@
     auto operator<=>(const read_views &) const = default;
 };
 
+/** \brief Read the row of one primary view from the store, at once. */
+struct read_view
+{
+    database_id database;
+
+    auto operator<=>(const read_view &) const = default;
+};
+
 /** \brief Send a statement to a member outside any session and report onMemberAnswered(). */
 struct send_statement
 {
@@ -197,9 +205,9 @@
 } // namespace change_action
 
 using change_output = std::variant<change_action::write_view, change_action::record_holders,
-                                   change_action::read_views, change_action::send_statement,
-                                   change_action::order_promotion, change_action::publish_floor,
-                                   change_action::log_event>;
+                                   change_action::read_views, change_action::read_view,
+                                   change_action::send_statement, change_action::order_promotion,
+                                   change_action::publish_floor, change_action::log_event>;
 using change_outputs = std::vector<change_output>;
 
 /** \brief Why a primary is replaced. */
@@ -264,12 +272,13 @@
     /** \brief Ends the change without a result because another supervisor has taken over. */
     change_outputs abandon();
 
-    /** \brief The store answered that the row was written.
-     *  \param revision   revision of the row after the write
+    /** \brief The store answered that the row was written. The change goes on once the known view
+     * shows it: the answer does not tell the revision of the row, without which it can't be
+     * written again, and instances can't tell what they have released.
      *  \param committed  a reading of the store's clock after the write
      */
-    change_outputs onViewWritten(store_revision revision, reference_time committed,
-                                 const change_context &context, time_point now);
+    change_outputs onViewWritten(reference_time committed, const change_context &context,
+                                 time_point now);
     change_outputs onViewConflict(time_point now);
     change_outputs onViewWriteUnknown(time_point now);
     /** \brief A member answered a statement, or the statement failed.
@@ -358,6 +367,10 @@
     void mergeRecordedHolders(const change_context &context, time_point now);
     void recordHolders(const change_context &context, time_point now);
     void resolveWrite(const change_context &context, time_point now);
+    bool isPendingView(const primary_view &view) const;
+    void orderPromotion(const change_context &context, time_point now);
+    void continueAfterWrite(reference_time committed, const change_context &context,
+                            time_point now);
     term_number nextTerm() const;
     void noteEvent(std::string event, std::vector<std::pair<std::string, std::string>> fields = {});
     void enter(step next, time_point now);
@@ -371,13 +384,13 @@
     time_point m_stepBeganAt; ///< when the current step began
     bool m_isPlanned = false;
     bool m_isWriting = false;
-    bool m_writeUnresolved = false;
+    bool m_writeUnresolved = false; ///< the known view may lack what was written
+    std::optional<reference_time> m_writtenAt; ///< set if the unresolved write has taken effect
     time_point m_unresolvedReadAt;
     time_point m_notBefore;
     primary_view m_pendingView; ///< row that is being written
-    store_revision m_pendingClaimRevision; ///< revision of the claim that the write requires
+    row_revision m_pendingClaimRevision; ///< revision of the claim that the write requires
     std::optional<reference_time> m_intentAt;
-    store_revision m_intentRevision;
     std::optional<reference_time> m_quorumReleasedAt; ///< upper bound on when a quorum had released
     server_id m_oldPrimary;
     term_number m_oldTerm = 0;
--- a/sycamorespan/src/Failover/view_ledger.cpp
+++ b/sycamorespan/src/Failover/view_ledger.cpp
@@ -7,18 +7,35 @@
 
 void view_ledger::applySnapshot(const std::vector<primary_view> &views, reference_time confirmed)
 {
-    std::ranges::for_each(views, [&](const primary_view &view) { applyWritten(view, confirmed); });
+    std::ranges::for_each(views, [&](const primary_view &view) {
+        apply(view);
+        confirm(view, confirmed);
+    });
 }
 
-void view_ledger::applyWritten(const primary_view &view, reference_time committed)
+void view_ledger::applyRead(const primary_view &view, reference_time confirmed,
+                            store_revision readAt)
+{
+    if (!view.isOfPresentEra())
+        return;
+    auto &known = m_entries[view.database];
+    if (readAt >= std::max(known.readAt, storeAfter(known.view.revision))) {
+        // What is known may be no revision of the row: an instance of an earlier release has taken
+        // a later revision of the store for it.
+        known.view = view;
+        known.readAt = readAt;
+    }
+    confirm(view, confirmed);
+}
+
+void view_ledger::confirm(const primary_view &view, reference_time at)
 {
-    apply(view);
     const auto known = m_entries.find(view.database);
     // An older revision doesn't confirm the newer one that is known.
     if (known == m_entries.end() || known->second.view.revision != view.revision)
         return;
     auto &confirmed = known->second.confirmed;
-    confirmed = std::max(confirmed.value_or(committed), committed);
+    confirmed = std::max(confirmed.value_or(at), at);
     renewLease(known->second);
 }
 
@@ -45,7 +62,7 @@
     if (!view.isOfPresentEra())
         return;
     auto &known = m_entries[view.database];
-    if (known.view.revision >= view.revision)
+    if (std::max(known.readAt, storeAfter(known.view.revision)) >= storeAfter(view.revision))
         return;
     // The confirmation is kept: the older revision was in force until then, so that the newer one
     // is at least as recent.
--- a/sycamorespan/src/Failover/view_ledger.h
+++ b/sycamorespan/src/Failover/view_ledger.h
@@ -49,19 +49,17 @@
         : m_policy(policy)
     { }
 
-    /** \brief Applies all views that the store held when its clock read \a confirmed. Rows that
-     * were written in a former era of the store are no views.
+    /** \brief Applies all views that the store held when its clock read \a confirmed, as another
+     * instance knows them. Rows that were written in a former era of the store are no views.
      */
     void applySnapshot(const std::vector<primary_view> &views, reference_time confirmed);
 
-    /** \brief Applies one row that was written when the store's clock read \a committed, or
-     * earlier.
+    /** \brief Applies one row that the store held at the revision \a readAt, when its clock read
+     * \a confirmed. No other revision of the row up to \a readAt counts any more.
      */
-    void applyWritten(const primary_view &view, reference_time committed);
+    void applyRead(const primary_view &view, reference_time confirmed, store_revision readAt);
 
-    /** \brief Applies a row that was just written or that another instance knows, without
-     * confirming it.
-     */
+    /** \brief Applies a row that another instance knows, without confirming it. */
     void apply(const primary_view &view);
 
     /** \brief Applies the attestation of all instances that they had begun no change.
@@ -106,6 +104,7 @@
     struct entry
     {
         primary_view view;
+        store_revision readAt; ///< newest revision of the store at which the row was read here
         std::optional<reference_time> confirmed;
         /** The last confirmation while this instance was registered, from which its lease counts.
          */
@@ -120,6 +119,7 @@
         store_era era = 0;
     };
 
+    void confirm(const primary_view &view, reference_time confirmed);
     void renewLease(entry &known) const;
 
     view_policy m_policy;
--- a/sycamorespan/src/Membership/fleet_messages.cpp
+++ b/sycamorespan/src/Membership/fleet_messages.cpp
@@ -80,7 +80,7 @@
     if (phase < 0 || phase > static_cast<int>(view_phase::ordered))
         throw decode_error("report: unknown primary view phase " + std::to_string(phase));
     return {database_id(fields.at(0).get<std::string>()),
-            toRevision(fields.at(1)),
+            toRevision<row_revision>(fields.at(1)),
             server_id(fields.at(2).get<std::string>()),
             toInteger<term_number>(fields.at(3)),
             static_cast<view_phase>(phase),
@@ -100,7 +100,7 @@
 
 primary_observation decodeObservation(const json &fields)
 {
-    return {database_id(fields.at(0).get<std::string>()), toRevision(fields.at(1)),
+    return {database_id(fields.at(0).get<std::string>()), toRevision<row_revision>(fields.at(1)),
             toInteger<std::uint32_t>(fields.at(2)), toInteger<std::uint32_t>(fields.at(3)),
             toInteger<std::uint32_t>(fields.at(4))};
 }
@@ -162,7 +162,7 @@
 {
     fleet_news news;
     news.configurationVersion = toInteger<std::uint64_t>(fields.at(0));
-    news.serversRevision = toRevision(fields.at(1));
+    news.serversRevision = toRevision<store_revision>(fields.at(1));
     news.instancesDigest = toInteger<std::uint64_t>(fields.at(2));
     news.instancesReadAt = reference_time(toInteger<std::int64_t>(fields.at(3)));
     news.viewsDigest = toInteger<std::uint64_t>(fields.at(4));
@@ -172,7 +172,7 @@
     news.fencingToken = toInteger<fencing_token>(fields.at(8));
     news.floors = decodeList<floor_report>(fields.at(9), decodeFloor);
     if (fields.size() > 10) // instances of earlier versions do not send it
-        news.evacuationsRevision = toRevision(fields.at(10));
+        news.evacuationsRevision = toRevision<store_revision>(fields.at(10));
     return news;
 }
 
@@ -237,7 +237,7 @@
     state.instancesDigest = toInteger<std::uint64_t>(fields.at(3));
     state.viewsDigest = toInteger<std::uint64_t>(fields.at(4));
     state.attestedAt = decodeOptionalTime(fields.at(5));
-    state.releasedThrough = toRevision(fields.at(6));
+    state.releasedThrough = toRevision<row_revision>(fields.at(6));
     state.instances = decodeInstances(fields.at(7));
     state.observations = decodeList<primary_observation>(fields.at(8), decodeObservation);
     state.loads = decodeList<server_load_report>(fields.at(9), decodeLoad);
@@ -303,7 +303,7 @@
         report.sentAt = decodeOptionalTime(fields.at(2));
         report.news = decodeNews(fields.at(3));
         report.flags = decodeFlags(fields.at(4));
-        report.releasedThrough = toRevision(fields.at(5));
+        report.releasedThrough = toRevision<row_revision>(fields.at(5));
         report.observations = decodeList<primary_observation>(fields.at(6), decodeObservation);
         report.loads = decodeList<server_load_report>(fields.at(7), decodeLoad);
         return report;
--- a/sycamorespan/src/Membership/fleet_messages.h
+++ b/sycamorespan/src/Membership/fleet_messages.h
@@ -18,7 +18,7 @@
 struct primary_observation
 {
     database_id database;
-    store_revision viewRevision; ///< revision of the view that names the primary
+    row_revision viewRevision; ///< revision of the view that names the primary
     std::uint32_t suspecting = 0; ///< instances that get no answer from the primary
     std::uint32_t demoted = 0; ///< instances to which the primary reported itself as a replica
     std::uint32_t answered = 0; ///< instances that recently got an answer from the primary
@@ -97,7 +97,7 @@
     std::uint64_t instancesDigest = 0; ///< digest of the relay's list of instances
     std::uint64_t viewsDigest = 0; ///< views to which attestations refer
     std::optional<reference_time> attestedAt; ///< oldest attestation of those that attest
-    store_revision releasedThrough; ///< all instances have released all older views
+    row_revision releasedThrough; ///< all instances have released all older views
     std::vector<instance_entry> instances; ///< those with a recent report
     std::vector<primary_observation> observations; ///< sums over the instances
     std::vector<server_load_report> loads; ///< sums over the instances
@@ -113,7 +113,7 @@
     std::optional<reference_time> sentAt;
     fleet_news news;
     instance_flags flags;
-    store_revision releasedThrough; ///< the sender has released all views before this revision
+    row_revision releasedThrough; ///< the sender has released all views before this revision
     std::vector<primary_observation> observations;
     std::vector<server_load_report> loads;
 
--- a/sycamorespan/src/Membership/fleet_table.cpp
+++ b/sycamorespan/src/Membership/fleet_table.cpp
@@ -570,11 +570,11 @@
             mappedOf);
 }
 
-bool fleet_table::released(store_revision revision) const
+bool fleet_table::released(row_revision revision) const
 {
-    return m_instancesRevision >= revision && allRegistered([&](const coverage &covered) {
-               return covered.releasedThrough >= revision;
-           });
+    return m_instancesRevision >= storeAfter(revision)
+           && allRegistered(
+                   [&](const coverage &covered) { return covered.releasedThrough >= revision; });
 }
 
 std::size_t fleet_table::quorumSize() const
@@ -597,9 +597,9 @@
     return result;
 }
 
-bool fleet_table::releasedByQuorum(store_revision revision, bool ownReleased) const
+bool fleet_table::releasedByQuorum(row_revision revision, bool ownReleased) const
 {
-    if (m_instancesRevision < revision)
+    if (m_instancesRevision < storeAfter(revision))
         return false;
     const auto released = std::ranges::count_if(coveredRegistered(), [&](const coverage &each) {
         return each.releasedThrough >= revision;
@@ -653,7 +653,7 @@
 }
 
 fleet_observation fleet_table::observationOf(const database_id &database,
-                                             store_revision viewRevision) const
+                                             row_revision viewRevision) const
 {
     fleet_observation sum;
     std::ranges::for_each(bestStates(), [&](const known_state *best) {
--- a/sycamorespan/src/Membership/fleet_table.h
+++ b/sycamorespan/src/Membership/fleet_table.h
@@ -156,11 +156,11 @@
     /** \returns whether every other registered instance has released all views before
      * \a revision. The list of instances must have been read since that revision was written.
      */
-    bool released(store_revision revision) const;
+    bool released(row_revision revision) const;
     /** \returns whether a quorum has released all views before \a revision, of which this
      * instance is one if \a ownReleased.
      */
-    bool releasedByQuorum(store_revision revision, bool ownReleased) const;
+    bool releasedByQuorum(row_revision revision, bool ownReleased) const;
     /** \returns a time until which a quorum, this instance included, attests that it knows no
      * change beyond the views of the digest; nothing if there is none.
      */
@@ -174,7 +174,7 @@
      * instances.
      */
     std::optional<reference_time> attestedAt(std::uint64_t viewsDigest) const;
-    fleet_observation observationOf(const database_id &database, store_revision viewRevision) const;
+    fleet_observation observationOf(const database_id &database, row_revision viewRevision) const;
     /** \returns the statements that all instances but this one run on \a server. */
     std::size_t statementsOfOthers(const server_id &server) const;
     /** \returns what the instances have found of \a server; nothing if none found it unusual. */
@@ -215,7 +215,7 @@
     struct coverage
     {
         instance_flags flags;
-        store_revision releasedThrough;
+        row_revision releasedThrough;
         /** Digests of views, and times until which it attests them. Only attestations by instances
          * with the same list of instances count, because an instance that is not in the list does
          * not attest.
--- a/test/failover_election.cpp
+++ b/test/failover_election.cpp
@@ -38,10 +38,29 @@
     ASSERT_TRUE(claim);
     EXPECT_EQ(claim->fencingToken, 1U);
     EXPECT_FALSE(election.isSupervisor()) << "a claim counts only once the row is written";
-    election.onWritten(9, start + 5s);
+    election.onWritten(start + 5s);
     EXPECT_TRUE(election.isSupervisor());
 }
 
+/** Guards against a claim whose later writes all conflict: the answer to a transaction tells the
+ * newest revision of the store, which another writer may have raised since.
+ */
+TEST(FailoverElection, TheRevisionOfAWrittenClaimIsThatOfTheRowThatWasRead)
+{
+    auto election = electionThatKnows(claimOfOther);
+    auto context = electionContext();
+    context.timeSinceHolderHeard = 2s;
+    auto claim = election.propose(context, start + 10s);
+    ASSERT_TRUE(claim);
+    election.onWritten(start + 10s);
+    EXPECT_TRUE(election.isSupervisor());
+    EXPECT_TRUE(election.needsRead());
+    claim->revision = 8;
+    election.onClaim(*claim, start + 11s);
+    EXPECT_FALSE(election.needsRead());
+    EXPECT_EQ(election.newestClaim().revision, 8U);
+}
+
 TEST(FailoverElection, ALiveSupervisorIsNotReplaced)
 {
     auto election = electionThatKnows(claimOfOther);
@@ -222,7 +241,7 @@
     const auto claim = election.propose(context, start + 10s);
     ASSERT_TRUE(claim);
     election.onHigherFencingToken(instance_id("i2"), claim->fencingToken + 1, start + 10s);
-    election.onWritten(8, start + 10s);
+    election.onWritten(start + 10s);
     EXPECT_FALSE(election.isSupervisor());
     EXPECT_EQ(election.newestClaim().holder, instance_id("i2"));
 }
--- a/test/failover_supervision.cpp
+++ b/test/failover_supervision.cpp
@@ -53,10 +53,17 @@
         tested.onRowsRead(own, {steady}, now.time_since_epoch(), now);
         ledger.applySnapshot({steady}, now.time_since_epoch());
         const auto intent = advanceToWrite();
+        tested.onViewWritten(intent.view, now.time_since_epoch(), context(), now);
         steady = intent.view;
-        steady.revision = 20;
-        ledger.applyWritten(steady, now.time_since_epoch());
-        tested.onViewWritten(steady, now.time_since_epoch(), context(), now);
+        steady.revision = intentRevision;
+        readRow(steady);
+    }
+
+    /** The supervisor reads the row after others have written theirs. */
+    change_outputs readRow(const primary_view &row)
+    {
+        ledger.applyRead(row, now.time_since_epoch(), row.revision.number() + 3);
+        return tested.tick(context(), now);
     }
 
     /** \returns what the supervisor does once both replicas report that they are paused. */
@@ -90,8 +97,8 @@
                 {},
                 servers,
                 ledger,
-                [](const database_id &, store_revision) { return true; },
-                [](const database_id &, store_revision) { return true; },
+                [](const database_id &, row_revision) { return true; },
+                [](const database_id &, row_revision) { return true; },
                 [](const database_id &) {
                     return primary_reports{6, 0, 6, 0};
                 },
@@ -118,6 +125,7 @@
 
     const instance_id self{"i1"};
     const supervisor_claim own{5, self, 7, 4};
+    static constexpr std::uint64_t intentRevision = 20;
     primary_view steady{database, 9, oldPrimary, 1, view_phase::steady, false, 4, {}};
     time_point now{1h};
     std::vector<server_entry> servers = threeServers();
@@ -138,6 +146,51 @@
     EXPECT_EQ(std::get<write_view>(*written).claimRevision, change.own.revision);
 }
 
+/** Guards against a change of primary that conflicts with its own row for ever: the answer to a
+ * write tells the newest revision of the store, which another writer may have raised since.
+ */
+TEST(FailoverSupervision, EachWriteExpectsTheRevisionOfTheRowThatWasRead)
+{
+    waiting_change change;
+    auto order = change.orderWritten();
+    EXPECT_EQ(order.revision, waiting_change::intentRevision);
+    const auto outputs = change.tested.onViewWritten(order, change.now.time_since_epoch(),
+                                                     change.context(), change.now);
+    const auto holds = [](const change_outputs &of, const change_output &action) {
+        return std::ranges::find(of, action) != of.end();
+    };
+    EXPECT_TRUE(holds(outputs, read_view{database}));
+    EXPECT_TRUE(holds(outputs, order_promotion{database, order.primary, 4}))
+            << "the order does not wait for the read";
+    const auto promoted = [&] {
+        const replication_status leads{replication_role::primary, 2, {2, 9}, 0};
+        return change.tested.onMemberAnswered(database, order.primary, leads, change.now,
+                                              change.context(), change.now);
+    };
+    change.now += 500ms;
+    EXPECT_TRUE(std::ranges::none_of(promoted(), actsAsSupervisor)) << "the revision is unknown";
+    EXPECT_TRUE(holds(change.tested.tick(change.context(), change.now), read_view{database}))
+            << "a read without an answer is repeated";
+    order.revision = 31;
+    const auto published = change.readRow(order);
+    ASSERT_EQ(published.size(), 1U);
+    EXPECT_EQ(std::get<write_view>(published.front()).view.revision, order.revision);
+    EXPECT_EQ(std::get<write_view>(published.front()).view.phase, view_phase::steady);
+}
+
+/** Guards against attestations of a view that this instance has replaced itself. */
+TEST(FailoverSupervision, NoViewIsAttestedWhileTheRowThatReplacesItWasNotRead)
+{
+    waiting_change change;
+    EXPECT_TRUE(change.tested.mayAttest());
+    auto order = change.orderWritten();
+    change.tested.onViewWritten(order, change.now.time_since_epoch(), change.context(), change.now);
+    EXPECT_FALSE(change.tested.mayAttest());
+    order.revision = 31;
+    change.readRow(order);
+    EXPECT_TRUE(change.tested.mayAttest());
+}
+
 /** A report brings a higher token, and members answer before the next tick. */
 TEST(FailoverSupervision, AfterAReportOfAHigherTokenNothingIsOrdered)
 {
@@ -162,10 +215,9 @@
 TEST(FailoverSupervision, AnOrderWhoseRowIsBeingWrittenIsNotSentAfterAHigherToken)
 {
     waiting_change change;
-    auto order = change.orderWritten();
+    const auto order = change.orderWritten();
     ASSERT_EQ(order.phase, view_phase::ordered);
     change.tested.onClaimReported(instance_id("i2"), 5, change.now);
-    order.revision = 40;
     const auto outputs = change.tested.onViewWritten(order, change.now.time_since_epoch(),
                                                      change.context(), change.now);
     EXPECT_TRUE(std::ranges::none_of(outputs, actsAsSupervisor));
@@ -175,9 +227,8 @@
 TEST(FailoverSupervision, AnOrderWhoseClaimWasNotConfirmedInTimeIsNotSent)
 {
     waiting_change change;
-    auto order = change.orderWritten();
+    const auto order = change.orderWritten();
     ASSERT_EQ(order.phase, view_phase::ordered);
-    order.revision = 40;
     const auto committed = change.now.time_since_epoch();
     change.now += change_policy{}.orderSendTimeout + 20ms;
     const auto outputs =
@@ -191,14 +242,13 @@
 TEST(FailoverSupervision, AnAnswerToAWriteOfAFormerClaimDoesNotAdvanceTheNewChange)
 {
     waiting_change change;
-    auto former = change.orderWritten();
+    const auto former = change.orderWritten();
     const auto clock = change.now.time_since_epoch();
     change.tested.onClaimReported(instance_id("i2"), 5, change.now);
     change.tested.onRowsRead({50, change.self, 7, 6}, {change.steady}, clock, change.now);
     ASSERT_TRUE(change.tested.isSupervisor());
     const auto intent = change.advanceToWrite();
     ASSERT_EQ(intent.view.fencingToken, 6U);
-    former.revision = 45;
     const auto outputs = change.tested.onViewWritten(former, clock, change.context(), change.now);
     EXPECT_TRUE(std::ranges::none_of(outputs, actsAsSupervisor));
     EXPECT_TRUE(std::ranges::none_of(change.replicasAnswer(), actsAsSupervisor));
@@ -420,8 +470,8 @@
                 {},
                 m_servers,
                 *m_instances[number].ledger,
-                [](const database_id &, store_revision) { return true; },
-                [](const database_id &, store_revision) { return true; },
+                [](const database_id &, row_revision) { return true; },
+                [](const database_id &, row_revision) { return true; },
                 [this](const database_id &) {
                     return m_primaryIsUp ? primary_reports{3, 3, 0, 0}
                                          : primary_reports{3, 0, 3, 0};
@@ -457,7 +507,8 @@
                 claim.revision = {m_era, claim.revision.number()};
             row.revision = {m_era, row.revision.number()};
             const auto at = clock();
-            schedule(delay(500ms), number, [this, number, claim, row, at, era = m_era] {
+            const store_revision readAt{m_era, m_store.revision};
+            schedule(delay(500ms), number, [this, number, claim, row, at, readAt, era = m_era] {
                 auto &reader = m_instances[number];
                 if (!noteEra(number, era))
                     return;
@@ -466,12 +517,23 @@
                     rows.push_back(row);
                 else
                     reader.formerRow = row;
-                reader.ledger->applySnapshot(rows, at);
+                for (const auto &each : rows)
+                    reader.ledger->applyRead(each, at, readAt);
                 performAll(number, reader.supervisor->onRowsRead(claim, rows, at, m_now));
             });
         });
     }
 
+    /** \returns the revision of a row that is written. Other writers raise the store's in between.
+     */
+    std::uint64_t nextRevision()
+    {
+        const auto written = ++m_store.revision;
+        if (chance(0.5))
+            ++m_store.revision;
+        return written;
+    }
+
     /** Performs a write at the store. Its effect may be late and its answer may be lost. */
     void write(std::size_t number, const std::function<bool()> &commit,
                const std::function<void(std::optional<bool>, reference_time)> &answer)
@@ -496,24 +558,23 @@
 
     void writeClaim(std::size_t number, const supervisor_claim &claim)
     {
-        auto revision = std::make_shared<store_revision>();
         write(
                 number,
-                [this, claim, revision] {
+                [this, claim] {
                     // The store compares only the numbers.
                     if (m_store.claim.revision.number() != claim.revision.number())
                         return false;
                     m_store.claim = claim;
-                    m_store.claim.revision = *revision = {m_era, ++m_store.revision};
+                    m_store.claim.revision = {m_era, nextRevision()};
                     ++m_claimCount;
                     return true;
                 },
-                [this, number, revision](std::optional<bool> succeeded, reference_time at) {
+                [this, number](std::optional<bool> succeeded, reference_time at) {
                     auto &supervisor = *m_instances[number].supervisor;
                     if (!succeeded)
                         supervisor.onClaimWriteUnknown(m_now);
                     else if (*succeeded)
-                        performAll(number, supervisor.onClaimWritten(*revision, at, m_now));
+                        performAll(number, supervisor.onClaimWritten(at, m_now));
                     else
                         supervisor.onClaimConflict(m_now);
                 });
@@ -521,26 +582,24 @@
 
     void perform(std::size_t number, const write_view &action)
     {
-        auto written = std::make_shared<primary_view>(action.view);
         write(
                 number,
-                [this, action, written] {
+                [this, action] {
                     if (m_store.row.revision.number() != action.view.revision.number()
                         || m_store.claim.revision.number() != action.claimRevision.number())
                         return false;
-                    written->revision = {m_era, ++m_store.revision};
-                    m_store.row = *written;
+                    m_store.row = action.view;
+                    m_store.row.revision = {m_era, nextRevision()};
                     return true;
                 },
-                [this, number, action, written](std::optional<bool> succeeded, reference_time at) {
+                [this, number, action](std::optional<bool> succeeded, reference_time at) {
                     auto &each = m_instances[number];
                     auto &supervisor = *each.supervisor;
                     if (!succeeded) {
                         performAll(number, supervisor.onViewWriteUnknown(action.view, m_now));
                     } else if (*succeeded) {
-                        each.ledger->applyWritten(*written, at);
-                        performAll(number,
-                                   supervisor.onViewWritten(*written, at, context(number), m_now));
+                        performAll(number, supervisor.onViewWritten(action.view, at,
+                                                                    context(number), m_now));
                     } else {
                         performAll(number, supervisor.onViewConflict(action.view, m_now));
                     }
@@ -548,6 +607,7 @@
     }
 
     void perform(std::size_t number, const read_views &) { read(number); }
+    void perform(std::size_t number, const read_view &) { read(number); }
 
     void perform(std::size_t number, const send_statement &action)
     {
--- a/test/failover_synchronous.cpp
+++ b/test/failover_synchronous.cpp
@@ -310,8 +310,8 @@
                 {},
                 servers,
                 ledger,
-                [this](const database_id &, store_revision) { return allReleased; },
-                [this](const database_id &, store_revision) { return quorumReleased; },
+                [this](const database_id &, row_revision) { return allReleased; },
+                [this](const database_id &, row_revision) { return quorumReleased; },
                 [this](const database_id &) {
                     const auto *known = view();
                     const bool missing = known && !members.at(known->primary).isUp;
@@ -347,6 +347,7 @@
         }
         m_row = action.view;
         m_row.revision = {m_era, ++m_revision};
+        ++m_revision; // of another writer, before the answer
         if (action.view.phase == view_phase::withdrawn)
             intentTimes.push_back(clock());
         else if (action.view.phase == view_phase::steady)
@@ -355,8 +356,7 @@
             performAll(m_supervisor.onViewWriteUnknown(action.view, now));
             return;
         }
-        ledger.applyWritten(m_row, clock());
-        performAll(m_supervisor.onViewWritten(m_row, clock(), context(), now));
+        performAll(m_supervisor.onViewWritten(action.view, clock(), context(), now));
     }
 
     void perform(const record_holders &action)
@@ -369,11 +369,24 @@
     {
         if (!storeReachable)
             return;
-        if (m_row.revision.number() > 0)
-            ledger.applySnapshot(presentRows(), clock());
+        readRow();
         performAll(m_supervisor.onRowsRead(m_claim, presentRows(), clock(), now));
     }
 
+    void perform(const read_view &)
+    {
+        if (!storeReachable)
+            return;
+        readRow();
+        performAll(m_supervisor.tick(context(), now));
+    }
+
+    void readRow()
+    {
+        if (m_row.revision.number() > 0)
+            ledger.applyRead(m_row, clock(), {m_era, m_revision});
+    }
+
     void perform(const send_statement &action)
     {
         if (!hasAllServers && !std::ranges::count(servers, action.server, &server_entry::id))
--- a/test/failover_views.cpp
+++ b/test/failover_views.cpp
@@ -61,6 +61,34 @@
     EXPECT_EQ(ledger.find(database)->revision, 2U);
 }
 
+/** Guards against an instance that never learns of a change: it was told a later revision of the
+ * store in place of that of the row, so that it took the row itself for an older one.
+ */
+TEST(FailoverViews, AReadReplacesARevisionThatTheRowNeverHad)
+{
+    auto ledger = registeredLedger();
+    ledger.apply(steady(5));
+    ledger.applyRead(withdrawn(3), 20s, 4);
+    EXPECT_EQ(ledger.find(database)->revision, 5U) << "the read may precede the revision 5";
+    ledger.applyRead(withdrawn(3), 21s, 7);
+    EXPECT_EQ(ledger.find(database)->revision, 3U);
+    EXPECT_EQ(ledger.confirmed(), reference_time(21s));
+    ledger.apply(steady(5));
+    ledger.applySnapshot({steady(6)}, 22s);
+    EXPECT_EQ(ledger.find(database)->revision, 3U) << "others still tell of it";
+    ledger.apply(steady(8));
+    EXPECT_EQ(ledger.find(database)->revision, 8U);
+}
+
+TEST(FailoverViews, ALateReadDoesNotUndoANewerOne)
+{
+    auto ledger = registeredLedger();
+    ledger.applyRead(withdrawn(4), 20s, 9);
+    ledger.applyRead(steady(3), 21s, 3);
+    EXPECT_EQ(ledger.find(database)->revision, 4U);
+    EXPECT_EQ(ledger.confirmed(), reference_time(20s));
+}
+
 /** Guards against a former primary that is used again after the store returned from a copy. */
 TEST(FailoverViews, ARowOfAFormerEraIsNoView)
 {
@@ -111,7 +139,7 @@
     auto elsewhere = steady(2);
     elsewhere.database = second;
     ledger.applySnapshot({steady(1), elsewhere}, 10s);
-    ledger.applyWritten(steady(3), 20s);
+    ledger.applyRead(steady(3), 20s, 3);
     EXPECT_EQ(ledger.usableUntil(database), 20s + policy.validity);
     EXPECT_EQ(ledger.usableUntil(second), 10s + policy.validity);
     EXPECT_EQ(ledger.confirmed(), reference_time(10s));
--- a/test/process_soak.py
+++ b/test/process_soak.py
@@ -43,9 +43,11 @@
 # Rate limit of the workspace "small" and the excess that the users allow.
 SMALL_RATE, SMALL_BURST, QUOTA_WINDOW_S, QUOTA_OVERAGE, QUOTA_SLACK = 20, 20, 5, 0.1, 20
 START_BOUND_S, RECOVERY_BOUND_S, ANSWER_BOUND_S = 15, 15, 5
+CHANGE_BOUND_S = 11  # time limit that the users set for a change of primary
 CONFIGURATION_APPLY_S = 3  # after which an acknowledged configuration is in force
 NO_EFFECT_ERRORS = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "CONNLIMIT")  # the write has no effect
 CATCH_UP_DELAY_S = 0.05
+INTERLEAVING_RATES = (0, 0.1, 0.5)  # of transactions whose answers name the version of another writer's
 AWAY_S = 0.5  # time for which the store is away before it returns from a copy
 
 
@@ -144,6 +146,8 @@
 
     async def start(self):
         self.platform = Platform(["db1"])
+        self.platform.store.random.seed(self.seed)
+        self.platform.store.interleaving_rate = self.random.choice(INTERLEAVING_RATES)
         await self.platform.start()
         self.members = list(self.platform.groups["db1"].members.values())
         self.member_links = {}
@@ -323,6 +327,11 @@
             await member.kill()
             await asyncio.sleep(length)
             await self.bring_back(member)
+        elif kind == "drain":
+            drained = self.platform.groups["db1"].primary() or member
+            self.platform.draining.add(drained.id)
+            await asyncio.sleep(length + 1)
+            self.platform.draining.discard(drained.id)
         elif kind == "replication stopped":
             member.is_replication_stopped = True
             await asyncio.sleep(length)
@@ -377,8 +386,8 @@
     async def inject_faults(self):
         kinds = ["kill", "kill all", "stop", "stops in series", "signals in series", "configurations in series",
                  "configurations in series", "reload", "freeze", "freeze", "crash", "crash",
-                 "replication stopped", "store down", "store returns", "store returns", "lost answers", "history", "reset connections",
-                 "block connections", "reset", "drop all", "drop requests", "drop answers", "delay"]
+                 "drain", "drain", "replication stopped", "store down", "store returns", "store returns",
+                 "lost answers", "history", "reset connections", "block connections", "reset", "drop all", "drop requests", "drop answers", "delay"]
         end = time.monotonic() + self.seconds
         running = []
         while time.monotonic() < end:
@@ -422,6 +431,20 @@
         if missing:
             self.recorder.violations.append(f"no service within {RECOVERY_BOUND_S} s: {answer[0]}")
 
+    async def check_planned_change(self):
+        """Drains the primary once all faults are over."""
+        group = self.platform.groups["db1"]
+        former = group.primary().id
+        self.platform.draining.add(former)
+        deadline = time.monotonic() + CHANGE_BOUND_S
+        while (primary := group.primary()) is None or primary.id == former:
+            if time.monotonic() > deadline:
+                self.recorder.violations.append(f"the primary {former} drains and was not replaced within "
+                                                f"{CHANGE_BOUND_S} s")
+                break
+            await asyncio.sleep(0.1)
+        self.platform.draining.discard(former)
+
     async def guest_transaction(self, node):
         """Returns a guest's session with an open transaction that a member has begun."""
         deadline = time.monotonic() + RECOVERY_BOUND_S
@@ -487,6 +510,7 @@
         tasks = [asyncio.create_task(each) for each in (*callers, self.exceed_rate())]
         await self.inject_faults()
         await self.check_recovery()
+        await self.check_planned_change()
         await self.check_withdrawal()
         self.running = False
         await asyncio.wait(tasks, timeout=ANSWER_BOUND_S + 1)
--- a/test/process_store_recovery.py
+++ b/test/process_store_recovery.py
@@ -1,4 +1,4 @@
-"""Tests of running nodes whose store returns from an outage, or from an older copy of its content."""
+"""Tests of running nodes whose store returns from an outage or from an older copy, or has other writers."""
 import asyncio
 import os
 import pathlib
@@ -23,6 +23,7 @@
 AWAY_S = 0.8
 CONFIGURATION_BOUND_S = 5
 CALLS_IN_CALM = 25  # a second, of all instances
+STOP_BOUND_S = 6
 REGISTRATION_BOUND_S = 2  # members have registered again so long after an outage of the store
 
 
@@ -232,6 +233,59 @@
         await asyncio.sleep(3)
         self.assertLess(store.calls - calls, CALLS_IN_CALM * 3)
 
+    async def replace_primary(self, remove):
+        """Removes the primary and waits until another one takes writes at every instance."""
+        former = self.group().primary().id
+        await remove(former)
+        await self.until(lambda: self.group().primary() and self.group().primary().id != former, CHANGE_BOUND_S,
+                         f"the primary {former} is replaced")
+        for node in self.nodes:
+            deadline = time.monotonic() + CHANGE_BOUND_S
+            caller = Caller()
+            await caller.connect(node.ports[0], "sales", KEY)
+            while not (answer := await caller.ask("WRITE x 1"))[0].startswith("COMPLETE"):
+                self.assertLess(time.monotonic(), deadline, answer)
+                await asyncio.sleep(0.1)
+        return former
+
+    async def drain(self, member):
+        self.platform.draining = {member}
+
+    async def test_draining_primaries_are_replaced_while_others_write_to_the_store(self):
+        """Guards against changes of primary that conflict with their own rows for ever."""
+        self.platform.store.interleaving_rate = 1
+        for node in self.nodes:
+            self.keep_writing(node)
+        for _ in range(3):
+            await self.replace_primary(self.drain)
+            await asyncio.sleep(0.5)
+        self.assertEqual(self.lost_writes(), [])
+
+    async def test_a_lost_primary_is_replaced_by_a_new_supervisor_while_others_write_to_the_store(self):
+        """Guards against a database without a primary: a claim or a view with a revision that its row never had."""
+        self.platform.store.interleaving_rate = 1
+        supervisor = self.supervisor()
+        supervisor.process.kill()
+        supervisor.process.wait()
+        supervisor.start()
+        await self.until_ready()
+        lost = await self.replace_primary(lambda member: self.group().members[member].kill())
+        self.platform.removed.add(lost)
+        await self.replace_primary(self.drain)
+
+    async def test_instances_start_and_stop_while_others_write_to_the_store(self):
+        """Guards against instances that are never ready, and rows of instances that have stopped."""
+        store = self.platform.store
+        store.interleaving_rate = 1
+        await self.replace_primary(self.drain)
+        added = self.add_node(NODES)
+        await self.until_ready()
+        row = f"instance/{added.name}"
+        self.assertIsNotNone(store.document("sycamorespan", row))
+        added.process.terminate()
+        await self.until(lambda: store.document("sycamorespan", row) is None, STOP_BOUND_S,
+                         "the row of the stopped instance is removed")
+
 
 if __name__ == "__main__":
     unittest.main()
