A request waits for the tokens that its own instance earns

Cause: a share begins without tokens, and what a request waits for was counted from the lenders alone. Where no other instance is known it was refused at once, though the own share earns a token within 2 ms.

Change: the earlier of the two times counts, at most 20 ms as before.

Why it works: the wait is bounded by what the own share earns, so that nothing more may be spent and a workspace over its rate still has no queue.

--- a/sycamorespan/src/Quota/quota_holder.cpp
+++ b/sycamorespan/src/Quota/quota_holder.cpp
@@ -385,7 +385,7 @@
         lendersHave += estimatedLevel(m_peers.at(id), now);
     if (lendersHave < firstCost) {
         if (!awaitingLoans(now))
-            awaitRefill(firstCost - lendersHave, now, actions);
+            awaitRefill(firstCost, firstCost - lendersHave, now, actions);
         return;
     }
     const bool anyAnswerSlow = std::ranges::any_of(
@@ -428,13 +428,17 @@
     return (share.rate * fromSeconds(1)).asTokens() * static_cast<double>(responsivePeers);
 }
 
-/** Keeps the requests waiting if the lenders earn \a missing soon, and refuses them otherwise. */
-void quota_holder::awaitRefill(token_amount missing, time_point now, outputs &actions)
+/** Keeps the requests waiting if the own share earns \a firstCost, or the lenders what is \a
+ * missing of it, soon. Refuses them otherwise.
+ */
+void quota_holder::awaitRefill(token_amount firstCost, token_amount missing, time_point now,
+                               outputs &actions)
 {
     const auto tokensPerSecond = lendersRefill(now);
-    if (tokensPerSecond <= 0)
-        return refuseWithoutTokensUntil(time_point::max(), now, actions);
-    const auto refilledAt = now + fromSeconds(missing.asTokens() / tokensPerSecond);
+    const auto lendableAt = tokensPerSecond > 0
+                                    ? now + fromSeconds(missing.asTokens() / tokensPerSecond)
+                                    : time_point::max();
+    const auto refilledAt = std::min(lendableAt, ownRefillAt(firstCost, now));
     refuseWithoutTokensUntil(refilledAt, now, actions);
     if (!m_waitingRequests.empty())
         m_nextBorrowAt = std::max(refilledAt, now + minRefillWait);
--- a/sycamorespan/src/Quota/quota_holder.h
+++ b/sycamorespan/src/Quota/quota_holder.h
@@ -252,7 +252,8 @@
     void processWaiting(time_point now, outputs &actions);
     void borrow(time_point now, outputs &actions);
     void beginBorrowRound(token_amount firstCost, time_point now);
-    void awaitRefill(token_amount missing, time_point now, outputs &actions);
+    void awaitRefill(token_amount firstCost, token_amount missing, time_point now,
+                     outputs &actions);
     void requestLoan(const holder_id &lender, token_amount wanted, time_point now,
                      outputs &actions);
     void settleLoans(time_point now, outputs &actions);
--- a/test/quota_loans.cpp
+++ b/test/quota_loans.cpp
@@ -127,6 +127,30 @@
     EXPECT_EQ(holder.admittedWork.size(), 10U);
 }
 
+/** \brief Sends one request to a holder that has no tokens yet and knows no lender.
+ * \returns whether it is admitted in the end; nothing if it waits for ever
+ */
+std::optional<bool> isAdmittedByNewHolder(const quota_limit &share)
+{
+    quota_holder holder(workspace, borrower, {}, time_point{});
+    holder.handle(quota_event::share_changed{share, time_point(1h)}, time_point{});
+    auto outputs = holder.handle(quota_event::request_arrived{1}, time_point{});
+    while (outputs.empty() && holder.nextDeadline())
+        outputs = holder.handle(quota_event::tick{}, *holder.nextDeadline());
+    if (outputs.empty())
+        return std::nullopt;
+    return std::holds_alternative<quota_action::admit>(outputs.front());
+}
+
+/** Guards against refusals of the first requests of an instance: its share earns a token at once,
+ * but no other instance is known that could lend one.
+ */
+TEST(quota_loans, aRequestWaitsForTheOwnShareWhileNoLenderIsKnown)
+{
+    EXPECT_EQ(isAdmittedByNewHolder(limit), true);
+    EXPECT_EQ(isAdmittedByNewHolder({token_rate::tokensPerSecond(10), limit.burst}), false);
+}
+
 RC_GTEST_PROP(quota_loans, messagesSurviveTheirEncoding, ())
 {
     const auto text = *rc::gen::arbitrary<std::string>();
