A row that was read on a later page is not older than the first page

A table is read page by page, and the answer has the revision of the first one. A view that was written between two pages was newer than that revision, so that view_ledger::applyRead() kept an older view until the next read. The row itself shows how far the store had come. Found by reading; only tables of more than one page (500 rows) can show it. FailoverViews.ARowOfALaterPageIsNewerThanTheFirstPage fails without the change: the view stays at revision 4.

--- a/sycamorespan/src/Failover/view_ledger.cpp
+++ b/sycamorespan/src/Failover/view_ledger.cpp
@@ -19,11 +19,13 @@
     if (!view.isOfPresentEra())
         return;
     auto &known = m_entries[view.database];
-    if (readAt >= std::max(known.readAt, storeAfter(known.view.revision))) {
+    // The row may have been read on a later page than the one that tells the store's revision.
+    const auto heldAt = std::max(readAt, storeAfter(view.revision));
+    if (heldAt >= std::max(known.readAt, storeAfter(known.view.revision))) {
         // What is known may be no revision of the row: an instance of an earlier release has taken
         // a later revision of the store for it.
         known.view = view;
-        known.readAt = readAt;
+        known.readAt = heldAt;
     }
     confirm(view, confirmed);
 }
--- a/test/failover_views.cpp
+++ b/test/failover_views.cpp
@@ -80,6 +80,14 @@
     EXPECT_EQ(ledger.find(database)->revision, 8U);
 }
 
+TEST(FailoverViews, ARowOfALaterPageIsNewerThanTheFirstPage)
+{
+    auto ledger = registeredLedger();
+    ledger.apply(steady(4));
+    ledger.applyRead(withdrawn(5), 20s, 3);
+    EXPECT_EQ(ledger.find(database)->revision, 5U);
+}
+
 TEST(FailoverViews, ALateReadDoesNotUndoANewerOne)
 {
     auto ledger = registeredLedger();
