All views are read after a write of one, so that no older one is unknown

What callers would have seen: a promotion while instances still use the former primary of another change, after.

Cause: an instance reports one revision up to which it has released the views of all databases, so that it must know all views before the newest one. The supervisor learnt its own views one by one, from the reads of their rows: with two changes at a time and answers in the other order it knew, and passed on, the newer one alone. Before the answers to two writes could do the same.

Change: the rows of all views are read at one moment; one read serves all changes that wait, and a write during a read has them read again. Rows of a later page that are newer than the first one are left to the next read, in place of what did.

Why it works: views of one moment contain every older one, and so does what ledgers learn from each other.

--- a/programs/node/coordination_rows.cpp
+++ b/programs/node/coordination_rows.cpp
@@ -14,7 +14,6 @@
 
 using nlohmann::json;
 
-constexpr std::string_view viewPrefix = "primary/";
 constexpr std::string_view holdersPrefix = "holders/";
 constexpr std::string_view instancePrefix = "instance/";
 
@@ -64,7 +63,7 @@
 
 std::string viewKey(const database_id &database)
 {
-    return std::string(viewPrefix) + database.str();
+    return viewKeysBegin + database.str();
 }
 
 std::string holdersKey(const database_id &database)
@@ -79,7 +78,7 @@
 
 bool isViewKey(std::string_view key)
 {
-    return key.starts_with(viewPrefix);
+    return key.starts_with(viewKeysBegin);
 }
 
 std::optional<database_id> databaseOfHoldersKey(std::string_view key)
--- a/programs/node/coordination_rows.h
+++ b/programs/node/coordination_rows.h
@@ -20,6 +20,10 @@
 inline const std::string table = "sycamorespan";
 inline const std::string claimKey = "supervisor";
 
+/** Keys of all views: from the first one up to the second, which is no key of a view. */
+inline const std::string viewKeysBegin = "primary/";
+inline const std::string viewKeysEnd = "primary0";
+
 std::string viewKey(const database_id &database);
 std::string holdersKey(const database_id &database);
 std::string instanceKey(const instance_id &instance);
--- a/programs/node/store_client.cpp
+++ b/programs/node/store_client.cpp
@@ -40,23 +40,24 @@
             });
 }
 
-void store_client::readTable(const std::string &table, const http_timeouts &timeouts,
-                             answer_handler onAnswer)
+void store_client::readAll(const row_range &range, const http_timeouts &timeouts,
+                           answer_handler onAnswer)
 {
-    readPage(table, timeouts, {}, std::move(onAnswer));
+    readPage(range, timeouts, {}, std::move(onAnswer));
 }
 
 /** Reads the page that follows the rows of \a collected. */
-void store_client::readPage(const std::string &table, const http_timeouts &timeouts,
+void store_client::readPage(const row_range &range, const http_timeouts &timeouts,
                             store_answer collected, answer_handler onAnswer)
 {
-    const auto from = collected.content.rows.empty() ? "" : collected.content.rows.back().key;
-    call(platform::readRows(table, from, ""), timeouts,
-         [this, table, timeouts, from, collected = std::move(collected),
+    const bool isFirst = collected.content.rows.empty();
+    const auto from = isFirst ? range.first : collected.content.rows.back().key;
+    call(platform::readRows(range.table, from, range.end), timeouts,
+         [this, range, timeouts, isFirst, from, collected = std::move(collected),
           handler = std::move(onAnswer)](const store_answer &page) mutable {
              if (!page.succeeded())
                  return handler(page);
-             if (from.empty()) {
+             if (isFirst) {
                  collected = page;
              } else {
                  // The range of a request includes its first key, which the last page ended with.
@@ -67,7 +68,7 @@
              auto &rows = collected.content.rows;
              const bool hasMore = page.content.more && !rows.empty() && rows.back().key > from;
              if (hasMore)
-                 return readPage(table, timeouts, std::move(collected), std::move(handler));
+                 return readPage(range, timeouts, std::move(collected), std::move(handler));
              handler(collected);
          });
 }
--- a/programs/node/store_client.h
+++ b/programs/node/store_client.h
@@ -51,12 +51,23 @@
     void call(const http_request &request, const http_timeouts &timeouts, answer_handler onAnswer,
               duration heldBack = duration::zero());
 
-    /** \brief Reads all rows of \a table, page by page, and calls \a onAnswer once. The answer has
+    /** \brief Rows of a table whose keys are not before \c first and before \c end. An empty bound
+     * does not limit the range.
+     */
+    struct row_range
+    {
+        std::string table;
+        std::string first = {};
+        std::string end = {};
+
+        auto operator<=>(const row_range &) const = default;
+    };
+
+    /** \brief Reads all rows of \a range, page by page, and calls \a onAnswer once. The answer has
      * the revision and the clock of the first page, so that a change during the read is newer.
      * \param timeouts  timeouts of each page
      */
-    void readTable(const std::string &table, const http_timeouts &timeouts,
-                   answer_handler onAnswer);
+    void readAll(const row_range &range, const http_timeouts &timeouts, answer_handler onAnswer);
 
     /** \brief Sets what is called with each newer era, before the answer that named it is handled.
      */
@@ -78,7 +89,7 @@
     std::uint64_t failures() const { return m_failures; }
 
 private:
-    void readPage(const std::string &table, const http_timeouts &timeouts, store_answer collected,
+    void readPage(const row_range &range, const http_timeouts &timeouts, store_answer collected,
                   answer_handler onAnswer);
     bool noteEra(const http_response &response);
     void finish(const http_outcome &outcome, time_point sent, const answer_handler &onAnswer);
--- a/programs/node/table_follower.cpp
+++ b/programs/node/table_follower.cpp
@@ -60,8 +60,8 @@
 void table_follower::read()
 {
     m_isReading = true;
-    m_store.readTable(m_table, {answerTimeout, transferTimeout},
-                      [this](const store_answer &answer) { handleRead(answer); });
+    m_store.readAll({m_table}, {answerTimeout, transferTimeout},
+                    [this](const store_answer &answer) { handleRead(answer); });
 }
 
 void table_follower::handleRead(const store_answer &answer)
--- a/programs/node/view_keeper.cpp
+++ b/programs/node/view_keeper.cpp
@@ -251,49 +251,55 @@
     else if (latest && confirmed)
         context.confirmationAge = *latest - *confirmed;
     if (m_reads.isDue(context, now))
-        perform(change_action::read_views{}, now);
+        perform(change_action::read_rows{}, now);
 }
 
-void view_keeper::perform(const change_action::read_views &, time_point now)
+void view_keeper::perform(const change_action::read_rows &, time_point now)
 {
     if (m_reads.isReading())
         return;
     const bool wasRequested = std::exchange(m_rowsRequested, false);
     m_reads.onStarted(now);
-    m_store.readTable(coordination_rows::table, readTimeout,
-                      [this, wasRequested](const store_answer &answer) {
-                          m_reads.onAnswered(answer.succeeded());
-                          if (answer.succeeded())
-                              applyRows(answer);
-                          else
-                              m_rowsRequested = m_rowsRequested || wasRequested;
-                      });
+    m_store.readAll({coordination_rows::table}, readTimeout,
+                    [this, wasRequested](const store_answer &answer) {
+                        m_reads.onAnswered(answer.succeeded());
+                        if (answer.succeeded())
+                            applyRows(answer);
+                        else
+                            m_rowsRequested = m_rowsRequested || wasRequested;
+                    });
 }
 
-/** Reads the row of one view. If it fails, the change of primary repeats the action. */
-void view_keeper::perform(const change_action::read_view &action, time_point)
+/** Reads the rows of all views. If it fails, the change of primary repeats the action. */
+void view_keeper::perform(const change_action::read_views &action, time_point)
 {
-    const auto key = coordination_rows::viewKey(action.database);
-    m_store.call(platform::readRow(coordination_rows::table, key), readTimeout,
-                 [this, key](const store_answer &answer) {
-                     const auto now = suspendAwareNow();
-                     for (const auto &row : answer.content.rows)
-                         if (row.key == key)
-                             applyViewRow(row, answer, now);
-                     supervise(now);
-                 });
+    m_viewsRequested = m_isReadingViews; // what is read now may precede the write
+    if (std::exchange(m_isReadingViews, true))
+        return;
+    m_store.readAll({coordination_rows::table, coordination_rows::viewKeysBegin,
+                     coordination_rows::viewKeysEnd},
+                    readTimeout, [this, action](const store_answer &answer) {
+                        const auto now = suspendAwareNow();
+                        m_isReadingViews = false;
+                        if (std::exchange(m_viewsRequested, false))
+                            perform(action, now);
+                        if (answer.succeeded())
+                            applyViewRows(answer, now);
+                    });
 }
 
-/** Applies the row of a view that an answer of the store carries. */
-void view_keeper::applyViewRow(const platform::store_row &row, const store_answer &answer,
-                               time_point now)
+/** Applies the rows of all views. */
+void view_keeper::applyViewRows(const store_answer &answer, time_point now)
 {
-    const auto view = coordination_rows::decodeView(row.value, row.revision);
-    if (!view)
-        return m_handlers.onRejectedRow(row);
-    m_ledger.applyRead(*view, answer.content.clock, answer.content.revision);
+    for (const auto &row : answer.content.rows) {
+        if (const auto view = coordination_rows::decodeView(row.value, row.revision))
+            m_ledger.applyRead(*view, answer.content.clock, answer.content.revision);
+        else
+            m_handlers.onRejectedRow(row);
+    }
     applyViews(now);
     m_handlers.onUpdate(report_cause::requested);
+    supervise(now);
 }
 
 void view_keeper::applyRows(const store_answer &answer)
@@ -607,9 +613,6 @@
                                now);
                 } else if (answer.status == platform::store_status::conflict) {
                     applyClaimRow(answer);
-                    for (const auto &row : answer.content.rows)
-                        if (row.key == coordination_rows::viewKey(view.database))
-                            applyViewRow(row, answer, now);
                     performAll(m_supervision.onViewConflict(view, now), now);
                 } else {
                     performAll(m_supervision.onViewWriteUnknown(view, now), now);
--- a/programs/node/view_keeper.h
+++ b/programs/node/view_keeper.h
@@ -145,9 +145,9 @@
     void performAll(const change_outputs &outputs, time_point now);
     void perform(const change_action::write_view &action, time_point now);
     void perform(const change_action::record_holders &action, time_point now);
+    void perform(const change_action::read_rows &action, time_point now);
     void perform(const change_action::read_views &action, time_point now);
-    void perform(const change_action::read_view &action, time_point now);
-    void applyViewRow(const platform::store_row &row, const store_answer &answer, time_point now);
+    void applyViewRows(const store_answer &answer, time_point now);
     void readHolders(const database_id &database);
     recorded_holders decodeHolders(const platform::store_row &row);
     void removeRegistration(const instance_incarnation &incarnation, std::function<void()> done);
@@ -202,6 +202,8 @@
     bool m_rowsRequested = true; ///< the rows are to be read soon, whatever the age of the views
     bool m_isClaiming = false;
     bool m_isStopping = false;
+    bool m_isReadingViews = false;
+    bool m_viewsRequested = false; ///< the views are to be read again, after the present read
     std::optional<time_point> m_storeReachableSince; ///< empty during a store outage
     std::set<database_id> m_suspectedDatabases; ///< their primaries are suspected to have failed
     row_read_schedule m_reads;
--- a/sycamorespan/src/Failover/supervision.cpp
+++ b/sycamorespan/src/Failover/supervision.cpp
@@ -101,7 +101,7 @@
     m_election.onWritten(now);
     updateRole(outputs);
     confirmClaim(committed);
-    outputs.push_back(change_action::read_views{});
+    outputs.push_back(change_action::read_rows{});
     return outputs;
 }
 
--- a/sycamorespan/src/Failover/synchronous_change.cpp
+++ b/sycamorespan/src/Failover/synchronous_change.cpp
@@ -316,7 +316,7 @@
     // The claim may be confirmed too long ago by the time when the row is read.
     if (m_step == step::writingOrder)
         orderPromotion(context, now);
-    m_outputs.push_back(read_view{m_database});
+    m_outputs.push_back(read_views{});
     return takeOutputs();
 }
 
@@ -365,7 +365,7 @@
     noteEvent("change of primary stopped because another supervisor changed the primary view");
     enter(step::none, now);
     m_notBefore = now + m_policy.writeRetryInterval;
-    m_outputs.push_back(read_views{});
+    m_outputs.push_back(read_rows{});
     return takeOutputs();
 }
 
@@ -376,7 +376,7 @@
     m_isWriting = false;
     m_writeUnresolved = true;
     m_unresolvedReadAt = now;
-    m_outputs.push_back(read_view{m_database});
+    m_outputs.push_back(read_views{});
     return takeOutputs();
 }
 
@@ -417,7 +417,7 @@
         m_outputs.push_back(write_view{m_pendingView, m_pendingClaimRevision});
         return;
     }
-    m_outputs.push_back(read_view{m_database});
+    m_outputs.push_back(read_views{});
 }
 
 void synchronous_change::sendStatement(const server_id &server, outgoing_statement statement,
--- a/sycamorespan/src/Failover/synchronous_change.h
+++ b/sycamorespan/src/Failover/synchronous_change.h
@@ -148,18 +148,19 @@
     auto operator<=>(const record_holders &) const = default;
 };
 
-/** \brief Read the rows of all primary views from the store. */
-struct read_views
+/** \brief Read all rows that coordinate the instances from the store. */
+struct read_rows
 {
-    auto operator<=>(const read_views &) const = default;
+    auto operator<=>(const read_rows &) const = default;
 };
 
-/** \brief Read the row of one primary view from the store, at once. */
-struct read_view
+/** \brief Read the rows of all primary views from the store, after this action. That of one view
+ * would not do: an instance that knows a view must know all older ones, as it reports up to which
+ * revision it has released them.
+ */
+struct read_views
 {
-    database_id database;
-
-    auto operator<=>(const read_view &) const = default;
+    auto operator<=>(const read_views &) const = default;
 };
 
 /** \brief Send a statement to a member outside any session and report onMemberAnswered(). */
@@ -205,7 +206,7 @@
 } // namespace change_action
 
 using change_output = std::variant<change_action::write_view, change_action::record_holders,
-                                   change_action::read_views, change_action::read_view,
+                                   change_action::read_rows, change_action::read_views,
                                    change_action::send_statement, change_action::order_promotion,
                                    change_action::publish_floor, change_action::log_event>;
 using change_outputs = std::vector<change_output>;
--- a/sycamorespan/src/Failover/view_ledger.cpp
+++ b/sycamorespan/src/Failover/view_ledger.cpp
@@ -16,16 +16,16 @@
 void view_ledger::applyRead(const primary_view &view, reference_time confirmed,
                             store_revision readAt)
 {
-    if (!view.isOfPresentEra())
+    // A row of a later page may be newer than that, while older ones of other databases are not
+    // known yet.
+    if (!view.isOfPresentEra() || storeAfter(view.revision) > readAt)
         return;
     auto &known = m_entries[view.database];
-    // The row may have been read on a later page than the one that tells the store's revision.
-    const auto heldAt = std::max(readAt, storeAfter(view.revision));
-    if (heldAt >= std::max(known.readAt, storeAfter(known.view.revision))) {
+    if (readAt >= std::max(known.readAt, storeAfter(known.view.revision))) {
         // What is known may be no revision of the row: an instance of an earlier release has taken
         // a later revision of the store for it.
         known.view = view;
-        known.readAt = heldAt;
+        known.readAt = readAt;
     }
     confirm(view, confirmed);
 }
--- a/sycamorespan/src/Failover/view_ledger.h
+++ b/sycamorespan/src/Failover/view_ledger.h
@@ -55,7 +55,9 @@
     void applySnapshot(const std::vector<primary_view> &views, reference_time confirmed);
 
     /** \brief Applies one row that the store held at the revision \a readAt, when its clock read
-     * \a confirmed. No other revision of the row up to \a readAt counts any more.
+     * \a confirmed. No other revision of the row up to \a readAt counts any more. The rows of all
+     * views that were read together must be applied, so that the ledger knows all views up to the
+     * newest one.
      */
     void applyRead(const primary_view &view, reference_time confirmed, store_revision readAt);
 
