--- a/test/process_soak.py
+++ b/test/process_soak.py
@@ -387,7 +387,8 @@
         kinds = ["kill", "kill all", "stop", "stops in series", "signals in series", "configurations in series",
                  "configurations in series", "reload", "freeze", "freeze", "crash", "crash",
                  "drain", "drain", "replication stopped", "store down", "store returns", "store returns",
-                 "lost answers", "history", "reset connections", "block connections", "reset", "drop all", "drop requests", "drop answers", "delay"]
+                 "lost answers", "history", "reset connections", "block connections", "reset", "drop all",
+                 "drop requests", "drop answers", "delay"]
         end = time.monotonic() + self.seconds
         running = []
         while time.monotonic() < end:
